The whole path, thin: caller, coordinator, aggregator, upstream, platform

Cause: nothing existed. The path has to run before any decision can be measured.

Change: one binary with serve, check, query, load, standin and demo. Daemons speak QUIC with mutual TLS to each other, HTTP to callers, upstreams and the platform. Each upstream has one holder by rendezvous hashing. Settings faults are named by row, column and key, all at once.

Conclusion: the path stands; hedges, tenure leases, claims and the fleet's state come next.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,39 @@
+# The one door to every chore.
+GOLANGCI_VERSION := 2.15.0
+BIN := $(CURDIR)/bin
+LINT := $(BIN)/golangci-lint-$(GOLANGCI_VERSION)
+
+.PHONY: build fmt lint vet test unit example demo clean tools
+
+build:
+	go build -o $(BIN)/zinnialock .
+
+$(LINT):
+	GOBIN=$(BIN) go install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v$(GOLANGCI_VERSION)
+	mv $(BIN)/golangci-lint $(LINT)
+
+tools: $(LINT)
+
+fmt: $(LINT)
+	$(LINT) fmt
+
+lint: $(LINT)
+	@out="$$($(LINT) fmt --diff)"; if [ -n "$$out" ]; then echo "$$out"; echo "not formatted: run make fmt"; exit 1; fi
+	$(LINT) run ./...
+
+vet:
+	go vet ./...
+
+unit:
+	go test -race -count=1 -timeout 8m ./...
+
+example: build
+	$(BIN)/zinnialock check -config zinnialock.example.toml >/dev/null
+
+test: lint vet unit example
+
+demo:
+	go run . demo
+
+clean:
+	rm -rf $(BIN) out
--- /dev/null
+++ b/cmd/cmd.go
@@ -0,0 +1,193 @@
+// Package cmd holds the subcommands of zinnialock, one file each.
+package cmd
+
+import (
+	"encoding/json"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"strings"
+)
+
+// The exit codes of every subcommand.
+const (
+	exitDone   = 0
+	exitFailed = 1
+	exitUsage  = 2
+)
+
+// env is where a subcommand writes.
+type env struct {
+	stdout io.Writer
+	stderr io.Writer
+}
+
+// command is one subcommand.
+type command struct {
+	name    string
+	summary string
+	run     func(e *env, args []string) int
+}
+
+func commands() []command {
+	return []command{
+		{
+			name:    "serve",
+			summary: "run a daemon",
+			run:     runServe,
+		},
+		{
+			name:    "check",
+			summary: "validate a daemon's settings file",
+			run:     runCheck,
+		},
+		{
+			name:    "query",
+			summary: "send one query and show its answer",
+			run:     runQuery,
+		},
+		{
+			name:    "load",
+			summary: "send queries at a rate and check each answer",
+			run:     runLoad,
+		},
+		{
+			name:    "standin",
+			summary: "run a small stand-in for the platform or an upstream",
+			run:     runStandin,
+		},
+		{
+			name:    "demo",
+			summary: "run the whole system in one process under faults",
+			run:     runDemo,
+		},
+	}
+}
+
+// Main runs the subcommand that args name and returns the exit code.
+func Main(args []string, stdout, stderr io.Writer) int {
+	e := &env{
+		stdout: stdout,
+		stderr: stderr,
+	}
+	if len(args) == 0 {
+		usage(stderr)
+		return exitUsage
+	}
+	if args[0] == "-h" || args[0] == "--help" || args[0] == "help" {
+		usage(stdout)
+		return exitDone
+	}
+	for _, c := range commands() {
+		if c.name == args[0] {
+			return c.run(e, args[1:])
+		}
+	}
+	_, _ = fmt.Fprintf(stderr, "zinnialock: unknown subcommand %q%s\n", args[0], hint(args[0]))
+	return exitUsage
+}
+
+func usage(w io.Writer) {
+	_, _ = fmt.Fprintln(w, "Usage: zinnialock SUBCOMMAND [flags]")
+	for _, c := range commands() {
+		_, _ = fmt.Fprintf(w, "  %-9s %s\n", c.name, c.summary)
+	}
+	_, _ = fmt.Fprintln(w, "`zinnialock SUBCOMMAND -h` lists the flags of one.")
+}
+
+// hintDistance is how many edits away a subcommand is still suggested.
+const hintDistance = 3
+
+func hint(typed string) string {
+	best := ""
+	least := hintDistance + 1
+	for _, c := range commands() {
+		if d := distance(typed, c.name); d < least {
+			best, least = c.name, d
+		}
+	}
+	if best == "" {
+		return "; `zinnialock help` lists them"
+	}
+	return fmt.Sprintf("; did you mean %q?", best)
+}
+
+// distance is the number of single-letter edits between two words.
+func distance(a, b string) int {
+	row := make([]int, len(b)+1)
+	for j := range row {
+		row[j] = j
+	}
+	for i := range len(a) {
+		diagonal := row[0]
+		row[0] = i + 1
+		for j := range len(b) {
+			cost := 1
+			if a[i] == b[j] {
+				cost = 0
+			}
+			next := min(row[j+1]+1, row[j]+1, diagonal+cost)
+			diagonal = row[j+1]
+			row[j+1] = next
+		}
+	}
+	return row[len(b)]
+}
+
+// newFlags makes a flag set that prints its help to e.
+func newFlags(e *env, name, about string) *flag.FlagSet {
+	fs := flag.NewFlagSet(name, flag.ContinueOnError)
+	fs.SetOutput(e.stderr)
+	fs.Usage = func() {
+		_, _ = fmt.Fprintf(fs.Output(), "Usage: zinnialock %s [flags]\n%s\n", name, about)
+		fs.PrintDefaults()
+	}
+	return fs
+}
+
+// parse parses args; ok is false when the subcommand must end with code.
+func parse(e *env, fs *flag.FlagSet, args []string) (code int, ok bool) {
+	for _, a := range args {
+		if a == "-h" || a == "-help" || a == "--help" {
+			fs.SetOutput(e.stdout)
+		}
+	}
+	switch err := fs.Parse(args); {
+	case errors.Is(err, flag.ErrHelp):
+		return exitDone, false
+	case err != nil:
+		return exitUsage, false
+	case fs.NArg() > 0:
+		_, _ = fmt.Fprintf(e.stderr, "zinnialock %s: unexpected %q\n", fs.Name(), strings.Join(fs.Args(), " "))
+		return exitUsage, false
+	}
+	return exitDone, true
+}
+
+func (e *env) fail(code int, err error) int {
+	_, _ = fmt.Fprintln(e.stderr, err)
+	return code
+}
+
+func (e *env) printf(format string, args ...any) {
+	_, _ = fmt.Fprintf(e.stdout, format, args...)
+}
+
+func (e *env) json(value any) {
+	encoder := json.NewEncoder(e.stdout)
+	encoder.SetIndent("", "  ")
+	_ = encoder.Encode(value)
+}
+
+// formatFlag adds the -format flag and returns whether JSON is wanted.
+func formatFlag(fs *flag.FlagSet) *string {
+	return fs.String("format", "text", "text or json")
+}
+
+func checkFormat(format string) error {
+	if format != "text" && format != "json" {
+		return fmt.Errorf("flag -format: found %q, allowed is text or json", format)
+	}
+	return nil
+}
--- /dev/null
+++ b/cmd/query.go
@@ -0,0 +1,76 @@
+package cmd
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"time"
+
+	"zinnialock/core/process/zlunit"
+	"zinnialock/core/request/zlquery"
+	"zinnialock/io/process/zlload"
+	"zinnialock/io/request/zlfront"
+)
+
+func runQuery(e *env, args []string) int {
+	fs := newFlags(e, "query", "Send one query to a daemon and show its answer.")
+	target := fs.String("target", "127.0.0.1:7100", "caller address of a daemon, `IP:PORT`")
+	service := fs.String("service", "", "`NAME` of the service")
+	kind := fs.String("kind", "", "query kind")
+	text := fs.String("text", "", "what to look for")
+	id := fs.String("id", "", "request id; made up when empty")
+	once := fs.Bool("once", false, "the request is not idempotent")
+	least := fs.Float64("least", 0, "least coverage wanted, 0 to 1")
+	deadline := fs.Duration("deadline", 2*time.Second, "time allowed")
+	verbose := fs.Bool("v", false, "show every shard")
+	format := formatFlag(fs)
+	if code, ok := parse(e, fs, args); !ok {
+		return code
+	}
+	if err := checkFormat(*format); err != nil {
+		return e.fail(exitUsage, err)
+	}
+	idempotent := !*once
+	req := &zlfront.Request{
+		RequestID:     zlunit.RequestID(*id),
+		Service:       zlunit.Service(*service),
+		Kind:          zlunit.QueryKind(*kind),
+		Text:          *text,
+		DeadlineMs:    deadline.Milliseconds(),
+		Idempotent:    &idempotent,
+		LeastCoverage: zlunit.Coverage(*least),
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), *deadline+time.Second)
+	defer cancel()
+	a, err := zlload.Post(ctx, http.DefaultClient, *target, req)
+	if err != nil {
+		return e.fail(exitFailed, fmt.Errorf("query: %w", err))
+	}
+	if *format == "json" {
+		e.json(a)
+	} else {
+		showAnswer(e, a, *verbose)
+	}
+	if a.Outcome != zlquery.OutcomeDone {
+		return exitFailed
+	}
+	return exitDone
+}
+
+func showAnswer(e *env, a *zlfront.Answer, verbose bool) {
+	if a.Refusal != nil {
+		e.printf("request  %s\nrefused  %s %s\nran      %s\n", a.RequestID, a.Refusal.Reason, a.Refusal.Detail, a.Refusal.Ran)
+		return
+	}
+	e.printf("request  %s\nversion  %d\ncoverage %.4f, complete %v\ntime     %.1f ms\n", a.RequestID, a.Version, a.Coverage, a.Complete, a.ElapsedMs)
+	e.printf("sent     %d sub-requests, %d hedges, %d retries\n", a.Subs, a.Hedges, a.Retries)
+	for _, m := range a.Missing {
+		e.printf("missing  shard %d: %s\n", m.Shard, m.Reason)
+	}
+	if !verbose {
+		return
+	}
+	for _, p := range a.Parts {
+		e.printf("shard %-4d %-24s coverage %.2f, %d rows\n", p.Shard, p.Upstream, p.Coverage, len(p.Rows))
+	}
+}
--- /dev/null
+++ b/io/connection/zlpeer/zlpeer.go
@@ -0,0 +1,265 @@
+// Package zlpeer carries messages between daemons over QUIC with mutual TLS.
+// Each batch has a stream of its own; each other message is one stream with a
+// request and a reply.
+package zlpeer
+
+import (
+	"context"
+	"crypto/tls"
+	"fmt"
+	"sync"
+	"time"
+
+	"zinnialock/core/process/zlunit"
+	"zinnialock/core/request/zlaggr"
+	"zinnialock/core/request/zlcoord"
+	"zinnialock/core/request/zlquery"
+	"zinnialock/core/version/zlview"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/quic-go/quic-go"
+	"github.com/rotisserie/eris"
+)
+
+// Kind classifies an Error.
+type Kind string
+
+// The kinds of Error.
+const (
+	KindListen      Kind = "listen"
+	KindUnreachable Kind = "unreachable"
+	KindDecode      Kind = "decode"
+)
+
+// Error reports a failure between daemons.
+type Error struct {
+	Op   string
+	Kind Kind
+	Err  error
+}
+
+// Error implements error.
+func (e *Error) Error() string {
+	return fmt.Sprintf("zlpeer: %s: %s: %v", e.Op, e.Kind, e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error {
+	return e.Err
+}
+
+// Protocol is the ALPN name of the protocol between daemons.
+const Protocol = "zinnialock/1"
+
+const (
+	// dialTimeout bounds the handshake with another daemon.
+	dialTimeout = time.Second
+	// idleTimeout ends a connection that stayed silent.
+	idleTimeout = 5 * time.Second
+	// keepAlive is the period of QUIC keep-alives on a used connection.
+	keepAlive = 2 * time.Second
+	// maxStreams bounds the concurrent streams of one connection.
+	maxStreams = 1 << 14
+)
+
+var streamKinds = struct {
+	batch byte
+	ask   byte
+}{
+	batch: 'b',
+	ask:   'a',
+}
+
+var decMode = mustDecMode()
+
+func mustDecMode() cbor.DecMode {
+	mode, err := cbor.DecOptions{
+		MaxArrayElements: 1 << 17,
+		MaxMapPairs:      1 << 17,
+		MaxNestedLevels:  16,
+	}.DecMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}
+
+func quicConfig() *quic.Config {
+	return &quic.Config{
+		MaxIdleTimeout:        idleTimeout,
+		KeepAlivePeriod:       keepAlive,
+		MaxIncomingStreams:    maxStreams,
+		HandshakeIdleTimeout:  dialTimeout,
+		MaxIncomingUniStreams: -1,
+	}
+}
+
+// Asked answers a small request of another daemon.
+type Asked func(ctx context.Context, topic string, body []byte) ([]byte, error)
+
+// Node is this daemon's end of the protocol. The exported fields must be set
+// before Run.
+type Node struct {
+	Self       zlunit.VM
+	Address    string
+	TLS        *tls.Config
+	Views      *zlview.Holder
+	Aggregator *zlaggr.Aggregator
+	Asked      Asked
+
+	done      chan struct{}
+	transport *quic.Transport
+	listener  *quic.Listener
+	mu        sync.Mutex
+	links     map[string]*link
+	wg        sync.WaitGroup
+}
+
+var _ zlcoord.Dispatcher = (*Node)(nil)
+
+// Run listens and returns once the listener is up.
+func (n *Node) Run() error {
+	conn, err := listenUDP(n.Address)
+	if err != nil {
+		return &Error{
+			Op:   "run",
+			Kind: KindListen,
+			Err:  eris.Wrap(err, n.Address),
+		}
+	}
+	n.transport = &quic.Transport{
+		Conn: conn,
+	}
+	n.done = make(chan struct{})
+	n.links = map[string]*link{}
+	n.listener, err = n.transport.Listen(n.TLS, quicConfig())
+	if err != nil {
+		_ = conn.Close()
+		return &Error{
+			Op:   "run",
+			Kind: KindListen,
+			Err:  eris.Wrap(err, n.Address),
+		}
+	}
+	n.wg.Go(n.accept)
+	return nil
+}
+
+// Close ends all connections and waits for their goroutines.
+func (n *Node) Close() {
+	close(n.done)
+	_ = n.listener.Close()
+	n.mu.Lock()
+	for _, l := range n.links {
+		l.close()
+	}
+	n.mu.Unlock()
+	_ = n.transport.Close()
+	_ = n.transport.Conn.Close()
+	n.wg.Wait()
+}
+
+// Dispatch implements zlcoord.Dispatcher; a batch to this very daemon is
+// served in place.
+func (n *Node) Dispatch(ctx context.Context, to zlunit.VM, batch *zlquery.Batch, sink func(zlquery.Reply)) zlcoord.Call {
+	if to == n.Self {
+		return n.Aggregator.Serve(ctx, batch, sink)
+	}
+	c := newCall(ctx, batch, sink)
+	n.wg.Go(func() {
+		n.runCall(to, c)
+	})
+	return c
+}
+
+func (n *Node) runCall(to zlunit.VM, c *call) {
+	defer c.cancel()
+	stream, err := n.open(c.ctx, to, streamKinds.batch)
+	if err != nil {
+		c.failAll(false)
+		return
+	}
+	c.run(stream)
+}
+
+// Ask sends a small request to the daemon at addr and returns its reply.
+func (n *Node) Ask(ctx context.Context, addr, topic string, body []byte) ([]byte, error) {
+	stream, err := n.openAt(ctx, addr, streamKinds.ask)
+	if err != nil {
+		return nil, err
+	}
+	stop := context.AfterFunc(ctx, func() {
+		stream.CancelRead(0)
+		stream.CancelWrite(0)
+	})
+	defer stop()
+	if err := cbor.NewEncoder(stream).Encode(question{
+		Topic: topic,
+		Body:  body,
+	}); err != nil {
+		return nil, unreachable("ask", err)
+	}
+	_ = stream.Close()
+	var a reply
+	if err := decMode.NewDecoder(stream).Decode(&a); err != nil {
+		return nil, unreachable("ask", err)
+	}
+	if a.Fault != "" {
+		return nil, unreachable("ask", eris.New(a.Fault))
+	}
+	return a.Body, nil
+}
+
+type question struct {
+	Topic string `cbor:"1,keyasint"`
+	Body  []byte `cbor:"2,keyasint"`
+}
+
+type reply struct {
+	Body  []byte `cbor:"1,keyasint"`
+	Fault string `cbor:"2,keyasint,omitempty"`
+}
+
+func unreachable(op string, err error) error {
+	return &Error{
+		Op:   op,
+		Kind: KindUnreachable,
+		Err:  err,
+	}
+}
+
+func (n *Node) open(ctx context.Context, to zlunit.VM, kind byte) (*quic.Stream, error) {
+	m, ok := n.Views.Load().Peer(to)
+	if !ok {
+		return nil, unreachable("open", eris.Errorf("no daemon %q in the roster", to))
+	}
+	return n.openAt(ctx, m.Peer, kind)
+}
+
+func (n *Node) openAt(ctx context.Context, addr string, kind byte) (*quic.Stream, error) {
+	conn, err := n.link(addr).get(ctx, n)
+	if err != nil {
+		return nil, unreachable("open", err)
+	}
+	stream, err := conn.OpenStreamSync(ctx)
+	if err != nil {
+		return nil, unreachable("open", err)
+	}
+	if _, err := stream.Write([]byte{kind}); err != nil {
+		return nil, unreachable("open", err)
+	}
+	return stream, nil
+}
+
+func (n *Node) link(addr string) *link {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	l, ok := n.links[addr]
+	if !ok {
+		l = &link{
+			addr: addr,
+		}
+		n.links[addr] = l
+	}
+	return l
+}
--- /dev/null
+++ b/io/process/zlkeys/selfmade.go
@@ -0,0 +1,136 @@
+package zlkeys
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"math/big"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+// selfMadeLife is how long self-made keys are valid.
+const selfMadeLife = 30 * 24 * time.Hour
+
+// Authority is a self-made certificate authority for demos and tests.
+type Authority struct {
+	cert *x509.Certificate
+	key  *ecdsa.PrivateKey
+}
+
+// NewAuthority makes an authority with a fresh key.
+func NewAuthority() (*Authority, error) {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return nil, eris.Wrap(err, "authority key")
+	}
+	template := certTemplate("zinnialock test authority")
+	template.IsCA = true
+	template.BasicConstraintsValid = true
+	template.KeyUsage = x509.KeyUsageCertSign
+	der, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
+	if err != nil {
+		return nil, eris.Wrap(err, "authority certificate")
+	}
+	cert, err := x509.ParseCertificate(der)
+	if err != nil {
+		return nil, eris.Wrap(err, "authority certificate")
+	}
+	return &Authority{
+		cert: cert,
+		key:  key,
+	}, nil
+}
+
+func certTemplate(name string) *x509.Certificate {
+	now := time.Now()
+	return &x509.Certificate{
+		SerialNumber: big.NewInt(now.UnixNano()),
+		Subject: pkix.Name{
+			CommonName: name,
+		},
+		NotBefore: now.Add(-time.Hour),
+		NotAfter:  now.Add(selfMadeLife),
+	}
+}
+
+// Issue makes a certificate for one daemon.
+func (a *Authority) Issue(name string) (*tls.Certificate, error) {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return nil, eris.Wrap(err, "daemon key")
+	}
+	template := certTemplate(name)
+	template.DNSNames = []string{ServerName}
+	template.KeyUsage = x509.KeyUsageDigitalSignature
+	der, err := x509.CreateCertificate(rand.Reader, template, a.cert, &key.PublicKey, a.key)
+	if err != nil {
+		return nil, eris.Wrap(err, "daemon certificate")
+	}
+	return &tls.Certificate{
+		Certificate: [][]byte{der},
+		PrivateKey:  key,
+	}, nil
+}
+
+// Pool returns a pool that trusts only this authority.
+func (a *Authority) Pool() *x509.CertPool {
+	pool := x509.NewCertPool()
+	pool.AddCert(a.cert)
+	return pool
+}
+
+// Store issues keys for one daemon and returns a store that holds them.
+func (a *Authority) Store(name string) (*Store, error) {
+	cert, err := a.Issue(name)
+	if err != nil {
+		return nil, err
+	}
+	s := &Store{}
+	s.Set(cert, a.Pool())
+	return s, nil
+}
+
+// WriteFiles issues keys for one daemon and writes all three files into dir.
+func (a *Authority) WriteFiles(dir, name string) (Files, error) {
+	files := Files{
+		Certificate: filepath.Join(dir, name+".crt"),
+		Key:         filepath.Join(dir, name+".key"),
+		Authority:   filepath.Join(dir, "authority.crt"),
+	}
+	cert, err := a.Issue(name)
+	if err != nil {
+		return files, err
+	}
+	key, err := x509.MarshalPKCS8PrivateKey(cert.PrivateKey)
+	if err != nil {
+		return files, eris.Wrap(err, "daemon key")
+	}
+	blocks := map[string]*pem.Block{
+		files.Certificate: {
+			Type:  "CERTIFICATE",
+			Bytes: cert.Certificate[0],
+		},
+		files.Key: {
+			Type:  "PRIVATE KEY",
+			Bytes: key,
+		},
+		files.Authority: {
+			Type:  "CERTIFICATE",
+			Bytes: a.cert.Raw,
+		},
+	}
+	for name, block := range blocks {
+		if err := os.WriteFile(name, pem.EncodeToMemory(block), 0o600); err != nil {
+			return files, eris.Wrap(err, name)
+		}
+	}
+	return files, nil
+}
--- /dev/null
+++ b/io/standin/zlfakeplatform/zlfakeplatform.go
@@ -0,0 +1,321 @@
+// Package zlfakeplatform is a small stand-in for the platform's object API:
+// objects with versions, conditional updates, watches and a lagging list of
+// VMs. It can be told to be down, slow, or to lose replies.
+package zlfakeplatform
+
+import (
+	"encoding/json"
+	"net/http"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"zinnialock/core/process/zlunit"
+	"zinnialock/io/process/zlplatform"
+
+	"golang.org/x/time/rate"
+)
+
+// Faults is what the platform is told to suffer.
+type Faults struct {
+	// Down makes every call fail at once.
+	Down bool `json:"down"`
+	// SlowMs delays every call, in milliseconds.
+	SlowMs int64 `json:"slowMs"`
+	// LoseReplies is the share of writes whose reply is lost after they took
+	// effect, from 0 to 1.
+	LoseReplies float64 `json:"loseReplies"`
+}
+
+// VM is an entry of the platform's list of VMs.
+type VM struct {
+	Name       zlunit.VM         `json:"name"`
+	DataCentre zlunit.DataCentre `json:"dataCentre"`
+	Leaving    bool              `json:"leaving"`
+}
+
+// Counts is what the platform saw.
+type Counts struct {
+	Reads    int64 `json:"reads"`
+	Writes   int64 `json:"writes"`
+	Watches  int64 `json:"watches"`
+	Refused  int64 `json:"refused"`
+	LostAcks int64 `json:"lostAcks"`
+}
+
+const (
+	// maxValue bounds an object's value, in bytes.
+	maxValue = 1 << 20
+	// maxWait bounds a watch.
+	maxWait = time.Minute
+)
+
+type key struct {
+	kind zlplatform.ObjectKind
+	name string
+}
+
+type listedVMs struct {
+	at  time.Time
+	vms []VM
+}
+
+// Platform is the stand-in. Rates and VMLag may be set before Handler is used.
+type Platform struct {
+	// ReadsPerSecond and WritesPerSecond are its rates; 0 means no limit.
+	ReadsPerSecond  float64
+	WritesPerSecond float64
+	// VMLag is how old the list of VMs is.
+	VMLag time.Duration
+
+	once    sync.Once
+	reads   *rate.Limiter
+	writes  *rate.Limiter
+	mu      sync.Mutex
+	objects map[key]zlplatform.Object
+	rev     zlunit.ObjectVersion
+	changed chan struct{}
+	faults  Faults
+	counts  Counts
+	lists   []listedVMs
+	lost    float64
+}
+
+func (p *Platform) init() {
+	p.once.Do(func() {
+		p.objects = map[key]zlplatform.Object{}
+		p.changed = make(chan struct{})
+		p.reads = limiter(p.ReadsPerSecond)
+		p.writes = limiter(p.WritesPerSecond)
+	})
+}
+
+func limiter(perSecond float64) *rate.Limiter {
+	if perSecond == 0 {
+		return rate.NewLimiter(rate.Inf, 0)
+	}
+	return rate.NewLimiter(rate.Limit(perSecond), int(perSecond)+1)
+}
+
+// Handler serves the object API and the stand-in's own controls.
+func (p *Platform) Handler() http.Handler {
+	p.init()
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /objects/{kind}/{name}", p.read(p.getObject))
+	mux.HandleFunc("GET /objects/{kind}", p.read(p.listObjects))
+	mux.HandleFunc("PUT /objects/{kind}/{name}", p.write(p.putObject))
+	mux.HandleFunc("DELETE /objects/{kind}/{name}", p.write(p.deleteObject))
+	mux.HandleFunc("GET /watch", p.read(p.watch))
+	mux.HandleFunc("GET /vms", p.read(p.listVMs))
+	mux.HandleFunc("PUT /control/faults", p.setFaults)
+	mux.HandleFunc("PUT /control/vms", p.setVMs)
+	mux.HandleFunc("GET /control/counts", p.getCounts)
+	return mux
+}
+
+// SetFaults tells the platform what to suffer from now on.
+func (p *Platform) SetFaults(f Faults) {
+	p.init()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.faults = f
+}
+
+// Counts returns what the platform saw so far.
+func (p *Platform) Counts() Counts {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.counts
+}
+
+func (p *Platform) read(next http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		if p.suffer(w, r, p.reads) {
+			return
+		}
+		p.mu.Lock()
+		p.counts.Reads++
+		p.mu.Unlock()
+		next(w, r)
+	}
+}
+
+// suffer applies the faults and rates, and reports whether the call ended.
+func (p *Platform) suffer(w http.ResponseWriter, r *http.Request, l *rate.Limiter) bool {
+	p.mu.Lock()
+	f := p.faults
+	p.mu.Unlock()
+	if f.SlowMs > 0 {
+		select {
+		case <-time.After(time.Duration(f.SlowMs) * time.Millisecond):
+		case <-r.Context().Done():
+			return true
+		}
+	}
+	if f.Down {
+		http.Error(w, "platform is down", http.StatusServiceUnavailable)
+		return true
+	}
+	if !l.Allow() {
+		p.mu.Lock()
+		p.counts.Refused++
+		p.mu.Unlock()
+		http.Error(w, "rate exceeded", http.StatusTooManyRequests)
+		return true
+	}
+	return false
+}
+
+func (p *Platform) write(next http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		if p.suffer(w, r, p.writes) {
+			return
+		}
+		p.mu.Lock()
+		p.counts.Writes++
+		p.lost += p.faults.LoseReplies
+		lose := p.lost >= 1
+		if lose {
+			p.lost--
+			p.counts.LostAcks++
+		}
+		p.mu.Unlock()
+		if !lose {
+			next(w, r)
+			return
+		}
+		next(discard{}, r)
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// discard swallows a reply that is to be lost.
+type discard struct{}
+
+func (discard) Header() http.Header            { return http.Header{} }
+func (discard) Write(data []byte) (int, error) { return len(data), nil }
+func (discard) WriteHeader(int)                {}
+
+func keyOf(r *http.Request) key {
+	return key{
+		kind: zlplatform.ObjectKind(r.PathValue("kind")),
+		name: r.PathValue("name"),
+	}
+}
+
+func reply(w http.ResponseWriter, value any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(value)
+}
+
+func (p *Platform) getObject(w http.ResponseWriter, r *http.Request) {
+	p.mu.Lock()
+	o, ok := p.objects[keyOf(r)]
+	p.mu.Unlock()
+	if !ok || o.Deleted {
+		http.Error(w, "no such object", http.StatusNotFound)
+		return
+	}
+	reply(w, o)
+}
+
+func (p *Platform) listObjects(w http.ResponseWriter, r *http.Request) {
+	reply(w, p.after(0, []string{r.PathValue("kind")}))
+}
+
+// after lists what changed after a revision, in order of change.
+func (p *Platform) after(rev zlunit.ObjectVersion, kinds []string) zlplatform.Listing {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	l := zlplatform.Listing{
+		Revision: p.rev,
+	}
+	for k, o := range p.objects {
+		if o.Version > rev && slices.Contains(kinds, string(k.kind)) && (rev > 0 || !o.Deleted) {
+			l.Objects = append(l.Objects, o)
+		}
+	}
+	slices.SortFunc(l.Objects, func(a, b zlplatform.Object) int {
+		return int(int64(a.Version) - int64(b.Version))
+	})
+	return l
+}
+
+func (p *Platform) watch(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	rev, err := strconv.ParseUint(q.Get("after"), 10, 64)
+	wait, waitErr := strconv.ParseInt(q.Get("waitMs"), 10, 64)
+	if err != nil || waitErr != nil {
+		http.Error(w, "after and waitMs must be numbers", http.StatusBadRequest)
+		return
+	}
+	p.mu.Lock()
+	p.counts.Watches++
+	p.mu.Unlock()
+	timeout := time.NewTimer(min(time.Duration(wait)*time.Millisecond, maxWait))
+	defer timeout.Stop()
+	for {
+		p.mu.Lock()
+		changed := p.changed
+		p.mu.Unlock()
+		l := p.after(zlunit.ObjectVersion(rev), q["kind"])
+		if len(l.Objects) > 0 || rev == 0 {
+			reply(w, l)
+			return
+		}
+		select {
+		case <-changed:
+		case <-timeout.C:
+			reply(w, l)
+			return
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+func (p *Platform) putObject(w http.ResponseWriter, r *http.Request) {
+	var value json.RawMessage
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxValue)).Decode(&value); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	p.change(w, r, zlplatform.Object{
+		Value: value,
+	})
+}
+
+func (p *Platform) deleteObject(w http.ResponseWriter, r *http.Request) {
+	p.change(w, r, zlplatform.Object{
+		Deleted: true,
+	})
+}
+
+// change stores next if the caller's ifVersion matches.
+func (p *Platform) change(w http.ResponseWriter, r *http.Request, next zlplatform.Object) {
+	want, err := strconv.ParseUint(r.URL.Query().Get("ifVersion"), 10, 64)
+	if err != nil {
+		http.Error(w, "ifVersion must be a number", http.StatusBadRequest)
+		return
+	}
+	k := keyOf(r)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var have zlunit.ObjectVersion
+	if old, ok := p.objects[k]; ok && !old.Deleted {
+		have = old.Version
+	}
+	if have != zlunit.ObjectVersion(want) {
+		http.Error(w, "version is "+strconv.FormatUint(uint64(have), 10), http.StatusConflict)
+		return
+	}
+	p.rev++
+	next.Kind = k.kind
+	next.Name = k.name
+	next.Version = p.rev
+	p.objects[k] = next
+	close(p.changed)
+	p.changed = make(chan struct{})
+	reply(w, next)
+}
--- /dev/null
+++ b/io/standin/zlscene/zlscene.go
@@ -0,0 +1,294 @@
+package zlscene
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"time"
+
+	"zinnialock/core/process/zlunit"
+	"zinnialock/core/version/zlcatalog"
+	"zinnialock/core/version/zltree"
+	"zinnialock/io/process/zlconfig"
+	"zinnialock/io/process/zldaemon"
+	"zinnialock/io/process/zlkeys"
+	"zinnialock/io/process/zlplatform"
+	"zinnialock/io/standin/zlfakeplatform"
+	"zinnialock/io/standin/zlfakeupstream"
+	"zinnialock/io/version/zlsync"
+
+	"github.com/phuslu/log"
+	"github.com/rotisserie/eris"
+)
+
+// FirstVersion is the index version that a scene starts with.
+const FirstVersion zlunit.IndexVersion = 1
+
+// Scene is a running deployment. Plan, Seed and Log must be set before Run.
+type Scene struct {
+	Plan UserPlan
+	Seed uint64
+	Log  *log.Logger
+
+	Platform  *zlfakeplatform.Platform
+	Client    *zlplatform.Client
+	Upstreams map[zlunit.Upstream]*zlfakeupstream.Upstream
+	Daemons   []*zldaemon.Daemon
+	Catalogs  map[zlunit.Service]*zlcatalog.Catalog
+
+	authority *zlkeys.Authority
+	server    *http.Server
+}
+
+// Run starts everything and returns once all daemons are ready.
+func (s *Scene) Run(ctx context.Context) error {
+	if err := s.runPlatform(); err != nil {
+		return err
+	}
+	if err := s.runUpstreams(ctx); err != nil {
+		return err
+	}
+	authority, err := zlkeys.NewAuthority()
+	if err != nil {
+		return err
+	}
+	s.authority = authority
+	for _, dc := range s.Plan.DataCentres {
+		for i := range s.Plan.Daemons {
+			if err := s.RunDaemon(dc, i); err != nil {
+				return err
+			}
+		}
+	}
+	return s.waitReady(ctx)
+}
+
+func (s *Scene) runPlatform() error {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return eris.Wrap(err, "platform stand-in")
+	}
+	s.Platform = &zlfakeplatform.Platform{}
+	s.server = &http.Server{
+		Handler:           s.Platform.Handler(),
+		ReadHeaderTimeout: time.Minute,
+	}
+	go func() {
+		_ = s.server.Serve(listener)
+	}()
+	s.Client = &zlplatform.Client{
+		Address: listener.Addr().String(),
+		HTTP: &http.Client{
+			Transport: &http.Transport{},
+		},
+		Timeout: 2 * time.Second,
+	}
+	return nil
+}
+
+func (s *Scene) runUpstreams(ctx context.Context) error {
+	s.Upstreams = map[zlunit.Upstream]*zlfakeupstream.Upstream{}
+	s.Catalogs = map[zlunit.Service]*zlcatalog.Catalog{}
+	for _, plan := range s.Plan.Services {
+		c, err := s.runService(plan)
+		if err != nil {
+			return err
+		}
+		s.Catalogs[plan.Name] = c
+		if _, err := s.Client.Put(ctx, zlplatform.ObjectCatalog, string(plan.Name), 0, c); err != nil {
+			return err
+		}
+	}
+	_, err := s.Client.Put(ctx, zlplatform.ObjectSettings, zlsync.TreeName, 0, s.tree())
+	return err
+}
+
+// tree is the deployment's first settings tree.
+func (s *Scene) tree() *zltree.Tree {
+	return &zltree.Tree{
+		Nodes: map[zltree.Path]zltree.Node{
+			zltree.Path(s.Plan.Deployment): {
+				zltree.KeyDeadline: "2s",
+			},
+		},
+	}
+}
+
+func (s *Scene) runService(plan ServicePlan) (*zlcatalog.Catalog, error) {
+	c := &zlcatalog.Catalog{
+		Service: plan.Name,
+		Versions: []zlcatalog.Version{
+			{
+				Number: FirstVersion,
+				Shards: make([][]zlunit.Upstream, plan.Shards),
+			},
+		},
+	}
+	for shard := range plan.Shards {
+		for replica := range plan.Replicas {
+			name := zlunit.Upstream(fmt.Sprintf("%s-%d-%d", plan.Name, shard, replica))
+			u := s.newUpstream(plan, name, zlunit.Shard(shard))
+			if err := u.Run(); err != nil {
+				return nil, eris.Wrapf(err, "upstream %s", name)
+			}
+			s.Upstreams[name] = u
+			c.Upstreams = append(c.Upstreams, zlcatalog.Upstream{
+				Name:        name,
+				DataCentre:  s.Plan.DataCentres[replica%len(s.Plan.DataCentres)],
+				Address:     u.Address,
+				Slots:       plan.Slots,
+				Connections: plan.Connections,
+				ColdLimit:   plan.ColdLimit,
+			})
+			shards := c.Versions[0].Shards
+			shards[shard] = append(shards[shard], name)
+		}
+	}
+	return c, nil
+}
+
+func (s *Scene) newUpstream(plan ServicePlan, name zlunit.Upstream, shard zlunit.Shard) *zlfakeupstream.Upstream {
+	return &zlfakeupstream.Upstream{
+		Address: "127.0.0.1:0",
+		Seed:    s.Seed + uint64(len(s.Upstreams)),
+		Settings: zlfakeupstream.Settings{
+			Name:          name,
+			Service:       plan.Name,
+			Slots:         plan.Slots,
+			Connections:   plan.Connections,
+			ColdLimit:     plan.ColdLimit,
+			ColdWork:      plan.ColdWork,
+			ConnectMs:     plan.ConnectMs,
+			ServiceMs:     plan.ServiceMs,
+			StraggleTimes: 20,
+			QueueLimit:    64,
+			Shards: map[zlunit.IndexVersion][]zlunit.Shard{
+				FirstVersion: {shard},
+			},
+		},
+	}
+}
+
+// RunDaemon starts the daemon of entry VM i of a data centre.
+func (s *Scene) RunDaemon(dc zlunit.DataCentre, i int) error {
+	name := fmt.Sprintf("%s-%d", dc, i+1)
+	keys, err := s.authority.Store(name)
+	if err != nil {
+		return err
+	}
+	ports, err := freePorts(3)
+	if err != nil {
+		return err
+	}
+	d := &zldaemon.Daemon{
+		Config: &zlconfig.Config{
+			Name:            zlunit.VM(name),
+			DataCentre:      dc,
+			Deployment:      s.Plan.Deployment,
+			CallerListen:    ports[0],
+			AdminListen:     ports[1],
+			PeerListen:      ports[2],
+			PlatformAddress: s.Client.Address,
+			PlatformTimeout: 2 * time.Second,
+			StopGrace:       time.Second,
+			StopLimit:       10 * time.Second,
+		},
+		Keys: keys,
+		Log:  s.Log,
+	}
+	if err := d.Run(); err != nil {
+		return err
+	}
+	s.Daemons = append(s.Daemons, d)
+	return nil
+}
+
+// freePorts returns n loopback addresses that were free a moment ago.
+func freePorts(n int) ([]string, error) {
+	out := make([]string, 0, n)
+	for range n {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, eris.Wrap(err, "free port")
+		}
+		defer func() {
+			_ = l.Close()
+		}()
+		out = append(out, l.Addr().String())
+	}
+	return out, nil
+}
+
+// readyWait bounds the start of a scene.
+const readyWait = 10 * time.Second
+
+// waitReady waits until every daemon sees the whole fleet.
+func (s *Scene) waitReady(ctx context.Context) error {
+	deadline := time.Now().Add(readyWait)
+	for time.Now().Before(deadline) && ctx.Err() == nil {
+		all := true
+		for _, d := range s.Daemons {
+			ready, _ := d.Ready()
+			all = all && ready && d.Peers() == len(s.Daemons)
+		}
+		if all {
+			return nil
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	return eris.New("daemons did not become ready")
+}
+
+// Targets returns the daemons' caller addresses.
+func (s *Scene) Targets() []string {
+	out := make([]string, 0, len(s.Daemons))
+	for _, d := range s.Daemons {
+		out = append(out, d.Config.CallerListen)
+	}
+	return out
+}
+
+// ShardsOf returns how many shards a version has, or 0.
+func (s *Scene) ShardsOf(service zlunit.Service, version zlunit.IndexVersion) int {
+	c, ok := s.Catalogs[service]
+	if !ok {
+		return 0
+	}
+	for _, v := range c.Versions {
+		if v.Number == version {
+			return len(v.Shards)
+		}
+	}
+	return 0
+}
+
+// Faults lists what the upstreams' own counts show against the promises.
+func (s *Scene) Faults() []string {
+	var faults []string
+	for name, u := range s.Upstreams {
+		c := u.Counts()
+		if c.ColdPeak > int(c.ColdLimit) {
+			faults = append(faults, fmt.Sprintf("upstream %s: %d in flight while cold, limit %d", name, c.ColdPeak, c.ColdLimit))
+		}
+		if c.RefusedConns > 0 {
+			faults = append(faults, fmt.Sprintf("upstream %s: %d connections beyond its cap", name, c.RefusedConns))
+		}
+		for _, id := range c.Doubled {
+			faults = append(faults, fmt.Sprintf("upstream %s: request %s ran twice", name, id))
+		}
+	}
+	return faults
+}
+
+// Close ends everything at once.
+func (s *Scene) Close() {
+	for _, d := range s.Daemons {
+		d.Kill()
+	}
+	for _, u := range s.Upstreams {
+		u.Close()
+	}
+	s.Client.HTTP.CloseIdleConnections()
+	_ = s.server.Close()
+}
