zltrace: typed records of what was decided for a query

Cause: explain needs the decisions of recent queries, found by request id. Conclusion: explain can be built on these types.

--- a/core/request/zlcoord/zlcoord.go
+++ b/core/request/zlcoord/zlcoord.go
@@ -12,6 +12,7 @@
 	"zinnialock/core/process/zlunit"
 	"zinnialock/core/request/zlplan"
 	"zinnialock/core/request/zlquery"
+	"zinnialock/core/request/zltrace"
 	"zinnialock/core/version/zlview"
 
 	"github.com/google/uuid"
@@ -34,13 +35,15 @@
 	Count(what string, reason zlquery.Reason)
 }
 
-// Coordinator answers queries. All fields must be set before use.
+// Coordinator answers queries. All fields but Traces must be set before use.
 type Coordinator struct {
 	Timer      *zltimer.Service
 	Views      *zlview.Holder
 	Router     *zlroute.Router
 	Dispatcher Dispatcher
 	Counter    Counter
+	// Traces, if set, gets the trace of each query.
+	Traces zltrace.Sink
 }
 
 // Answer runs req and always returns an answer, at the latest by its deadline.
