Coordinator: hedges, retry budgets, a way around dead daemons, new plans

Cause: with one of three daemons ended by SIGKILL, queries waited out their 2 s deadline at coverage 0.5, since QUIC takes seconds to notice; retries were unbounded counts; a version that vanished was not planned anew. Change: a quantile tracker and token buckets for each query kind; late shards are hedged within hedgeShare; a daemon that gives no sign of life while others answer is suspected, its shards go to other replicas on the retry budget, and probes find out when it is back; replicas that refuse or fail are avoided with a floor; hedges and retries go by the newest view; a lost version is planned anew as a whole; losers are cancelled; a hopeless query ends at once with advice on when to come back; plans are made once for each view; each query leaves a trace.

--- /dev/null
+++ b/core/process/zlbudget/zlbudget.go
@@ -0,0 +1,34 @@
+// Package zlbudget bounds extra work, such as hedges and retries, by a share of
+// the recent ordinary work.
+package zlbudget
+
+import "sync"
+
+// Bucket holds tokens that ordinary work earns and extra work takes. Burst must
+// be set before use; a bucket starts full.
+type Bucket struct {
+	// Burst is the most tokens that are kept.
+	Burst float64
+
+	mu sync.Mutex
+	// spent is how many tokens below Burst the bucket is.
+	spent float64
+}
+
+// Earn adds share tokens for each of n pieces of ordinary work.
+func (b *Bucket) Earn(n int, share float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.spent = max(b.spent-float64(n)*share, 0)
+}
+
+// Take takes one token and reports whether there was one.
+func (b *Bucket) Take() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.spent+1 > b.Burst {
+		return false
+	}
+	b.spent++
+	return true
+}
--- /dev/null
+++ b/core/process/zlbudget/zlbudget_test.go
@@ -0,0 +1,39 @@
+package zlbudget
+
+import (
+	"flag"
+	"os"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	_ = flag.Set("rapid.seed", "1")
+	os.Exit(m.Run())
+}
+
+func TestExtraStaysWithinShare(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		share := rapid.SampledFrom([]float64{0, 0.04, 0.25}).Draw(t, "share")
+		b := &Bucket{
+			Burst: 8,
+		}
+		ordinary, extra := 0, 0
+		for range rapid.IntRange(1, 200).Draw(t, "steps") {
+			if rapid.Bool().Draw(t, "earn") {
+				n := rapid.IntRange(1, 40).Draw(t, "n")
+				ordinary += n
+				b.Earn(n, share)
+				continue
+			}
+			if b.Take() {
+				extra++
+			}
+		}
+		if most := share*float64(ordinary) + b.Burst; float64(extra) > most+1e-9 {
+			t.Fatalf("%d extra for %d ordinary, at most %v allowed", extra, ordinary, most)
+		}
+	})
+}
--- a/core/process/zlroute/zlroute.go
+++ b/core/process/zlroute/zlroute.go
@@ -1,10 +1,12 @@
 // Package zlroute chooses among replicas by what is in flight from this
-// process and by recent service time, never by reported load.
+// process, by recent service time and by recent refusals, never by reported
+// load. It also watches which daemons give signs of life.
 package zlroute
 
 import (
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"zinnialock/core/process/zlunit"
@@ -12,99 +14,84 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-const (
-	tableShards = 64
-	// smoothing is the weight of a new service time in the running mean.
-	smoothing = 0.1
-)
-
-type entry struct {
-	inFlight int
-	mean     float64
-}
+const tableShards = 64
 
 type tableShard struct {
 	mu      sync.Mutex
-	entries map[zlunit.Upstream]*entry
+	records map[zlunit.Upstream]*Record
+	peers   map[zlunit.VM]*Peer
 }
 
-// Router keeps a small record per upstream, in shards with a lock each. The
-// zero value is ready for use.
+// Router keeps a small record for each upstream and each daemon, in shards with
+// a lock each. The zero value is ready for use.
 type Router struct {
+	// Random returns a number from 0 to below n; nil means math/rand/v2.
+	Random func(n int) int
+	// Blind makes Pick choose at random alone; experiments set it.
+	Blind bool
+
 	shards [tableShards]tableShard
+	heard  atomic.Pointer[time.Time]
 }
 
-func (r *Router) with(u zlunit.Upstream, f func(*entry)) {
+// Record returns the record of an upstream; it stays the same for the life of
+// the router, so that callers may keep it.
+func (r *Router) Record(u zlunit.Upstream) *Record {
 	s := &r.shards[xxhash.Sum64String(string(u))%tableShards]
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	e, ok := s.entries[u]
+	record, ok := s.records[u]
 	if !ok {
-		if s.entries == nil {
-			s.entries = map[zlunit.Upstream]*entry{}
+		if s.records == nil {
+			s.records = map[zlunit.Upstream]*Record{}
 		}
-		e = &entry{}
-		s.entries[u] = e
+		record = &Record{}
+		s.records[u] = record
 	}
-	f(e)
-}
-
-func (r *Router) cost(u zlunit.Upstream) float64 {
-	var cost float64
-	r.with(u, func(e *entry) {
-		cost = (float64(e.inFlight) + 1) * (e.mean + float64(time.Millisecond))
-	})
-	return cost
+	return record
 }
 
-// Pick returns the better of two random candidates that skip does not hold, or
-// false if none is left.
-func (r *Router) Pick(candidates, skip []zlunit.Upstream) (zlunit.Upstream, bool) {
-	var left [8]zlunit.Upstream
-	n := 0
-	for _, c := range candidates {
-		if n < len(left) && !contains(skip, c) {
-			left[n] = c
-			n++
+// Peer returns the record of a daemon; it stays the same for the life of the
+// router.
+func (r *Router) Peer(vm zlunit.VM) *Peer {
+	s := &r.shards[xxhash.Sum64String(string(vm))%tableShards]
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p, ok := s.peers[vm]
+	if !ok {
+		if s.peers == nil {
+			s.peers = map[zlunit.VM]*Peer{}
 		}
+		p = &Peer{
+			VM: vm,
+		}
+		s.peers[vm] = p
 	}
-	if n == 0 {
-		return "", false
-	}
-	if n == 1 {
-		return left[0], true
-	}
-	i := rand.IntN(n)
-	j := rand.IntN(n - 1)
-	if j >= i {
-		j++
-	}
-	if r.cost(left[j]) < r.cost(left[i]) {
-		i = j
-	}
-	return left[i], true
+	return p
 }
 
-func contains(list []zlunit.Upstream, u zlunit.Upstream) bool {
-	for _, x := range list {
-		if x == u {
-			return true
-		}
-	}
-	return false
+// Heard notes a sign of life of a daemon.
+func (r *Router) Heard(p *Peer, now time.Time) {
+	r.heard.Store(&now)
+	p.hear(now)
+}
+
+// heardSince reports whether any daemon gave a sign of life after t.
+func (r *Router) heardSince(t time.Time) bool {
+	last := r.heard.Load()
+	return last != nil && last.After(t)
 }
 
-// Sent notes a sub-request to u.
-func (r *Router) Sent(u zlunit.Upstream) {
-	r.with(u, func(e *entry) {
-		e.inFlight++
-	})
+// Silent reports whether p has given no sign of life since it was sent
+// something at t while other daemons did, with enough unanswered to tell.
+func (r *Router) Silent(p *Peer, t time.Time) bool {
+	return p.silentSince(t) && r.heardSince(t)
 }
 
-// Ended notes that a sub-request to u is over after d.
-func (r *Router) Ended(u zlunit.Upstream, d time.Duration) {
-	r.with(u, func(e *entry) {
-		e.inFlight--
-		e.mean += smoothing * (float64(d) - e.mean)
-	})
+// Draw returns a random number from 0 to below n.
+func (r *Router) Draw(n int) int {
+	if r.Random != nil {
+		return r.Random(n)
+	}
+	return rand.IntN(n)
 }
--- a/core/process/zltimer/zltimer.go
+++ b/core/process/zltimer/zltimer.go
@@ -47,15 +47,17 @@
 func (s *Service) After(d time.Duration) *Alarm {
 	t := time.NewTimer(s.real(d))
 	return &Alarm{
-		C:     t.C,
-		timer: t,
+		C:       t.C,
+		timer:   t,
+		service: s,
 	}
 }
 
 // Call runs f in its own goroutine when d has passed.
 func (s *Service) Call(d time.Duration, f func()) *Alarm {
 	return &Alarm{
-		timer: time.AfterFunc(s.real(d), f),
+		timer:   time.AfterFunc(s.real(d), f),
+		service: s,
 	}
 }
 
@@ -88,7 +90,14 @@
 	// C receives once when the alarm fires; nil for alarms made by Call.
 	C <-chan time.Time
 
-	timer *time.Timer
+	timer   *time.Timer
+	service *Service
+}
+
+// Reset sets the alarm anew to fire once when d has passed; a firing that was
+// not received yet is discarded.
+func (a *Alarm) Reset(d time.Duration) {
+	a.timer.Reset(a.service.real(d))
 }
 
 // Stop cancels the alarm and reports whether it had not fired yet.
--- /dev/null
+++ b/core/request/zlcoord/late.go
@@ -0,0 +1,110 @@
+package zlcoord
+
+import (
+	"time"
+
+	"zinnialock/core/process/zlroute"
+	"zinnialock/core/process/zlunit"
+	"zinnialock/core/request/zlquery"
+	"zinnialock/core/request/zltrace"
+)
+
+const (
+	// silentTimes is how many times the hedging delay a daemon may be silent.
+	silentTimes = 2
+	// leastSilence is the least silence that counts.
+	leastSilence = 10 * time.Millisecond
+	// stall is how late an alarm may ring before this process itself counts
+	// as having been stopped; replies may then be waiting in the kernel.
+	stall = 5 * time.Millisecond
+)
+
+// lookForLate asks again for the shards whose pause is over, and hedges those
+// that are late.
+func (r *run) lookForLate(now time.Time) {
+	plans := r.plans
+	for s := range r.shards {
+		if r.plans != plans {
+			return
+		}
+		st := &r.shards[s]
+		if st.settled {
+			continue
+		}
+		shard := zlunit.Shard(s)
+		if !st.againAt.IsZero() && !now.Before(st.againAt) {
+			st.againAt = time.Time{}
+			r.again(shard, st.why, now)
+			continue
+		}
+		if st.open > 0 && r.req.Idempotent && !now.Before(st.lateAt) {
+			r.late(shard, st, now)
+		}
+	}
+}
+
+// late decides what to do for a shard whose newest sub-request is late.
+func (r *run) late(shard zlunit.Shard, st *shardState, now time.Time) {
+	stalled := now.Sub(st.lateAt) > max(r.hedgeAfter, stall)
+	st.lateAt = now.Add(r.hedgeAfter)
+	if stalled {
+		return
+	}
+	sub := &r.subs[st.last]
+	if !sub.ended() && r.silent(sub, now) {
+		r.around(shard, st, now)
+		return
+	}
+	r.hedge(shard, st, now)
+}
+
+// silent reports whether the daemon of sub gives no sign of life.
+func (r *run) silent(sub *subState, now time.Time) bool {
+	c := r.coordinator
+	peer := sub.to.Peer
+	if c.Without.Around || peer.VM == c.Self {
+		return false
+	}
+	tooShort := now.Sub(sub.sent) < max(silentTimes*r.hedgeAfter, leastSilence)
+	if tooShort && !peer.Suspected() || !c.Router.Silent(peer, sub.sent) {
+		return false
+	}
+	r.suspect(peer, now)
+	return true
+}
+
+// around sends a shard past a daemon that gives no sign of life. The retry
+// budget pays, since the sub-request in its hands is as good as lost.
+func (r *run) around(shard zlunit.Shard, st *shardState, now time.Time) {
+	c, _, ok := r.pick(shard, now, zlroute.CareSpare)
+	if !ok {
+		return
+	}
+	if !r.takeRetry() {
+		r.noteRefused(st, shard, zltrace.WhatNoRetry)
+		return
+	}
+	r.retries++
+	r.coordinator.Counter.Count("around", zlquery.ReasonPeerLost)
+	r.sendOne(shard, c, zltrace.CauseAround, zlquery.ReasonPeerLost)
+}
+
+// hedge sends a late shard to another replica in good standing, if the budget
+// of hedges allows it.
+func (r *run) hedge(shard zlunit.Shard, st *shardState, now time.Time) {
+	w := &r.coordinator.Without
+	if w.Hedges || r.policy.HedgeShare == 0 {
+		return
+	}
+	c, _, ok := r.pick(shard, now, zlroute.CareSpare)
+	if !ok {
+		return
+	}
+	if !w.Budgets && !r.profile.hedges.Take() {
+		r.noteRefused(st, shard, zltrace.WhatNoHedge)
+		return
+	}
+	r.hedges++
+	r.coordinator.Counter.Count("hedge", zlquery.ReasonDeadline)
+	r.sendOne(shard, c, zltrace.CauseHedge, zlquery.ReasonDeadline)
+}
--- a/core/request/zlcoord/run.go
+++ b/core/request/zlcoord/run.go
@@ -4,285 +4,254 @@
 	"context"
 	"time"
 
+	"zinnialock/core/process/zlroute"
+	"zinnialock/core/process/zltimer"
 	"zinnialock/core/process/zlunit"
 	"zinnialock/core/request/zlmerge"
 	"zinnialock/core/request/zlplan"
 	"zinnialock/core/request/zlquery"
+	"zinnialock/core/request/zltrace"
 	"zinnialock/core/version/zltree"
-	"zinnialock/core/version/zlview"
 )
 
-// shardState is what a run knows of one shard.
+// shardState is what a run knows of one shard of the plan.
 type shardState struct {
-	tried  []zlunit.Upstream
-	open   int
-	reason zlquery.Reason
+	// last is the newest sub-request, as an index into the run's, or -1.
+	last int
+	open int
+	// round counts how often all replicas have been asked in turn.
+	round int
+	// pauses counts the waits before it was asked again.
+	pauses int
+	// settled tells that the shard is merged or given up.
+	settled bool
 	// ran tells that a sub-request for the shard may have run.
 	ran bool
+	// lateAt is when an open shard is next looked at for being late.
+	lateAt time.Time
+	// againAt, if not zero, is when the shard is asked again.
+	againAt time.Time
+	// why is the reason for which it is asked again then.
+	why    zlquery.Reason
+	reason zlquery.Reason
+	// hint is what the last refusal said about when to come back.
+	hint time.Duration
+	// noted tells that a refused hedge or retry was recorded already.
+	noted bool
 }
 
 // subState is one dispatched sub-request.
 type subState struct {
-	shard    zlunit.Shard
-	upstream zlunit.Upstream
-	call     Call
-	sent     time.Time
-	ended    bool
+	shard zlunit.Shard
+	// prev is the sub-request before it for the shard, or -1.
+	prev  int
+	round int
+	to    *zlroute.Candidate
+	call  Call
+	sent  time.Time
+	took  time.Duration
+	cause zltrace.Cause
+	// why is the reason of a hedge or retry.
+	why    zlquery.Reason
+	end    zltrace.End
+	reason zlquery.Reason
+	// version is the version it is pinned to.
+	version zlunit.IndexVersion
 }
 
-// run is the state of one query. Only its own goroutine touches it.
+func (s *subState) ended() bool {
+	return s.end != zltrace.EndOpen
+}
+
+// run is the state of one query. Only its own goroutine touches it, but for
+// the inbox.
 type run struct {
 	coordinator *Coordinator
 	ctx         context.Context
 	req         *zlquery.Request
-	view        *zlview.View
-	policy      zltree.Policy
+	profile     *profile
+	policy      *zltree.Policy
 	plan        *zlplan.Plan
 	query       zlunit.QueryID
 	start       time.Time
+	// due is when the wait ends.
+	due time.Time
+	// hedgeAfter is when a sub-request counts as late.
+	hedgeAfter time.Duration
 
-	replies chan zlquery.Reply
-	shards  []shardState
-	subs    []subState
-	merge   *zlmerge.Merge
-	open    int
+	inbox  *inbox
+	shards []shardState
+	subs   []subState
+	merge  *zlmerge.Merge
+	// pending counts the shards that are neither merged nor given up.
+	pending int
+	hedges  int
 	retries int
+	// enough tells that the time is over in which only full coverage ends
+	// the wait.
+	enough bool
+	// ran tells that something ran under an earlier plan.
+	ran bool
+	// former is what an earlier plan had merged.
+	former    *outcome
+	plans     int
+	decisions []zltrace.Decision
+	// skip is room for the replicas that a pick leaves out.
+	skip []zlunit.Upstream
+	// rearm tells that the alarm may have to ring sooner.
+	rearm bool
 }
 
 func (r *run) answer() *zlquery.Answer {
+	allowed := r.req.Deadline.Sub(r.start)
+	r.due = r.req.Deadline.Add(-min(lateness, allowed/10))
+	r.hedgeAfter = r.lateAfter(allowed)
 	n := len(r.plan.Shards)
-	r.replies = make(chan zlquery.Reply, n)
-	r.shards = make([]shardState, n)
-	r.subs = make([]subState, 0, n+n/8)
-	r.merge = zlmerge.New(r.plan.Version, n)
-	r.dispatchAll()
+	r.inbox = newInbox(n)
+	r.subs = make([]subState, 0, n+n/8+4)
+	r.adopt(r.plan, zlquery.ReasonNone)
 	r.wait()
+	r.inbox.close()
 	r.abandon()
 	return r.finish()
 }
 
-// dispatchAll sends the first sub-request of every shard, one batch a daemon.
-func (r *run) dispatchAll() {
-	groups := map[zlunit.VM][]zlquery.Sub{}
-	for s := range r.shards {
-		to, sub, ok := r.next(zlunit.Shard(s))
-		if ok {
-			groups[to] = append(groups[to], sub)
-		}
-	}
-	for to, subs := range groups {
-		r.dispatch(to, subs)
+// adopt starts over with a plan: nothing of an earlier one is kept.
+func (r *run) adopt(p *zlplan.Plan, why zlquery.Reason) {
+	n := len(p.Shards)
+	r.plan = p
+	r.plans++
+	r.shards = make([]shardState, n)
+	for i := range r.shards {
+		r.shards[i].last = -1
 	}
-}
-
-// next picks an untried replica for a shard and the daemon that speaks to it.
-func (r *run) next(shard zlunit.Shard) (zlunit.VM, zlquery.Sub, bool) {
-	st := &r.shards[shard]
-	for {
-		u, ok := r.coordinator.Router.Pick(r.plan.Shards[shard], st.tried)
-		if !ok {
-			if st.reason == zlquery.ReasonNone {
-				st.reason = zlquery.ReasonNoReplica
-			}
-			return "", zlquery.Sub{}, false
-		}
-		st.tried = append(st.tried, u)
-		holders := r.view.Holders(u)
-		if len(holders) == 0 {
-			st.reason = zlquery.ReasonNotHolder
-			continue
-		}
-		sub := zlquery.Sub{
-			ID:       zlunit.SubID(len(r.subs)),
-			Shard:    shard,
-			Upstream: u,
-			Version:  r.plan.Version,
-		}
-		r.subs = append(r.subs, subState{
-			shard:    shard,
-			upstream: u,
-			sent:     r.coordinator.Timer.Now(),
+	r.merge = zlmerge.New(p.Version, n)
+	r.pending = n
+	if r.traced() {
+		r.note(zltrace.Decision{
+			What:    zltrace.WhatPlan,
+			Version: p.Version,
+			Shards:  n,
+			Reason:  why,
 		})
-		st.open++
-		r.open++
-		r.coordinator.Router.Sent(u)
-		return holders[0], sub, true
 	}
+	r.dispatchAll()
 }
 
-func (r *run) dispatch(to zlunit.VM, subs []zlquery.Sub) {
-	batch := &zlquery.Batch{
-		Query:      r.query,
-		Request:    r.req.ID,
-		Service:    r.req.Service,
-		Kind:       r.req.Kind,
-		Text:       r.req.Text,
-		Idempotent: r.req.Idempotent,
-		Left:       r.req.Deadline.Sub(r.coordinator.Timer.Now()),
-		Subs:       subs,
-	}
-	call := r.coordinator.Dispatcher.Dispatch(r.ctx, to, batch, r.deliver)
-	for _, sub := range subs {
-		r.subs[sub.ID].call = call
-	}
-}
+// defaultLate is the share of the time allowed after which a sub-request is
+// late while nothing was measured yet.
+const defaultLate = 8
 
-// deliver hands a reply to the run's goroutine, or drops it once the run ended.
-func (r *run) deliver(reply zlquery.Reply) {
-	select {
-	case r.replies <- reply:
-	case <-r.ctx.Done():
-		r.coordinator.Counter.Count("droppedReply", zlquery.ReasonCancelled)
+func (r *run) lateAfter(allowed time.Duration) time.Duration {
+	d, ok := r.profile.latency.Quantile(r.start, r.policy.HedgeQuantile)
+	if !ok {
+		d = 100 * time.Millisecond
 	}
+	return max(min(d, allowed/defaultLate), leastLate)
 }
 
+// leastLate is the least time after which a sub-request counts as late.
+const leastLate = time.Millisecond
+
 // wait takes replies until the answer is whole, good enough or due.
 func (r *run) wait() {
 	timer := r.coordinator.Timer
-	due := timer.After(r.req.Deadline.Sub(timer.Now()) - lateness)
-	defer due.Stop()
-	enough := timer.After(r.policy.EnoughAfter - timer.Now().Sub(r.start))
-	defer enough.Stop()
-	settle := false
-	for r.open > 0 {
+	alarm := timer.After(r.nextWake().Sub(timer.Now()))
+	defer alarm.Stop()
+	var spare []zlquery.Reply
+	for !r.over() {
 		select {
-		case reply := <-r.replies:
-			r.take(reply)
-		case <-enough.C:
-			settle = true
-		case <-due.C:
-			r.expire()
-			return
+		case <-r.inbox.wake:
+		case <-alarm.C:
+			// Replies that wait go first: what they bring is not late.
+			spare = r.takeAll(spare)
+			if !r.over() {
+				r.lookForLate(timer.Now())
+			}
+			r.rearm = true
 		case <-r.ctx.Done():
-			r.expire()
+			r.note(zltrace.Decision{
+				What: zltrace.WhatCallerGone,
+			})
 			return
 		}
-		if settle && r.merge.Coverage() >= max(r.policy.EnoughCoverage, r.req.LeastCoverage) {
-			r.expire()
-			return
+		spare = r.takeAll(spare)
+		if r.rearm {
+			r.arm(alarm)
 		}
 	}
 }
 
-// take handles one reply; one that fits no open sub-request is dropped.
-func (r *run) take(reply zlquery.Reply) {
-	if reply.Query != r.query || int(reply.Sub) >= len(r.subs) || r.subs[reply.Sub].ended {
-		r.coordinator.Counter.Count("droppedReply", zlquery.ReasonBadReply)
-		return
-	}
-	sub := &r.subs[reply.Sub]
-	r.end(sub)
-	st := &r.shards[sub.shard]
-	switch result := reply.Result.(type) {
-	case zlquery.Done:
-		st.ran = true
-		r.takePart(sub, result.Part)
-	case zlquery.NotRun:
-		st.reason = result.Reason
-		r.retry(sub.shard, result.Reason)
-	case zlquery.Unknown:
-		st.ran = true
-		st.reason = result.Reason
-		if r.req.Idempotent {
-			r.retry(sub.shard, result.Reason)
-		}
-	}
+func (r *run) arm(alarm *zltimer.Alarm) {
+	r.rearm = false
+	alarm.Reset(max(r.nextWake().Sub(r.coordinator.Timer.Now()), 0))
 }
 
-func (r *run) end(sub *subState) {
-	sub.ended = true
-	r.open--
-	r.shards[sub.shard].open--
-	r.coordinator.Router.Ended(sub.upstream, r.coordinator.Timer.Now().Sub(sub.sent))
-}
-
-func (r *run) takePart(sub *subState, part zlquery.Part) {
-	if part.Shard != sub.shard || !r.merge.Add(part) {
-		r.shards[sub.shard].reason = zlquery.ReasonBadReply
-		r.coordinator.Counter.Count("droppedReply", zlquery.ReasonBadReply)
+// takeAll takes the waiting replies and returns their slice for reuse.
+func (r *run) takeAll(spare []zlquery.Reply) []zlquery.Reply {
+	replies := r.inbox.drain(spare)
+	if len(replies) == 0 {
+		return replies
+	}
+	now := r.coordinator.Timer.Now()
+	for i := range replies {
+		r.take(&replies[i], now)
+		replies[i] = zlquery.Reply{}
 	}
+	return replies
 }
 
-func (r *run) retry(shard zlunit.Shard, reason zlquery.Reason) {
-	if r.merge.Has(shard) || r.shards[shard].open > 0 {
-		return
+// over reports whether the wait ends, and notes why if it ends early.
+func (r *run) over() bool {
+	now := r.coordinator.Timer.Now()
+	if r.pending == 0 || !now.Before(r.due) {
+		return true
 	}
-	to, sub, ok := r.next(shard)
-	if !ok {
-		return
+	if r.merge.Reachable(r.pending) < r.req.LeastCoverage && !r.coordinator.Without.EarlyEnd {
+		r.note(zltrace.Decision{
+			What: zltrace.WhatHopeless,
+		})
+		return true
 	}
-	r.retries++
-	r.coordinator.Counter.Count("retry", reason)
-	r.dispatch(to, []zlquery.Sub{sub})
+	r.enough = r.enough || now.Sub(r.start) >= r.policy.EnoughAfter
+	if !r.enough || r.merge.Coverage() < max(r.policy.EnoughCoverage, r.req.LeastCoverage) {
+		return false
+	}
+	r.note(zltrace.Decision{
+		What: zltrace.WhatEnough,
+	})
+	return true
 }
 
-// expire notes the reason of every shard that is still open.
-func (r *run) expire() {
-	for i := range r.subs {
-		sub := &r.subs[i]
-		if sub.ended {
+// nextWake is when the run has to look at its shards again.
+func (r *run) nextWake() time.Time {
+	next := r.due
+	if at := r.start.Add(r.policy.EnoughAfter); !r.enough && at.Before(next) {
+		next = at
+	}
+	for i := range r.shards {
+		st := &r.shards[i]
+		if st.settled {
 			continue
 		}
-		st := &r.shards[sub.shard]
-		st.ran = true
-		if !r.merge.Has(sub.shard) {
-			st.reason = zlquery.ReasonDeadline
+		if !st.againAt.IsZero() && st.againAt.Before(next) {
+			next = st.againAt
 		}
-	}
-}
-
-// abandon cancels what is still in flight.
-func (r *run) abandon() {
-	for i := range r.subs {
-		sub := &r.subs[i]
-		if sub.ended {
-			continue
+		if st.open > 0 && r.req.Idempotent && st.lateAt.Before(next) {
+			next = st.lateAt
 		}
-		sub.call.Cancel(zlunit.SubID(i))
-		r.end(sub)
 	}
+	return next
 }
 
-func (r *run) finish() *zlquery.Answer {
-	a := &zlquery.Answer{
-		ID:       r.req.ID,
-		Outcome:  zlquery.OutcomeDone,
-		Version:  r.plan.Version,
-		Coverage: r.merge.Coverage(),
-		Parts:    r.merge.Parts(),
-		Subs:     len(r.subs),
-		Retries:  r.retries,
-	}
-	a.Complete = r.merge.Complete()
-	ran := false
-	for s := range r.shards {
-		st := &r.shards[s]
-		ran = ran || st.ran
-		if !r.merge.Has(zlunit.Shard(s)) {
-			a.Missing = append(a.Missing, zlquery.Missing{
-				Shard:  zlunit.Shard(s),
-				Reason: st.reason,
-			})
-		}
-	}
-	if len(a.Parts) > 0 && a.Coverage >= r.req.LeastCoverage {
-		return a
+func (r *run) note(d zltrace.Decision) {
+	if !r.traced() {
+		return
 	}
-	return r.refuseAfter(a, ran)
+	d.At = r.coordinator.Timer.Now().Sub(r.start)
+	r.decisions = append(r.decisions, d)
 }
 
-// refuseAfter turns an answer with too little coverage into a refusal that
-// says truly whether anything ran.
-func (r *run) refuseAfter(a *zlquery.Answer, ran bool) *zlquery.Answer {
-	a.Outcome = zlquery.OutcomeNotRun
-	if ran {
-		a.Outcome = zlquery.OutcomeUnknown
-	}
-	a.Reason = zlquery.ReasonCoverage
-	if len(a.Parts) == 0 && len(a.Missing) > 0 {
-		a.Reason = a.Missing[0].Reason
-	}
-	a.Parts = nil
-	r.coordinator.Counter.Count("refusal", a.Reason)
-	return a
+func (r *run) traced() bool {
+	return r.coordinator.Traces != nil
 }
--- a/core/request/zlcoord/zlcoord.go
+++ b/core/request/zlcoord/zlcoord.go
@@ -1,5 +1,5 @@
 // Package zlcoord runs one query: it plans, dispatches sub-requests to the
-// daemons that speak to the upstreams, waits, retries and merges.
+// daemons that speak to the upstreams, waits, hedges, retries and merges.
 package zlcoord
 
 import (
@@ -30,13 +30,27 @@
 	Dispatch(ctx context.Context, to zlunit.VM, batch *zlquery.Batch, sink func(zlquery.Reply)) Call
 }
 
-// Counter counts refusals, retries and dropped replies by reason.
+// Counter counts refusals, retries, hedges and dropped replies by reason.
 type Counter interface {
 	Count(what string, reason zlquery.Reason)
 }
 
-// Coordinator answers queries. All fields but Traces must be set before use.
+// Without names mechanisms that are switched off, for experiments only.
+type Without struct {
+	Hedges   bool
+	Retries  bool
+	Around   bool
+	Replan   bool
+	Cancel   bool
+	Budgets  bool
+	EarlyEnd bool
+}
+
+// Coordinator answers queries. All fields but Self, Traces and Without must be
+// set before use.
 type Coordinator struct {
+	// Self is the daemon's own name; it is never held for dead.
+	Self       zlunit.VM
 	Timer      *zltimer.Service
 	Views      *zlview.Holder
 	Router     *zlroute.Router
@@ -44,30 +58,47 @@
 	Counter    Counter
 	// Traces, if set, gets the trace of each query.
 	Traces zltrace.Sink
+	// Without switches mechanisms off.
+	Without Without
+
+	profiles profileTable
 }
 
+const (
+	// lateness is how much earlier than the caller's deadline the wait ends,
+	// so that the answer itself is in time.
+	lateness = 2 * time.Millisecond
+	// comeBack is the advice to a refused caller when nothing better is known.
+	comeBack = 250 * time.Millisecond
+)
+
 // Answer runs req and always returns an answer, at the latest by its deadline.
 func (c *Coordinator) Answer(ctx context.Context, req *zlquery.Request) *zlquery.Answer {
+	now := c.Timer.Now()
 	view := c.Views.Load()
 	if view == nil {
-		return c.refuse(req, zlquery.ReasonNoVersion)
+		return c.refuse(req, now, zlquery.ReasonNoVersion)
 	}
-	policy := view.Policy(req.Service, req.Kind)
-	now := c.Timer.Now()
+	if _, ok := view.Catalogs[req.Service]; !ok {
+		return c.refuse(req, now, zlquery.ReasonUnknownService)
+	}
+	profile := c.profiles.get(req.Service, req.Kind)
+	policy := profile.policyOf(view)
 	if req.Deadline.IsZero() {
 		req.Deadline = now.Add(policy.Deadline)
 	}
 	if !now.Before(req.Deadline) {
-		return c.refuse(req, zlquery.ReasonDeadline)
+		return c.refuse(req, now, zlquery.ReasonDeadline)
 	}
-	maker := &zlplan.Maker{
-		View:   view,
-		Age:    c.Views.Age(now),
-		Policy: &policy,
+	if !c.Without.EarlyEnd && profile.tooLate(now, req.Deadline.Sub(now)) {
+		return c.refuse(req, now, zlquery.ReasonDeadline)
 	}
-	plan, err := maker.Make(req.Service)
+	plan, err := profile.plan(c, view, policy, now)
 	if err != nil {
-		return c.refuse(req, reasonOf(err))
+		return c.refuse(req, now, reasonOf(err))
+	}
+	if best := zlunit.Coverage(plan.Served) / zlunit.Coverage(len(plan.Shards)); plan.Served == 0 || best < req.LeastCoverage {
+		return c.refuse(req, now, zlquery.ReasonNoReplica)
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -75,7 +106,7 @@
 		coordinator: c,
 		ctx:         ctx,
 		req:         req,
-		view:        view,
+		profile:     profile,
 		policy:      policy,
 		plan:        plan,
 		query:       zlunit.QueryID(uuid.NewString()),
@@ -84,13 +115,30 @@
 	return r.answer()
 }
 
-func (c *Coordinator) refuse(req *zlquery.Request, reason zlquery.Reason) *zlquery.Answer {
+// refuse answers without having sent anything.
+func (c *Coordinator) refuse(req *zlquery.Request, now time.Time, reason zlquery.Reason) *zlquery.Answer {
 	c.Counter.Count("refusal", reason)
-	return &zlquery.Answer{
+	a := &zlquery.Answer{
 		ID:      req.ID,
 		Outcome: zlquery.OutcomeNotRun,
 		Reason:  reason,
 	}
+	if reason != zlquery.ReasonUnknownService {
+		a.RetryAfter = comeBack
+	}
+	if c.Traces != nil {
+		c.Traces.Keep(&zltrace.Trace{
+			Request:    req.ID,
+			Service:    req.Service,
+			Kind:       req.Kind,
+			Idempotent: req.Idempotent,
+			Start:      now,
+			Allowed:    req.Deadline.Sub(now),
+			Outcome:    a.Outcome,
+			Reason:     reason,
+		})
+	}
+	return a
 }
 
 func reasonOf(err error) zlquery.Reason {
@@ -100,7 +148,3 @@
 	}
 	return zlquery.ReasonNoVersion
 }
-
-// lateness is how much earlier than the caller's deadline the wait ends, so
-// that the answer itself is in time.
-const lateness = 2 * time.Millisecond
--- a/core/request/zlmerge/zlmerge.go
+++ b/core/request/zlmerge/zlmerge.go
@@ -13,7 +13,9 @@
 	parts   []zlquery.Part
 	has     []bool
 	n       int
-	sum     zlunit.Coverage
+	// full counts the shards merged in full.
+	full int
+	sum  zlunit.Coverage
 }
 
 // New returns an empty merge for a version with n shards.
@@ -38,6 +40,9 @@
 	m.parts[p.Shard] = p
 	m.has[p.Shard] = true
 	m.n++
+	if p.Coverage == 1 {
+		m.full++
+	}
 	m.sum += p.Coverage
 	return true
 }
@@ -57,15 +62,15 @@
 
 // Complete reports whether every shard was merged in full.
 func (m *Merge) Complete() bool {
-	if m.n < len(m.parts) {
-		return false
-	}
-	for i := range m.parts {
-		if m.parts[i].Coverage < 1 {
-			return false
-		}
+	return m.full == len(m.parts)
+}
+
+// Reachable returns the coverage there is if n more shards are merged in full.
+func (m *Merge) Reachable(n int) zlunit.Coverage {
+	if m.full+n == len(m.parts) {
+		return 1
 	}
-	return true
+	return (m.sum + zlunit.Coverage(n)) / zlunit.Coverage(len(m.parts))
 }
 
 // Parts returns the merged parts in shard order.
--- a/core/request/zlnaive/zlnaive.go
+++ b/core/request/zlnaive/zlnaive.go
@@ -72,7 +72,7 @@
 		if len(replicas) == 0 || !n.Timer.Now().Before(req.Deadline) {
 			break
 		}
-		u, _ := view.Upstream(replicas[rand.IntN(len(replicas))])
+		u, _ := view.Upstream(replicas[rand.IntN(len(replicas))].Upstream)
 		fetched := n.Fetcher.Fetch(ctx, u, &zlaggr.Fetch{
 			Query:      query,
 			Request:    req.ID,
--- a/core/request/zlplan/zlplan.go
+++ b/core/request/zlplan/zlplan.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"time"
 
+	"zinnialock/core/process/zlroute"
 	"zinnialock/core/process/zlunit"
 	"zinnialock/core/request/zlquery"
 	"zinnialock/core/version/zlcatalog"
@@ -33,10 +34,21 @@
 }
 
 // Plan pins one version and lists, for each shard by number, the replicas that
-// may serve it.
+// may serve it. It is not changed once made.
 type Plan struct {
 	Version zlunit.IndexVersion
-	Shards  [][]zlunit.Upstream
+	Shards  [][]zlroute.Candidate
+	// Groups lists the daemons of the candidates.
+	Groups []*zlroute.Peer
+	// Served is the number of shards that have a candidate with a daemon.
+	Served int
+	// View is what the plan was made from.
+	View *zlview.View
+	// Fresh tells that the view was young enough to send to other data
+	// centres.
+	Fresh bool
+	// Map is the version's own shard map.
+	Map zlcatalog.Version
 }
 
 // Maker makes plans from one view.
@@ -44,6 +56,8 @@
 	View   *zlview.View
 	Age    time.Duration
 	Policy *zltree.Policy
+	// Router, if set, provides the records of the candidates.
+	Router *zlroute.Router
 	// Gone lists versions that upstreams said they no longer hold.
 	Gone map[zlunit.IndexVersion]bool
 }
@@ -61,16 +75,12 @@
 		}
 	}
 	var best *Plan
-	bestServed := 0
 	for _, v := range c.Versions {
 		if m.Gone[v.Number] || len(v.Shards) == 0 {
 			continue
 		}
-		p, served := m.planAt(v)
-		whole := served == len(v.Shards)
-		if best == nil || better(whole, served, v, bestServed, best) {
+		if p := m.At(v); best == nil || better(p, best) {
 			best = p
-			bestServed = served
 		}
 	}
 	if best == nil {
@@ -83,44 +93,73 @@
 	return best, nil
 }
 
-func better(whole bool, served int, v zlcatalog.Version, bestServed int, best *Plan) bool {
-	bestWhole := bestServed == len(best.Shards)
+// better reports whether p is the better plan: whole, then newer; or else the
+// larger share of shards served, then newer.
+func better(p, best *Plan) bool {
+	whole := p.Served == len(p.Shards)
+	bestWhole := best.Served == len(best.Shards)
 	if whole != bestWhole {
 		return whole
 	}
-	if whole {
-		return v.Number > best.Version
-	}
-	share := float64(served) / float64(len(v.Shards))
-	bestShare := float64(bestServed) / float64(len(best.Shards))
+	share := float64(p.Served) / float64(len(p.Shards))
+	bestShare := float64(best.Served) / float64(len(best.Shards))
 	if share != bestShare {
 		return share > bestShare
 	}
-	return v.Number > best.Version
+	return p.Version > best.Version
 }
 
-func (m *Maker) planAt(v zlcatalog.Version) (*Plan, int) {
+// At returns the plan that pins v, whether or not the view still lists it.
+func (m *Maker) At(v zlcatalog.Version) *Plan {
 	p := &Plan{
 		Version: v.Number,
-		Shards:  make([][]zlunit.Upstream, len(v.Shards)),
+		Shards:  make([][]zlroute.Candidate, len(v.Shards)),
+		View:    m.View,
+		Fresh:   m.Age <= m.Policy.ViewAge,
+		Map:     v,
 	}
 	total := 0
 	for _, replicas := range v.Shards {
 		total += len(replicas)
 	}
-	backing := make([]zlunit.Upstream, 0, total)
-	served := 0
+	backing := make([]zlroute.Candidate, 0, total)
+	groups := map[zlunit.VM]int{}
 	for s, replicas := range v.Shards {
 		from := len(backing)
+		served := false
 		for _, name := range replicas {
 			if m.View.Usable(name, m.Age, m.Policy) {
-				backing = append(backing, name)
+				c := m.candidate(name, p, groups)
+				served = served || c.VM != ""
+				backing = append(backing, c)
 			}
 		}
 		p.Shards[s] = backing[from:len(backing):len(backing)]
-		if len(backing) > from {
-			served++
+		if served {
+			p.Served++
 		}
 	}
-	return p, served
+	return p
+}
+
+func (m *Maker) candidate(name zlunit.Upstream, p *Plan, groups map[zlunit.VM]int) zlroute.Candidate {
+	c := zlroute.Candidate{
+		Upstream: name,
+	}
+	if holders := m.View.Holders(name); len(holders) > 0 {
+		c.VM = holders[0]
+	}
+	if m.Router == nil || c.VM == "" {
+		return c
+	}
+	group, ok := groups[c.VM]
+	if !ok {
+		group = len(p.Groups)
+		groups[c.VM] = group
+		p.Groups = append(p.Groups, m.Router.Peer(c.VM))
+	}
+	c.Group = group
+	c.Record = m.Router.Record(name)
+	c.Peer = p.Groups[group]
+	return c
 }
--- a/io/process/zldaemon/zldaemon.go
+++ b/io/process/zldaemon/zldaemon.go
@@ -141,6 +141,7 @@
 		Asked:      d.asked,
 	}
 	d.coord = &zlcoord.Coordinator{
+		Self:       cfg.Name,
 		Timer:      d.timer,
 		Views:      d.views,
 		Router:     &zlroute.Router{},
