--- a/io/connection/zlpeer/link.go
+++ b/io/connection/zlpeer/link.go
@@ -32,6 +32,7 @@
 	if err != nil {
 		return nil, err
 	}
+	n.meter.watch(conn)
 	l.conn = conn
 	return conn, nil
 }
--- a/io/connection/zlpeer/serve.go
+++ b/io/connection/zlpeer/serve.go
@@ -16,6 +16,7 @@
 		if err != nil {
 			return
 		}
+		n.meter.watch(conn)
 		n.wg.Go(func() {
 			n.serveConn(conn)
 		})
--- /dev/null
+++ b/io/connection/zlpeer/traffic.go
@@ -0,0 +1,60 @@
+package zlpeer
+
+import (
+	"context"
+	"sync"
+
+	"github.com/quic-go/quic-go"
+)
+
+// Traffic counts what went over the wire between this daemon and others, in
+// bytes and packets of the QUIC layer.
+type Traffic struct {
+	SentBytes       uint64 `json:"sentBytes"`
+	ReceivedBytes   uint64 `json:"receivedBytes"`
+	SentPackets     uint64 `json:"sentPackets"`
+	ReceivedPackets uint64 `json:"receivedPackets"`
+	Connections     int    `json:"connections"`
+}
+
+func (t *Traffic) add(s quic.ConnectionStats) {
+	t.SentBytes += s.BytesSent
+	t.ReceivedBytes += s.BytesReceived
+	t.SentPackets += s.PacketsSent
+	t.ReceivedPackets += s.PacketsReceived
+}
+
+// trafficMeter sums the traffic of live and ended connections.
+type trafficMeter struct {
+	mu    sync.Mutex
+	live  map[*quic.Conn]bool
+	ended Traffic
+}
+
+// watch counts conn until it ends, and its total from then on.
+func (m *trafficMeter) watch(conn *quic.Conn) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.live == nil {
+		m.live = map[*quic.Conn]bool{}
+	}
+	m.live[conn] = true
+	context.AfterFunc(conn.Context(), func() {
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		delete(m.live, conn)
+		m.ended.add(conn.ConnectionStats())
+	})
+}
+
+// Traffic returns the totals since Run.
+func (n *Node) Traffic() Traffic {
+	n.meter.mu.Lock()
+	defer n.meter.mu.Unlock()
+	out := n.meter.ended
+	for conn := range n.meter.live {
+		out.add(conn.ConnectionStats())
+	}
+	out.Connections = len(n.meter.live)
+	return out
+}
--- a/io/connection/zlpeer/zlpeer.go
+++ b/io/connection/zlpeer/zlpeer.go
@@ -113,6 +113,7 @@
 	mu        sync.Mutex
 	links     map[string]*link
 	wg        sync.WaitGroup
+	meter     trafficMeter
 }
 
 var _ zlcoord.Dispatcher = (*Node)(nil)
--- a/io/process/zldaemon/zldaemon.go
+++ b/io/process/zldaemon/zldaemon.go
@@ -81,6 +81,7 @@
 	parts      sync.WaitGroup
 	stopping   atomic.Bool
 	inFlight   atomic.Int64
+	meter      zlplatform.Meter
 }
 
 // Run starts all parts and returns once the daemon serves.
@@ -112,9 +113,7 @@
 	})
 	d.platform = &zlplatform.Client{
 		Address: cfg.PlatformAddress,
-		HTTP: &http.Client{
-			Transport: &http.Transport{},
-		},
+		HTTP:    d.meter.NewHTTP(),
 		Timeout: cfg.PlatformTimeout,
 	}
 	d.follower = &zlsync.Follower{
