Hedges and retries look at the newest view; a return from a mark is a ramp

Cause: the coordinator checked marks and the view's age only at plan time, and a mark that was lifted brought back all work at once. The view's age was kept on the wall clock. Measured: tests only; before, a retry went to a marked upstream. Conclusion: the mark's effect now depends on how fast its news travels.

--- /dev/null
+++ b/core/request/zlcoord/mark_test.go
@@ -0,0 +1,81 @@
+package zlcoord
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/smartystreets/goconvey/convey"
+
+	"zinnialock/core/process/zlunit"
+	"zinnialock/core/request/zlquery"
+	"zinnialock/core/version/zlmark"
+	"zinnialock/core/version/zlview"
+)
+
+func TestRetryHeedsTheNewestView(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		convey.Convey("Given a mark that takes out the other replicas while the first are tried", t, func() {
+			sent := map[zlunit.Upstream]int{}
+			var c *Coordinator
+			c = testCoordinator(&fakeDispatcher{
+				answer: func(_ *zlquery.Batch, sub zlquery.Sub) (zlquery.Result, time.Duration) {
+					sent[sub.Upstream]++
+					time.AfterFunc(time.Millisecond, func() {
+						c.Views.Store(markedView("a0", "a1", "b0", "b1"))
+					})
+					return zlquery.NotRun{
+						Reason: zlquery.ReasonShed,
+					}, 2 * time.Millisecond
+				},
+			})
+			a := c.Answer(context.Background(), testRequest())
+			convey.So(a.Outcome, convey.ShouldEqual, zlquery.OutcomeNotRun)
+			convey.So(len(sent), convey.ShouldEqual, 2)
+			convey.So(a.Missing[0].Reason, convey.ShouldEqual, zlquery.ReasonMarkedOut)
+		})
+	})
+}
+
+func TestRetryHeedsTheAgeOfTheView(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		convey.Convey("Given a view of another data centre that ages past its limit while a query runs", t, func() {
+			sent := 0
+			c := testCoordinator(&fakeDispatcher{
+				answer: func(*zlquery.Batch, zlquery.Sub) (zlquery.Result, time.Duration) {
+					sent++
+					return zlquery.NotRun{
+						Reason: zlquery.ReasonShed,
+					}, 4 * time.Second
+				},
+			})
+			v := testView()
+			v.Home = "elsewhere"
+			c.Views.Store(v)
+			req := testRequest()
+			req.Deadline = time.Now().Add(time.Minute)
+			_ = c.Answer(context.Background(), req)
+			convey.So(sent, convey.ShouldEqual, 2)
+		})
+	})
+}
+
+func testRequest() *zlquery.Request {
+	return &zlquery.Request{
+		ID:         "r",
+		Service:    "s",
+		Idempotent: true,
+	}
+}
+
+func markedView(names ...zlunit.Upstream) *zlview.View {
+	v := testView()
+	v.Marks = &zlmark.Marks{
+		Upstreams: map[zlunit.Upstream]zlmark.Mark{},
+	}
+	for _, name := range names {
+		v.Marks.Upstreams[name] = zlmark.Mark{}
+	}
+	return v
+}
--- a/core/request/zlcoord/run.go
+++ b/core/request/zlcoord/run.go
@@ -35,7 +35,6 @@
 	coordinator *Coordinator
 	ctx         context.Context
 	req         *zlquery.Request
-	view        *zlview.View
 	policy      zltree.Policy
 	plan        *zlplan.Plan
 	query       zlunit.QueryID
@@ -79,7 +78,7 @@
 func (r *run) next(shard zlunit.Shard) (zlunit.VM, zlquery.Sub, bool) {
 	st := &r.shards[shard]
 	for {
-		u, ok := r.coordinator.Router.Pick(r.plan.Shards[shard], st.tried)
+		u, ok := r.pick(shard)
 		if !ok {
 			if st.reason == zlquery.ReasonNone {
 				st.reason = zlquery.ReasonNoReplica
@@ -87,7 +86,12 @@
 			return "", zlquery.Sub{}, false
 		}
 		st.tried = append(st.tried, u)
-		holders := r.view.Holders(u)
+		view := r.coordinator.Views.Load()
+		if !r.usable(view, u) {
+			st.reason = zlquery.ReasonMarkedOut
+			continue
+		}
+		holders := view.Holders(u)
 		if len(holders) == 0 {
 			st.reason = zlquery.ReasonNotHolder
 			continue
@@ -110,6 +114,23 @@
 	}
 }
 
+// pick chooses an untried replica, a spare one only where no other is left.
+func (r *run) pick(shard zlunit.Shard) (zlunit.Upstream, bool) {
+	tried := r.shards[shard].tried
+	u, ok := r.coordinator.Router.Pick(r.plan.Shards[shard], tried)
+	if !ok && r.plan.Spare != nil {
+		u, ok = r.coordinator.Router.Pick(r.plan.Spare[shard], tried)
+	}
+	return u, ok
+}
+
+// usable checks u against the newest view, since a mark may have come and the
+// view may have aged since the plan was made: hedges and retries are new work.
+func (r *run) usable(view *zlview.View, u zlunit.Upstream) bool {
+	age := r.coordinator.Views.Age(r.coordinator.Timer.Now())
+	return view.Usable(u, age, &r.policy)
+}
+
 func (r *run) dispatch(to zlunit.VM, subs []zlquery.Sub) {
 	batch := &zlquery.Batch{
 		Query:      r.query,
--- a/core/request/zlcoord/zlcoord.go
+++ b/core/request/zlcoord/zlcoord.go
@@ -60,6 +60,7 @@
 	maker := &zlplan.Maker{
 		View:   view,
 		Age:    c.Views.Age(now),
+		Now:    now,
 		Policy: &policy,
 	}
 	plan, err := maker.Make(req.Service)
@@ -72,7 +73,6 @@
 		coordinator: c,
 		ctx:         ctx,
 		req:         req,
-		view:        view,
 		policy:      policy,
 		plan:        plan,
 		query:       zlunit.QueryID(uuid.NewString()),
--- /dev/null
+++ b/core/request/zlplan/ramp_test.go
@@ -0,0 +1,76 @@
+package zlplan
+
+import (
+	"testing"
+	"time"
+
+	"github.com/smartystreets/goconvey/convey"
+
+	"zinnialock/core/process/zlunit"
+	"zinnialock/core/version/zlcatalog"
+	"zinnialock/core/version/zlmark"
+	"zinnialock/core/version/zltree"
+	"zinnialock/core/version/zlview"
+)
+
+func rampView(now time.Time) *zlview.View {
+	c := &zlcatalog.Catalog{
+		Service: "s",
+		Versions: []zlcatalog.Version{
+			{
+				Number: 1,
+				Shards: [][]zlunit.Upstream{{"a", "b"}, {"b"}},
+			},
+		},
+	}
+	for name, dc := range map[zlunit.Upstream]zlunit.DataCentre{"a": "x", "b": "y"} {
+		c.Upstreams = append(c.Upstreams, zlcatalog.Upstream{
+			Name:       name,
+			DataCentre: dc,
+		})
+	}
+	out := &zlmark.Marks{
+		DataCentres: map[zlunit.DataCentre]zlmark.Mark{
+			"y": {},
+		},
+	}
+	v := &zlview.View{
+		Home: "x",
+		Catalogs: map[zlunit.Service]*zlcatalog.Catalog{
+			"s": c,
+		},
+		Ramps: zlmark.Ramps{}.Advance(out, &zlmark.Marks{}, now),
+	}
+	return v.Build()
+}
+
+func TestShareOfWorkGrowsWithTheRamp(t *testing.T) {
+	convey.Convey("Given a data centre that just came back", t, func() {
+		now := time.Unix(1000, 0)
+		view := rampView(now)
+		share := func(after time.Duration) float64 {
+			n := 0
+			for range 2000 {
+				m := &Maker{
+					View:   view,
+					Now:    now.Add(after),
+					Policy: &zltree.Policy{},
+				}
+				m.Policy.ViewAge = time.Second
+				p, err := m.Make("s")
+				convey.So(err, convey.ShouldBeNil)
+				n += len(p.Shards[0]) - 1
+				convey.So(len(p.Shards[1]), convey.ShouldEqual, 1)
+				if p.Spare != nil {
+					convey.So(len(p.Shards[0])+len(p.Spare[0]), convey.ShouldEqual, 2)
+				}
+			}
+			return float64(n) / 2000
+		}
+		// 2000 draws: a share of one half is within 0.1 at nine standard
+		// deviations.
+		convey.So(share(0), convey.ShouldBeBetween, 0.0, 0.15)
+		convey.So(share(zlmark.RampLength/2), convey.ShouldBeBetween, 0.42, 0.63)
+		convey.So(share(zlmark.RampLength), convey.ShouldEqual, 1)
+	})
+}
--- a/core/request/zlplan/zlplan.go
+++ b/core/request/zlplan/zlplan.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"time"
 
 	"zinnialock/core/process/zlunit"
@@ -37,12 +38,17 @@
 type Plan struct {
 	Version zlunit.IndexVersion
 	Shards  [][]zlunit.Upstream
+	// Spare lists, where it is not nil, the replicas that come back into
+	// service and were left out of Shards for this query. They serve where
+	// Shards has none left.
+	Spare [][]zlunit.Upstream
 }
 
 // Maker makes plans from one view.
 type Maker struct {
 	View   *zlview.View
 	Age    time.Duration
+	Now    time.Time
 	Policy *zltree.Policy
 	// Gone lists versions that upstreams said they no longer hold.
 	Gone map[zlunit.IndexVersion]bool
@@ -122,5 +128,28 @@
 			served++
 		}
 	}
+	if m.View.Ramps.Active(m.Now) {
+		m.spare(p)
+	}
 	return p, served
 }
+
+// spare moves replicas that come back into service out of the plan, each with
+// the probability that its weight leaves, unless its shard has no other.
+func (m *Maker) spare(p *Plan) {
+	p.Spare = make([][]zlunit.Upstream, len(p.Shards))
+	for s, replicas := range p.Shards {
+		var kept, spare []zlunit.Upstream
+		for _, name := range replicas {
+			if rand.Float64() < m.View.Weight(name, m.Now) {
+				kept = append(kept, name)
+			} else {
+				spare = append(spare, name)
+			}
+		}
+		if len(kept) > 0 {
+			p.Shards[s] = kept
+			p.Spare[s] = spare
+		}
+	}
+}
--- a/core/version/zlview/zlview.go
+++ b/core/version/zlview/zlview.go
@@ -3,7 +3,6 @@
 package zlview
 
 import (
-	"sync/atomic"
 	"time"
 
 	"zinnialock/core/process/zlunit"
@@ -22,6 +21,8 @@
 	Tree     *zltree.Tree
 	Marks    *zlmark.Marks
 	Rosters  map[zlunit.DataCentre]zlroster.Roster
+	// Ramps holds what is coming back into service.
+	Ramps zlmark.Ramps
 
 	upstreams map[zlunit.Upstream]zlcatalog.Upstream
 	holders   map[zlunit.Upstream][]zlunit.VM
@@ -88,6 +89,12 @@
 	return u.DataCentre == v.Home || age <= policy.ViewAge
 }
 
+// Weight is the share of its usual work that an upstream is due at now: 1, or
+// less while it comes back after a mark.
+func (v *View) Weight(name zlunit.Upstream, now time.Time) float64 {
+	return v.Ramps.Weight(name, v.upstreams[name].DataCentre, now)
+}
+
 // Policy resolves the settings tree for a query that this daemon received.
 func (v *View) Policy(service zlunit.Service, kind zlunit.QueryKind) zltree.Policy {
 	return v.Tree.Policy(zltree.Place{
@@ -97,30 +104,3 @@
 		Kind:       kind,
 	})
 }
-
-// Holder keeps the current view of a process.
-type Holder struct {
-	current atomic.Pointer[View]
-	// heard is when news of the platform was last confirmed, in Unix nanoseconds.
-	heard atomic.Int64
-}
-
-// Load returns the current view, or nil before the first one.
-func (h *Holder) Load() *View {
-	return h.current.Load()
-}
-
-// Store makes v current.
-func (h *Holder) Store(v *View) {
-	h.current.Store(v)
-}
-
-// Confirm notes that the platform's news was current at t.
-func (h *Holder) Confirm(t time.Time) {
-	h.heard.Store(t.UnixNano())
-}
-
-// Age returns the time since the last Confirm.
-func (h *Holder) Age(now time.Time) time.Duration {
-	return time.Duration(now.UnixNano() - h.heard.Load())
-}
