--- a/core/request/zlcoord/profile.go
+++ b/core/request/zlcoord/profile.go
@@ -132,7 +132,8 @@
 	return &c.policy
 }
 
-// plan returns the plan for a new query. It is made once for each view.
+// plan returns the plan for a new query. It is made once for each view, unless
+// replicas coming back into service were drawn for this query alone.
 func (p *profile) plan(c *Coordinator, view *zlview.View, policy *zltree.Policy, now time.Time) (*zlplan.Plan, error) {
 	age := c.Views.Age(now)
 	fresh := age <= policy.ViewAge
@@ -144,6 +145,7 @@
 	maker := &zlplan.Maker{
 		View:   view,
 		Age:    age,
+		Now:    now,
 		Policy: policy,
 		Router: c.Router,
 		Gone:   gone,
@@ -157,6 +159,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if plan.Spare != nil {
+		return plan, nil
+	}
 	p.plans.Store(&cachedPlan{
 		view:  view,
 		fresh: fresh,
--- a/core/request/zlcoord/send.go
+++ b/core/request/zlcoord/send.go
@@ -162,6 +162,10 @@
 	}
 	list := r.plan.Shards[shard]
 	choice, ok := r.coordinator.Router.Pick(now, list, r.skip, care)
+	if !ok && r.plan.Spare != nil {
+		list = r.plan.Spare[shard]
+		choice, ok = r.coordinator.Router.Pick(now, list, r.skip, care)
+	}
 	if !ok {
 		return nil, false, false
 	}
@@ -186,6 +190,7 @@
 	maker := &zlplan.Maker{
 		View:   view,
 		Age:    age,
+		Now:    now,
 		Policy: r.policy,
 		Router: c.Router,
 	}
--- a/core/request/zlplan/zlplan.go
+++ b/core/request/zlplan/zlplan.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"time"
 
 	"zinnialock/core/process/zlroute"
@@ -38,6 +39,10 @@
 type Plan struct {
 	Version zlunit.IndexVersion
 	Shards  [][]zlroute.Candidate
+	// Spare lists, where it is not nil, the replicas that come back into
+	// service and were left out of Shards by a draw. They serve where Shards
+	// has none left; another query needs a draw of its own.
+	Spare [][]zlroute.Candidate
 	// Groups lists the daemons of the candidates.
 	Groups []*zlroute.Peer
 	// Served is the number of shards that have a candidate with a daemon.
@@ -55,6 +60,7 @@
 type Maker struct {
 	View   *zlview.View
 	Age    time.Duration
+	Now    time.Time
 	Policy *zltree.Policy
 	// Router, if set, provides the records of the candidates.
 	Router *zlroute.Router
@@ -139,9 +145,32 @@
 			p.Served++
 		}
 	}
+	if m.View.Ramps.Active(m.Now) {
+		m.spare(p)
+	}
 	return p
 }
 
+// spare moves replicas that come back into service out of the plan, each with
+// the probability that its weight leaves, unless its shard has no other.
+func (m *Maker) spare(p *Plan) {
+	p.Spare = make([][]zlroute.Candidate, len(p.Shards))
+	for s, replicas := range p.Shards {
+		var kept, spare []zlroute.Candidate
+		for _, c := range replicas {
+			if rand.Float64() < m.View.Weight(c.Upstream, m.Now) {
+				kept = append(kept, c)
+			} else {
+				spare = append(spare, c)
+			}
+		}
+		if len(kept) > 0 {
+			p.Shards[s] = kept
+			p.Spare[s] = spare
+		}
+	}
+}
+
 func (m *Maker) candidate(name zlunit.Upstream, p *Plan, groups map[zlunit.VM]int) zlroute.Candidate {
 	c := zlroute.Candidate{
 		Upstream: name,
