--- a/core/process/zlquantile/zlquantile.go
+++ b/core/process/zlquantile/zlquantile.go
@@ -39,8 +39,8 @@
 	cache   [2]cached
 }
 
-// Observe adds a duration that was measured at now.
-func (t *Tracker) Observe(now time.Time, d time.Duration) {
+// Observe adds durations that were measured at now.
+func (t *Tracker) Observe(now time.Time, ds ...time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.current == nil {
@@ -54,8 +54,10 @@
 		t.opened = now
 	}
 	t.last = now
-	d = min(max(d, time.Microsecond), largest)
-	_ = t.current.RecordValue(int64(d / time.Microsecond))
+	for _, d := range ds {
+		d = min(max(d, time.Microsecond), largest)
+		_ = t.current.RecordValue(int64(d / time.Microsecond))
+	}
 }
 
 // Quantile returns the duration at quantile q, from 0 to 1, or false while too
--- a/core/process/zlroute/peer.go
+++ b/core/process/zlroute/peer.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"zinnialock/core/process/zlunit"
@@ -16,39 +17,40 @@
 	probeMost  = 4 * time.Second
 )
 
-// Peer is what is known of one daemon. Its own lock covers all its state.
+// Peer is what is known of one daemon. What the ordinary path reads is atomic;
+// its own lock covers the rest.
 type Peer struct {
 	VM zlunit.VM
 
-	mu    sync.Mutex
-	heard time.Time
+	heard atomic.Int64
 	// unanswered counts the sub-requests sent since the last sign of life.
-	unanswered int
-	suspect    bool
-	probeAt    time.Time
-	pause      time.Duration
+	unanswered atomic.Int64
+	suspect    atomic.Bool
+
+	mu      sync.Mutex
+	probeAt time.Time
+	pause   time.Duration
 }
 
 // Sent notes n sub-requests.
 func (p *Peer) Sent(n int) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.unanswered += n
+	p.unanswered.Add(int64(n))
 }
 
-func (p *Peer) hear(now time.Time) {
+func (p *Peer) hear(at int64) {
+	p.heard.Store(at)
+	p.unanswered.Store(0)
+	if !p.suspect.Load() {
+		return
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.heard = now
-	p.unanswered = 0
-	p.suspect = false
+	p.suspect.Store(false)
 	p.pause = 0
 }
 
-func (p *Peer) silentSince(t time.Time) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return !p.heard.After(t) && (p.suspect || p.unanswered >= silentLeast)
+func (p *Peer) silentSince(at int64) bool {
+	return p.heard.Load() <= at && (p.suspect.Load() || p.unanswered.Load() >= silentLeast)
 }
 
 // Suspect notes that the daemon gives no sign of life: it gets no work but a
@@ -56,32 +58,29 @@
 func (p *Peer) Suspect(now time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.suspect {
+	if p.suspect.Load() {
 		return false
 	}
-	p.suspect = true
+	p.suspect.Store(true)
 	p.postpone(now)
 	return true
 }
 
 // Suspected reports whether the daemon gives no sign of life.
 func (p *Peer) Suspected() bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.suspect
+	return p.suspect.Load()
 }
 
 func (p *Peer) standing(now time.Time) standing {
+	if !p.suspect.Load() {
+		return standingGood
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	switch {
-	case !p.suspect:
-		return standingGood
-	case now.Before(p.probeAt):
+	if now.Before(p.probeAt) {
 		return standingAvoid
-	default:
-		return standingProbe
 	}
+	return standingProbe
 }
 
 func (p *Peer) until() time.Time {
@@ -94,7 +93,7 @@
 func (p *Peer) claimProbe(now time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if !p.suspect || now.Before(p.probeAt) {
+	if !p.suspect.Load() || now.Before(p.probeAt) {
 		return false
 	}
 	p.postpone(now)
--- a/core/process/zlroute/pick.go
+++ b/core/process/zlroute/pick.go
@@ -53,7 +53,7 @@
 	probe := -1
 	for i := range list {
 		c := &list[i]
-		if c.VM == "" || slices.Contains(skip, c.Upstream) {
+		if c.VM == "" || (len(skip) > 0 && slices.Contains(skip, c.Upstream)) {
 			continue
 		}
 		switch c.standing(now) {
@@ -85,12 +85,14 @@
 	if len(good) == 1 {
 		return good[0]
 	}
-	i := r.Draw(len(good))
-	j := r.Draw(len(good) - 1)
+	both := r.Draw(len(good) * (len(good) - 1))
+	i := both % len(good)
+	j := both / len(good)
 	if j >= i {
 		j++
 	}
-	if list[good[j]].Record.cost(now) < list[good[i]].Record.cost(now) {
+	at := ticks(now)
+	if list[good[j]].Record.cost(at) < list[good[i]].Record.cost(at) {
 		i = j
 	}
 	return good[i]
@@ -134,6 +136,9 @@
 }
 
 func (c *Candidate) standing(now time.Time) standing {
+	if !c.Record.troubled.Load() && !c.Peer.suspect.Load() {
+		return standingGood
+	}
 	return max(c.Record.standing(now), c.Peer.standing(now))
 }
 
--- a/core/process/zlroute/record.go
+++ b/core/process/zlroute/record.go
@@ -1,7 +1,9 @@
 package zlroute
 
 import (
+	"math"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"zinnialock/core/request/zlquery"
@@ -30,13 +32,18 @@
 	avoidMost = 10 * time.Second
 )
 
-// Record is what is known of one upstream. Its own lock covers all its state.
+// Record is what is known of one upstream. What the ordinary path reads is
+// atomic; its own lock covers the rest.
 type Record struct {
-	mu       sync.Mutex
-	inFlight int
-	// mean is the running mean of the service time, in nanoseconds.
-	mean float64
-	last time.Time
+	inFlight atomic.Int64
+	// mean holds the running mean of the service time in nanoseconds, as the
+	// bits of a float64.
+	mean atomic.Uint64
+	last atomic.Int64
+	// troubled tells that failures or avoid below are set.
+	troubled atomic.Bool
+
+	mu sync.Mutex
 	// failures counts failures in a row.
 	failures int
 	// avoid is the time until which the upstream gets no ordinary work.
@@ -56,6 +63,9 @@
 )
 
 func (r *Record) standing(now time.Time) standing {
+	if !r.troubled.Load() {
+		return standingGood
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	switch {
@@ -70,15 +80,13 @@
 	}
 }
 
-// cost is what one more sub-request is expected to take.
-func (r *Record) cost(now time.Time) float64 {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	mean := r.mean
-	for age := now.Sub(r.last); age >= idle && mean > leastCost; age -= idle {
+// cost is what one more sub-request is expected to take, at a time in ticks.
+func (r *Record) cost(at int64) float64 {
+	mean := math.Float64frombits(r.mean.Load())
+	for age := at - r.last.Load(); age >= int64(idle) && mean > leastCost; age -= int64(idle) {
 		mean /= 2
 	}
-	return (float64(r.inFlight) + 1) * (mean + leastCost)
+	return (float64(r.inFlight.Load()) + 1) * (mean + leastCost)
 }
 
 // until is the time to which the upstream is avoided.
@@ -101,29 +109,36 @@
 
 // Sent notes a sub-request.
 func (r *Record) Sent() {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.inFlight++
+	r.inFlight.Add(1)
 }
 
 // Done notes that a sub-request succeeded after d.
 func (r *Record) Done(now time.Time, d time.Duration) {
+	r.inFlight.Add(-1)
+	r.observe(now, d)
+	if !r.troubled.Load() {
+		return
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.end()
+	r.probing = false
 	r.failures = 0
-	r.observe(now, d)
+	r.troubled.Store(now.Before(r.avoid))
 }
 
 // Cancelled notes that a sub-request was given up after d; late tells that it
 // was since the upstream took too long.
 func (r *Record) Cancelled(now time.Time, d time.Duration, late bool) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.end()
-	if float64(d) > r.mean {
+	r.inFlight.Add(-1)
+	if float64(d) > math.Float64frombits(r.mean.Load()) {
 		r.observe(now, d)
 	}
+	if !late && !r.troubled.Load() {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.probing = false
 	if late {
 		r.fail(now)
 	}
@@ -131,17 +146,19 @@
 
 // Failed notes that a sub-request ended without a usable reply.
 func (r *Record) Failed(now time.Time) {
+	r.inFlight.Add(-1)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.end()
+	r.probing = false
 	r.fail(now)
 }
 
 // Refused notes a refusal; hint is when to come back, or 0.
 func (r *Record) Refused(now time.Time, reason zlquery.Reason, hint time.Duration) {
+	r.inFlight.Add(-1)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.end()
+	r.probing = false
 	wait := time.Duration(0)
 	switch reason {
 	case zlquery.ReasonShed, zlquery.ReasonQueueFull, zlquery.ReasonOverload:
@@ -161,18 +178,21 @@
 	r.avoidFor(now, wait)
 }
 
-func (r *Record) end() {
-	r.inFlight--
-	r.probing = false
-}
-
 func (r *Record) observe(now time.Time, d time.Duration) {
-	r.mean += smoothing * (float64(d) - r.mean)
-	r.last = now
+	r.last.Store(ticks(now))
+	for {
+		old := r.mean.Load()
+		mean := math.Float64frombits(old)
+		mean += smoothing * (float64(d) - mean)
+		if r.mean.CompareAndSwap(old, math.Float64bits(mean)) {
+			return
+		}
+	}
 }
 
 func (r *Record) fail(now time.Time) {
 	r.failures++
+	r.troubled.Store(true)
 	if r.failures < ejectAfter {
 		return
 	}
@@ -181,7 +201,8 @@
 }
 
 func (r *Record) avoidFor(now time.Time, d time.Duration) {
-	if until := now.Add(d); until.After(r.avoid) {
+	if until := now.Add(d); d > 0 && until.After(r.avoid) {
 		r.avoid = until
+		r.troubled.Store(true)
 	}
 }
--- a/core/process/zlroute/zlroute.go
+++ b/core/process/zlroute/zlroute.go
@@ -31,7 +31,7 @@
 	Blind bool
 
 	shards [tableShards]tableShard
-	heard  atomic.Pointer[time.Time]
+	heard  atomic.Int64
 }
 
 // Record returns the record of an upstream; it stays the same for the life of
@@ -70,22 +70,28 @@
 	return p
 }
 
-// Heard notes a sign of life of a daemon.
-func (r *Router) Heard(p *Peer, now time.Time) {
-	r.heard.Store(&now)
-	p.hear(now)
+// epoch is what times are counted from where they are kept as numbers.
+var epoch = time.Now()
+
+func ticks(t time.Time) int64 {
+	return int64(t.Sub(epoch))
 }
 
-// heardSince reports whether any daemon gave a sign of life after t.
-func (r *Router) heardSince(t time.Time) bool {
-	last := r.heard.Load()
-	return last != nil && last.After(t)
+// Heard notes a sign of life of a daemon.
+func (r *Router) Heard(p *Peer, now time.Time) {
+	at := ticks(now)
+	if p.heard.Load() == at && p.unanswered.Load() == 0 {
+		return
+	}
+	r.heard.Store(at)
+	p.hear(at)
 }
 
 // Silent reports whether p has given no sign of life since it was sent
 // something at t while other daemons did, with enough unanswered to tell.
 func (r *Router) Silent(p *Peer, t time.Time) bool {
-	return p.silentSince(t) && r.heardSince(t)
+	at := ticks(t)
+	return p.silentSince(at) && r.heard.Load() > at
 }
 
 // Draw returns a random number from 0 to below n.
--- a/core/request/zlcoord/finish.go
+++ b/core/request/zlcoord/finish.go
@@ -28,7 +28,7 @@
 		if sub.ended() {
 			continue
 		}
-		sub.took = now.Sub(sub.sent)
+		sub.took = r.at(now) - sub.sent
 		r.giveBack(sub, now, !now.Before(r.due))
 		sub.call.Cancel(zlunit.SubID(i))
 	}
@@ -129,7 +129,6 @@
 	}
 	for i := range r.subs {
 		s := &r.subs[i]
-		sent := s.sent.Sub(r.start)
 		t.Tries[i] = zltrace.Try{
 			Sub:      zlunit.SubID(i),
 			Shard:    s.shard,
@@ -138,8 +137,8 @@
 			Version:  s.version,
 			Cause:    s.cause,
 			Why:      s.why,
-			Sent:     sent,
-			Ended:    sent + s.took,
+			Sent:     s.sent,
+			Ended:    s.sent + s.took,
 			End:      s.end,
 			Reason:   s.reason,
 		}
--- a/core/request/zlcoord/inbox.go
+++ b/core/request/zlcoord/inbox.go
@@ -16,10 +16,10 @@
 	closed  bool
 }
 
-func newInbox(n int) *inbox {
+func newInbox(replies []zlquery.Reply) *inbox {
 	return &inbox{
 		wake:    make(chan struct{}, 1),
-		replies: make([]zlquery.Reply, 0, n),
+		replies: replies,
 	}
 }
 
@@ -48,8 +48,12 @@
 	return out
 }
 
-func (b *inbox) close() {
+// close ends the inbox and gives its memory back.
+func (b *inbox) close() []zlquery.Reply {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.closed = true
+	out := b.replies
+	b.replies = nil
+	return out
 }
--- a/core/request/zlcoord/late.go
+++ b/core/request/zlcoord/late.go
@@ -32,12 +32,12 @@
 			continue
 		}
 		shard := zlunit.Shard(s)
-		if !st.againAt.IsZero() && !now.Before(st.againAt) {
-			st.againAt = time.Time{}
+		if st.againAt > 0 && r.at(now) >= st.againAt {
+			st.againAt = 0
 			r.again(shard, st.why, now)
 			continue
 		}
-		if st.open > 0 && r.req.Idempotent && !now.Before(st.lateAt) {
+		if st.open > 0 && r.req.Idempotent && r.at(now) >= st.lateAt {
 			r.late(shard, st, now)
 		}
 	}
@@ -45,8 +45,8 @@
 
 // late decides what to do for a shard whose newest sub-request is late.
 func (r *run) late(shard zlunit.Shard, st *shardState, now time.Time) {
-	stalled := now.Sub(st.lateAt) > max(r.hedgeAfter, stall)
-	st.lateAt = now.Add(r.hedgeAfter)
+	stalled := r.at(now)-st.lateAt > max(r.hedgeAfter, stall)
+	st.lateAt = r.at(now) + r.hedgeAfter
 	if stalled {
 		return
 	}
@@ -65,8 +65,8 @@
 	if c.Without.Around || peer.VM == c.Self {
 		return false
 	}
-	tooShort := now.Sub(sub.sent) < max(silentTimes*r.hedgeAfter, leastSilence)
-	if tooShort && !peer.Suspected() || !c.Router.Silent(peer, sub.sent) {
+	tooShort := r.at(now)-sub.sent < max(silentTimes*r.hedgeAfter, leastSilence)
+	if tooShort && !peer.Suspected() || !c.Router.Silent(peer, r.start.Add(sub.sent)) {
 		return false
 	}
 	r.suspect(peer, now)
--- a/core/request/zlcoord/replan.go
+++ b/core/request/zlcoord/replan.go
@@ -1,6 +1,7 @@
 package zlcoord
 
 import (
+	"slices"
 	"time"
 
 	"zinnialock/core/process/zlunit"
@@ -75,7 +76,7 @@
 		r.former = &outcome{
 			plan:   r.plan,
 			merge:  r.merge,
-			shards: r.shards,
+			shards: slices.Clone(r.shards),
 		}
 	}
 }
--- a/core/request/zlcoord/retry.go
+++ b/core/request/zlcoord/retry.go
@@ -25,7 +25,7 @@
 func (r *run) failed(shard zlunit.Shard, reason zlquery.Reason, now time.Time) {
 	st := &r.shards[shard]
 	st.reason = reason
-	if st.settled || st.open > 0 || !st.againAt.IsZero() {
+	if st.settled || st.open > 0 || st.againAt > 0 {
 		return
 	}
 	if r.coordinator.Without.Retries {
@@ -101,7 +101,7 @@
 		return
 	}
 	st.why = why
-	st.againAt = now.Add(wait)
+	st.againAt = r.at(now) + wait
 	r.rearm = true
 	r.note(zltrace.Decision{
 		What:   zltrace.WhatWait,
--- a/core/request/zlcoord/run.go
+++ b/core/request/zlcoord/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"zinnialock/core/process/zlroute"
@@ -14,7 +15,8 @@
 	"zinnialock/core/version/zltree"
 )
 
-// shardState is what a run knows of one shard of the plan.
+// shardState is what a run knows of one shard of the plan. Times count from the
+// start of the query.
 type shardState struct {
 	// last is the newest sub-request, as an index into the run's, or -1.
 	last int
@@ -28,9 +30,9 @@
 	// ran tells that a sub-request for the shard may have run.
 	ran bool
 	// lateAt is when an open shard is next looked at for being late.
-	lateAt time.Time
-	// againAt, if not zero, is when the shard is asked again.
-	againAt time.Time
+	lateAt time.Duration
+	// againAt, if not 0, is when the shard is asked again.
+	againAt time.Duration
 	// why is the reason for which it is asked again then.
 	why    zlquery.Reason
 	reason zlquery.Reason
@@ -40,7 +42,8 @@
 	noted bool
 }
 
-// subState is one dispatched sub-request.
+// subState is one dispatched sub-request. Times count from the start of the
+// query.
 type subState struct {
 	shard zlunit.Shard
 	// prev is the sub-request before it for the shard, or -1.
@@ -48,7 +51,7 @@
 	round int
 	to    *zlroute.Candidate
 	call  Call
-	sent  time.Time
+	sent  time.Duration
 	took  time.Duration
 	cause zltrace.Cause
 	// why is the reason of a hedge or retry.
@@ -98,6 +101,10 @@
 	decisions []zltrace.Decision
 	// skip is room for the replicas that a pick leaves out.
 	skip []zlunit.Upstream
+	// spare is what the inbox is swapped for.
+	spare []zlquery.Reply
+	// took collects the latencies that the profile learns at the end.
+	took []time.Duration
 	// rearm tells that the alarm may have to ring sooner.
 	rearm bool
 }
@@ -106,13 +113,14 @@
 	allowed := r.req.Deadline.Sub(r.start)
 	r.due = r.req.Deadline.Add(-min(lateness, allowed/10))
 	r.hedgeAfter = r.lateAfter(allowed)
-	n := len(r.plan.Shards)
-	r.inbox = newInbox(n)
-	r.subs = make([]subState, 0, n+n/8+4)
+	room := rooms.Get().(*room)
+	defer room.put(r)
+	room.lend(r)
 	r.adopt(r.plan, zlquery.ReasonNone)
 	r.wait()
-	r.inbox.close()
+	room.waiting = r.inbox.close()
 	r.abandon()
+	r.profile.latency.Observe(r.coordinator.Timer.Now(), r.took...)
 	return r.finish()
 }
 
@@ -121,7 +129,8 @@
 	n := len(p.Shards)
 	r.plan = p
 	r.plans++
-	r.shards = make([]shardState, n)
+	r.shards = slices.Grow(r.shards[:0], n)[:n]
+	clear(r.shards)
 	for i := range r.shards {
 		r.shards[i].last = -1
 	}
@@ -158,13 +167,12 @@
 	timer := r.coordinator.Timer
 	alarm := timer.After(r.nextWake().Sub(timer.Now()))
 	defer alarm.Stop()
-	var spare []zlquery.Reply
 	for !r.over() {
 		select {
 		case <-r.inbox.wake:
 		case <-alarm.C:
 			// Replies that wait go first: what they bring is not late.
-			spare = r.takeAll(spare)
+			r.takeAll()
 			if !r.over() {
 				r.lookForLate(timer.Now())
 			}
@@ -175,7 +183,7 @@
 			})
 			return
 		}
-		spare = r.takeAll(spare)
+		r.takeAll()
 		if r.rearm {
 			r.arm(alarm)
 		}
@@ -187,18 +195,18 @@
 	alarm.Reset(max(r.nextWake().Sub(r.coordinator.Timer.Now()), 0))
 }
 
-// takeAll takes the waiting replies and returns their slice for reuse.
-func (r *run) takeAll(spare []zlquery.Reply) []zlquery.Reply {
-	replies := r.inbox.drain(spare)
+// takeAll takes the waiting replies.
+func (r *run) takeAll() {
+	replies := r.inbox.drain(r.spare)
+	r.spare = replies
 	if len(replies) == 0 {
-		return replies
+		return
 	}
 	now := r.coordinator.Timer.Now()
 	for i := range replies {
 		r.take(&replies[i], now)
 		replies[i] = zlquery.Reply{}
 	}
-	return replies
 }
 
 // over reports whether the wait ends, and notes why if it ends early.
@@ -225,23 +233,28 @@
 
 // nextWake is when the run has to look at its shards again.
 func (r *run) nextWake() time.Time {
-	next := r.due
-	if at := r.start.Add(r.policy.EnoughAfter); !r.enough && at.Before(next) {
-		next = at
+	next := r.at(r.due)
+	if !r.enough {
+		next = min(next, r.policy.EnoughAfter)
 	}
 	for i := range r.shards {
 		st := &r.shards[i]
 		if st.settled {
 			continue
 		}
-		if !st.againAt.IsZero() && st.againAt.Before(next) {
+		if st.againAt > 0 && st.againAt < next {
 			next = st.againAt
 		}
-		if st.open > 0 && r.req.Idempotent && st.lateAt.Before(next) {
+		if st.open > 0 && r.req.Idempotent && st.lateAt < next {
 			next = st.lateAt
 		}
 	}
-	return next
+	return r.start.Add(next)
+}
+
+// at is the time since the start of the query.
+func (r *run) at(now time.Time) time.Duration {
+	return now.Sub(r.start)
 }
 
 func (r *run) note(d zltrace.Decision) {
--- a/core/request/zlcoord/send.go
+++ b/core/request/zlcoord/send.go
@@ -1,6 +1,7 @@
 package zlcoord
 
 import (
+	"slices"
 	"time"
 
 	"zinnialock/core/process/zlroute"
@@ -69,25 +70,29 @@
 	}
 }
 
-// record enters a sub-request that is about to be sent.
+// record enters a sub-request that is about to be sent. The room beyond the
+// entries is all zero.
 func (r *run) record(shard zlunit.Shard, c *zlroute.Candidate, now time.Time, cause zltrace.Cause, why zlquery.Reason) zlunit.SubID {
 	st := &r.shards[shard]
 	id := zlunit.SubID(len(r.subs))
-	r.subs = append(r.subs, subState{
-		shard:   shard,
-		prev:    st.last,
-		round:   st.round,
-		to:      c,
-		sent:    now,
-		cause:   cause,
-		why:     why,
-		end:     zltrace.EndOpen,
-		version: r.plan.Version,
-	})
+	if int(id) == cap(r.subs) {
+		r.subs = slices.Grow(r.subs, 1)
+	}
+	r.subs = r.subs[:id+1]
+	s := &r.subs[id]
+	s.shard = shard
+	s.prev = st.last
+	s.round = st.round
+	s.to = c
+	s.sent = r.at(now)
+	s.cause = cause
+	s.why = why
+	s.end = zltrace.EndOpen
+	s.version = r.plan.Version
 	st.last = int(id)
 	st.open++
-	st.lateAt = now.Add(r.hedgeAfter)
-	st.againAt = time.Time{}
+	st.lateAt = s.sent + r.hedgeAfter
+	st.againAt = 0
 	c.Record.Sent()
 	r.rearm = true
 	return id
@@ -103,7 +108,8 @@
 	}
 }
 
-// dispatch sends a batch to one daemon; each reply is a sign of its life.
+// dispatch sends a batch to one daemon; each reply is a sign of its life, also
+// one that comes after the run.
 func (r *run) dispatch(peer *zlroute.Peer, subs []zlquery.Sub) {
 	c := r.coordinator
 	batch := &zlquery.Batch{
@@ -116,14 +122,16 @@
 		Left:       r.req.Deadline.Sub(c.Timer.Now()),
 		Subs:       subs,
 	}
+	inbox := r.inbox
 	peer.Sent(len(subs))
 	call := c.Dispatcher.Dispatch(r.ctx, peer.VM, batch, func(reply zlquery.Reply) {
+		if inbox.put(reply) {
+			return
+		}
 		if !peerLost(reply.Result) {
 			c.Router.Heard(peer, c.Timer.Now())
 		}
-		if !r.inbox.put(reply) {
-			c.Counter.Count("droppedReply", zlquery.ReasonCancelled)
-		}
+		c.Counter.Count("droppedReply", zlquery.ReasonCancelled)
 	})
 	for i := range subs {
 		r.subs[subs[i].ID].call = call
--- a/core/request/zlcoord/take.go
+++ b/core/request/zlcoord/take.go
@@ -15,6 +15,9 @@
 		return
 	}
 	sub := &r.subs[reply.Sub]
+	if !peerLost(reply.Result) {
+		r.coordinator.Router.Heard(sub.to.Peer, now)
+	}
 	if sub.ended() {
 		r.drop(zlquery.ReasonCancelled)
 		return
@@ -39,7 +42,7 @@
 func (r *run) end(sub *subState, end zltrace.End, reason zlquery.Reason, now time.Time) {
 	sub.end = end
 	sub.reason = reason
-	sub.took = now.Sub(sub.sent)
+	sub.took = r.at(now) - sub.sent
 	r.shards[sub.shard].open--
 }
 
@@ -55,7 +58,7 @@
 	}
 	r.end(sub, zltrace.EndDone, zlquery.ReasonNone, now)
 	sub.to.Record.Done(now, sub.took)
-	r.profile.latency.Observe(now, sub.took)
+	r.took = append(r.took, sub.took)
 	st.ran = true
 	r.settle(st)
 	if st.open > 0 {
@@ -68,7 +71,7 @@
 		st.settled = true
 		r.pending--
 	}
-	st.againAt = time.Time{}
+	st.againAt = 0
 }
 
 // cancelLosers gives up the other sub-requests of the shard of winner.
@@ -82,7 +85,7 @@
 			continue
 		}
 		r.end(loser, zltrace.EndCancelled, zlquery.ReasonNone, now)
-		r.giveBack(loser, now, loser.sent.Before(winner.sent))
+		r.giveBack(loser, now, loser.sent < winner.sent)
 		loser.call.Cancel(zlunit.SubID(i))
 	}
 }
@@ -96,7 +99,7 @@
 	}
 	sub.to.Record.Cancelled(now, sub.took, late)
 	if late {
-		r.profile.latency.Observe(now, sub.took)
+		r.took = append(r.took, sub.took)
 	}
 }
 
--- a/core/request/zlmerge/zlmerge.go
+++ b/core/request/zlmerge/zlmerge.go
@@ -73,8 +73,11 @@
 	return (m.sum + zlunit.Coverage(n)) / zlunit.Coverage(len(m.parts))
 }
 
-// Parts returns the merged parts in shard order.
+// Parts returns the merged parts in shard order. Add must not be called after.
 func (m *Merge) Parts() []zlquery.Part {
+	if m.n == len(m.parts) {
+		return m.parts
+	}
 	out := make([]zlquery.Part, 0, m.n)
 	for i, has := range m.has {
 		if has {
