capacity: measures slopes with separate processes, fits, plots and writes the page

Change: zlfit (least squares with errors), zlcapacity (stage, meter, report), contrib/capacity.sh and make capacity. Control cost is read from each daemon's own counts before and after; queries are checked to be whole.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(CURDIR)/bin
 LINT := $(BIN)/golangci-lint-$(GOLANGCI_VERSION)
 
-.PHONY: build fmt lint vet test unit example demo clean tools
+.PHONY: capacity build fmt lint vet test unit example demo clean tools
 
 build:
 	go build -o $(BIN)/zinnialock .
@@ -35,5 +35,8 @@
 demo:
 	go run . demo
 
+capacity:
+	contrib/capacity.sh
+
 clean:
 	rm -rf $(BIN) out
--- a/cmd/cmd.go
+++ b/cmd/cmd.go
@@ -62,6 +62,11 @@
 			summary: "run the whole system in one process under faults",
 			run:     runDemo,
 		},
+		{
+			name:    "capacity",
+			summary: "measure what the tier costs as it grows",
+			run:     runCapacity,
+		},
 	}
 }
 
--- /dev/null
+++ b/io/process/zlcapacity/limits.go
@@ -0,0 +1,184 @@
+package zlcapacity
+
+import (
+	"fmt"
+	"strings"
+)
+
+// limit is one row of the page's table of limits.
+type limit struct {
+	name    string
+	allowed float64
+	unit    string
+	used    float64
+	band    float64
+	how     string
+}
+
+// verdict compares the used value and its error with what is allowed.
+func (l *limit) verdict() string {
+	switch {
+	case l.used+2*l.band <= l.allowed:
+		return "kept"
+	case l.used <= l.allowed:
+		return "kept, within twice the error of the limit"
+	default:
+		return "**broken**"
+	}
+}
+
+type lineMap map[Series]map[Quantity]*fitted
+
+// value returns the line's value at its target.
+func (m lineMap) value(s Series, q Quantity) (value, band float64, ok bool) {
+	f, ok := m[s][q]
+	if !ok {
+		return 0, 0, false
+	}
+	value, band = f.at(f.Target)
+	return value, band, true
+}
+
+// growth returns what the line adds from its first point to its target.
+func (m lineMap) growth(s Series, q Quantity) (value, band float64, ok bool) {
+	f, ok := m[s][q]
+	if !ok {
+		return 0, 0, false
+	}
+	reach := f.Target - f.points[0].X
+	return f.line.Slope * f.Scale * reach, f.line.Error * f.Scale * reach, true
+}
+
+func limitTable(lines map[Series]map[Quantity]*fitted) string {
+	var b strings.Builder
+	b.WriteString("\n### Limits\n\n")
+	b.WriteString("| limit | allowed | used at the size to design for | share | verdict | worked out as |\n")
+	b.WriteString("|---|---|---|---|---|---|\n")
+	for _, l := range limits(lines) {
+		fmt.Fprintf(&b, "| %s | %.4g %s | %.4g ± %.2g %s | %.0f%% | %s | %s |\n",
+			l.name, l.allowed, l.unit, l.used, l.band, l.unit, 100*l.used/l.allowed, l.verdict(), l.how)
+	}
+	return b.String()
+}
+
+// limits works out every limit whose lines were fitted.
+func limits(m lineMap) []limit {
+	var out []limit
+	add := func(l limit, ok bool) {
+		if ok {
+			out = append(out, l)
+		}
+	}
+	add(m.controlCPU())
+	add(m.controlBytes())
+	add(m.memory())
+	add(m.platformCalls())
+	add(m.inForce())
+	add(m.takeover())
+	add(m.queryCPU())
+	return out
+}
+
+func (m lineMap) controlCPU() (limit, bool) {
+	idle, idleBand, ok1 := m.value(SeriesDaemons, QuantityCPU)
+	more, moreBand, ok2 := m.growth(SeriesUpstreams, QuantityCPU)
+	edit, editBand, ok3 := m.value(SeriesNodes, QuantityChangeCPU)
+	death, deathBand, ok4 := m.value(SeriesDaemons, QuantityChangeCPU)
+	perEdit := targetChangesDay / dayInSecs / 10
+	perDeath := targetMembersDay / dayInSecs / 10
+	return limit{
+		name:    "processor time for control",
+		allowed: targetControlCPU * 100,
+		unit:    "% of a core",
+		used:    idle + max(more, 0) + edit*perEdit + death*perDeath,
+		band:    idleBand + moreBand + editBand*perEdit + deathBand*perDeath,
+		how:     "idle at 660 daemons, what 4,000 upstreams add, 3,200 edits and 441 member changes a day",
+	}, ok1 && ok2 && ok3 && ok4
+}
+
+func (m lineMap) controlBytes() (limit, bool) {
+	idle, idleBand, ok1 := m.value(SeriesDaemons, QuantityBytes)
+	more, moreBand, ok2 := m.growth(SeriesUpstreams, QuantityBytes)
+	edit, editBand, ok3 := m.value(SeriesNodes, QuantityChangeBytes)
+	death, deathBand, ok4 := m.value(SeriesDaemons, QuantityChangeBytes)
+	perEdit := targetChangesDay / dayInSecs
+	perDeath := targetMembersDay / dayInSecs
+	return limit{
+		name:    "control traffic, both ways",
+		allowed: targetControlBytes / kibibyte,
+		unit:    "KB/s",
+		used:    idle + max(more, 0) + edit*perEdit + death*perDeath,
+		band:    idleBand + moreBand + editBand*perEdit + deathBand*perDeath,
+		how:     "idle at 660 daemons, what 4,000 upstreams add, 3,200 edits and 441 member changes a day",
+	}, ok1 && ok2 && ok3 && ok4
+}
+
+func (m lineMap) memory() (limit, bool) {
+	idle, idleBand, ok1 := m.value(SeriesDaemons, QuantityHeap)
+	upstreams, upstreamsBand, ok2 := m.growth(SeriesUpstreams, QuantityHeap)
+	nodes, nodesBand, ok3 := m.growth(SeriesNodes, QuantityHeap)
+	return limit{
+		name:    "memory for control (live heap)",
+		allowed: targetControlHeap / mebibyte,
+		unit:    "MB",
+		used:    idle + max(upstreams, 0) + max(nodes, 0),
+		band:    idleBand + upstreamsBand + nodesBand,
+		how:     "heap at 660 daemons, what 4,000 upstreams and 3,000 tree nodes add",
+	}, ok1 && ok2 && ok3
+}
+
+func (m lineMap) platformCalls() (limit, bool) {
+	calls, band, ok := m.value(SeriesDaemons, QuantityPlatformCalls)
+	return limit{
+		name:    "platform calls of the fleet at rest",
+		allowed: platformReads,
+		unit:    "calls/s",
+		used:    calls,
+		band:    band,
+		how:     "calls a second at 660 daemons, waiting watches counted as one each",
+	}, ok
+}
+
+func (m lineMap) inForce() (limit, bool) {
+	last, band, ok := m.value(SeriesDaemons, QuantityInForce)
+	return limit{
+		name:    "a change in force everywhere",
+		allowed: targetInForce,
+		unit:    "s",
+		used:    last,
+		band:    band,
+		how:     "largest of 10 edits, until the last daemon, at 660 daemons",
+	}, ok
+}
+
+// takeoverTarget is within how many seconds a dead daemon's upstreams find a
+// new holder.
+const takeoverTarget = 10.0
+
+func (m lineMap) takeover() (limit, bool) {
+	last, band, ok := m.value(SeriesDaemons, QuantityTakeover)
+	return limit{
+		name:    "a dead daemon's upstreams taken over (own target)",
+		allowed: takeoverTarget,
+		unit:    "s",
+		used:    last,
+		band:    band,
+		how:     "from SIGKILL until the others hold every upstream, at 660 daemons",
+	}, ok
+}
+
+// coresPerDaemon is what a small entry VM is taken to have.
+const coresPerDaemon = 4.0
+
+func (m lineMap) queryCPU() (limit, bool) {
+	ms, band, ok := m.value(SeriesShards, QuantityQueryCPU)
+	perDaemon := targetQueries / targetDaemons / 1000
+	return limit{
+		name:    "processor time for queries (VM of 4 cores assumed)",
+		allowed: coresPerDaemon,
+		unit:    "cores",
+		used:    ms * perDaemon,
+		band:    band * perDaemon,
+		how:     "processor time of a 160-shard query, coordinator and aggregators, at 197 queries/s a daemon",
+	}, ok
+}
--- /dev/null
+++ b/io/process/zlcapacity/points.go
@@ -0,0 +1,81 @@
+package zlcapacity
+
+import (
+	"encoding/json"
+	"errors"
+	"io/fs"
+	"os"
+	"slices"
+
+	"github.com/rotisserie/eris"
+
+	"zinnialock/core/process/zlfit"
+)
+
+// PointsFile is the name of the file that keeps the points of a run.
+const PointsFile = "points.json"
+
+// ReadPoints reads the points in path; a file that is absent holds none.
+func ReadPoints(path string) ([]Point, error) {
+	data, err := os.ReadFile(path)
+	if errors.Is(err, fs.ErrNotExist) {
+		return nil, nil
+	}
+	if err != nil {
+		return nil, reportError("readPoints", err)
+	}
+	var points []Point
+	if err := json.Unmarshal(data, &points); err != nil {
+		return nil, reportError("readPoints", eris.Wrap(err, path))
+	}
+	return points, nil
+}
+
+// AddPoint stores p in path, in place of an older point at the same place.
+func AddPoint(path string, p Point) error {
+	points, err := ReadPoints(path)
+	if err != nil {
+		return err
+	}
+	points = slices.DeleteFunc(points, func(old Point) bool {
+		return old.Series == p.Series && old.X == p.X
+	})
+	points = append(points, p)
+	slices.SortFunc(points, func(a, b Point) int {
+		if a.Series != b.Series {
+			if a.Series < b.Series {
+				return -1
+			}
+			return 1
+		}
+		return int(a.X - b.X)
+	})
+	data, err := json.MarshalIndent(points, "", "  ")
+	if err != nil {
+		return reportError("addPoint", err)
+	}
+	return os.WriteFile(path, append(data, '\n'), 0o600)
+}
+
+// Select returns the points of one quantity in one series.
+func Select(points []Point, s Series, q Quantity) []zlfit.Point {
+	var out []zlfit.Point
+	for _, p := range points {
+		y, ok := p.Values[q]
+		if p.Series == s && ok {
+			out = append(out, zlfit.Point{
+				X: p.X,
+				Y: y,
+			})
+		}
+	}
+	return out
+}
+
+func reportError(op string, err error) error {
+	return &Error{
+		Op:   op,
+		Kind: KindReport,
+		Err:  err,
+	}
+}
--- /dev/null
+++ b/io/process/zlcapacity/stage.go
@@ -0,0 +1,318 @@
+// Package zlcapacity measures what the tier costs as it grows, and works out
+// from the fitted slopes what it costs at the size to design for.
+package zlcapacity
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"zinnialock/core/process/zlunit"
+	"zinnialock/core/version/zlcatalog"
+	"zinnialock/core/version/zltree"
+	"zinnialock/io/process/zlkeys"
+	"zinnialock/io/process/zlplatform"
+	"zinnialock/io/standin/zlfakeplatform"
+	"zinnialock/io/standin/zlfakeupstream"
+	"zinnialock/io/version/zlsync"
+)
+
+// Kind classifies an Error.
+type Kind string
+
+// The kinds of Error.
+const (
+	KindStage   Kind = "stage"
+	KindMeasure Kind = "measure"
+	KindReport  Kind = "report"
+)
+
+// Error reports a capacity run that failed.
+type Error struct {
+	Op   string
+	Kind Kind
+	Err  error
+}
+
+// Error implements error.
+func (e *Error) Error() string {
+	return fmt.Sprintf("zlcapacity: %s: %s: %v", e.Op, e.Kind, e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error {
+	return e.Err
+}
+
+// ServiceName is the only service of a stage.
+const ServiceName zlunit.Service = "capacity"
+
+// Deployment is the root of a stage's settings tree.
+const Deployment zlunit.Deployment = "capacity"
+
+// DataCentres are the four of the size to design for.
+var DataCentres = []zlunit.DataCentre{"north-a", "north-b", "south-a", "south-b"}
+
+// StageFile is where a stage says what it runs.
+const StageFile = "stage.json"
+
+// DaemonPlace is where a daemon of a stage listens.
+type DaemonPlace struct {
+	Name   zlunit.VM `json:"name"`
+	Config string    `json:"config"`
+	Caller string    `json:"caller"`
+	Admin  string    `json:"admin"`
+}
+
+// Stage is the platform and upstream stand-ins of one measurement, and the
+// settings files of the daemons that are started beside it. The exported
+// fields up to Nodes must be set before Run.
+type Stage struct {
+	Dir       string       `json:"-"`
+	Daemons   int          `json:"daemons"`
+	Upstreams int          `json:"upstreams"`
+	Shards    int          `json:"shards"`
+	Slots     zlunit.Slots `json:"slots"`
+	ServiceMs float64      `json:"serviceMs"`
+	// Nodes is how many nodes the settings tree has.
+	Nodes int `json:"nodes"`
+
+	Platform string        `json:"platform"`
+	Places   []DaemonPlace `json:"places"`
+
+	platform  *zlfakeplatform.Platform
+	server    *http.Server
+	upstreams []*zlfakeupstream.Upstream
+}
+
+// connectionsPerSlot is the cap of a stage's upstreams for each slot.
+const connectionsPerSlot = 10
+
+// Run starts the stand-ins and writes the daemons' files and StageFile.
+func (s *Stage) Run(ctx context.Context) error {
+	if err := s.runPlatform(); err != nil {
+		return stageError(err)
+	}
+	if err := s.runUpstreams(ctx); err != nil {
+		return stageError(err)
+	}
+	if err := s.writeDaemons(); err != nil {
+		return stageError(err)
+	}
+	data, err := json.MarshalIndent(s, "", "  ")
+	if err != nil {
+		return stageError(err)
+	}
+	if err := os.WriteFile(filepath.Join(s.Dir, StageFile), data, 0o600); err != nil {
+		return stageError(err)
+	}
+	return nil
+}
+
+func stageError(err error) error {
+	return &Error{
+		Op:   "run",
+		Kind: KindStage,
+		Err:  err,
+	}
+}
+
+func (s *Stage) runPlatform() error {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return eris.Wrap(err, "platform stand-in")
+	}
+	s.Platform = listener.Addr().String()
+	s.platform = &zlfakeplatform.Platform{}
+	s.server = &http.Server{
+		Handler:           s.platform.Handler(),
+		ReadHeaderTimeout: time.Minute,
+	}
+	go func() {
+		_ = s.server.Serve(listener)
+	}()
+	return nil
+}
+
+func newClient(address string) *zlplatform.Client {
+	return &zlplatform.Client{
+		Address: address,
+		HTTP:    http.DefaultClient,
+		Timeout: 5 * time.Second,
+	}
+}
+
+func (s *Stage) runUpstreams(ctx context.Context) error {
+	c := &zlcatalog.Catalog{
+		Service: ServiceName,
+		Versions: []zlcatalog.Version{
+			{
+				Number: 1,
+				Shards: make([][]zlunit.Upstream, s.Shards),
+			},
+		},
+	}
+	for i := range s.Upstreams {
+		shard := i % s.Shards
+		u := s.newUpstream(i, zlunit.Shard(shard))
+		if err := u.Run(); err != nil {
+			return eris.Wrap(err, "upstream stand-in")
+		}
+		s.upstreams = append(s.upstreams, u)
+		c.Upstreams = append(c.Upstreams, zlcatalog.Upstream{
+			Name:        u.Settings.Name,
+			DataCentre:  DataCentres[(i/s.Shards+shard)%len(DataCentres)],
+			Address:     u.Address,
+			Slots:       s.Slots,
+			Connections: u.Settings.Connections,
+			ColdLimit:   s.Slots,
+		})
+		shards := c.Versions[0].Shards
+		shards[shard] = append(shards[shard], u.Settings.Name)
+	}
+	client := newClient(s.Platform)
+	if _, err := client.Put(ctx, zlplatform.ObjectCatalog, string(ServiceName), 0, c); err != nil {
+		return err
+	}
+	_, err := client.Put(ctx, zlplatform.ObjectSettings, zlsync.TreeName, 0, s.tree())
+	return err
+}
+
+func (s *Stage) tree() *zltree.Tree {
+	t := &zltree.Tree{
+		Nodes: map[zltree.Path]zltree.Node{
+			zltree.Path(Deployment): {
+				zltree.KeyDeadline: "10s",
+			},
+		},
+	}
+	for i := 1; i < s.Nodes; i++ {
+		path := fmt.Sprintf("%s/%s/%s/kind-%d", Deployment, zltree.AnyDataCentre, ServiceName, i)
+		t.Nodes[zltree.Path(path)] = zltree.Node{
+			zltree.KeyDeadline: "10s",
+		}
+	}
+	return t
+}
+
+func (s *Stage) newUpstream(i int, shard zlunit.Shard) *zlfakeupstream.Upstream {
+	return &zlfakeupstream.Upstream{
+		Address: "127.0.0.1:0",
+		Seed:    uint64(i) + 1,
+		Settings: zlfakeupstream.Settings{
+			Name:          zlunit.Upstream(fmt.Sprintf("u-%d", i)),
+			Service:       ServiceName,
+			Slots:         s.Slots,
+			Connections:   zlunit.Connections(int(s.Slots) * connectionsPerSlot),
+			ColdLimit:     s.Slots,
+			ServiceMs:     s.ServiceMs,
+			StraggleTimes: 1,
+			QueueLimit:    1 << 16,
+			Shards: map[zlunit.IndexVersion][]zlunit.Shard{
+				1: {shard},
+			},
+		},
+	}
+}
+
+// Close ends the stand-ins.
+func (s *Stage) Close() {
+	for _, u := range s.upstreams {
+		u.Close()
+	}
+	_ = s.server.Close()
+}
+
+func (s *Stage) writeDaemons() error {
+	authority, err := zlkeys.NewAuthority()
+	if err != nil {
+		return err
+	}
+	for i := range s.Daemons {
+		if err := s.writeDaemon(authority, i); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (s *Stage) writeDaemon(authority *zlkeys.Authority, i int) error {
+	dc := DataCentres[i%len(DataCentres)]
+	name := fmt.Sprintf("%s-%d", dc, i/len(DataCentres)+1)
+	files, err := authority.WriteFiles(s.Dir, name)
+	if err != nil {
+		return err
+	}
+	ports, err := freePorts(3)
+	if err != nil {
+		return err
+	}
+	place := DaemonPlace{
+		Name:   zlunit.VM(name),
+		Config: filepath.Join(s.Dir, name+".toml"),
+		Caller: ports[0],
+		Admin:  ports[1],
+	}
+	text := fmt.Sprintf(daemonFile, name, dc, Deployment, ports[0], ports[1], ports[2], s.Platform, files.Certificate, files.Key, files.Authority)
+	if err := os.WriteFile(place.Config, []byte(text), 0o600); err != nil {
+		return eris.Wrap(err, place.Config)
+	}
+	s.Places = append(s.Places, place)
+	return nil
+}
+
+const daemonFile = `[daemon]
+name = %q
+dataCentre = %q
+deployment = %q
+[listen]
+caller = %q
+admin = %q
+peer = %q
+[platform]
+address = %q
+[keys]
+certificate = %q
+key = %q
+authority = %q
+[log]
+level = "error"
+`
+
+// freePorts returns n loopback addresses that were free a moment ago.
+func freePorts(n int) ([]string, error) {
+	out := make([]string, 0, n)
+	for range n {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, eris.Wrap(err, "free port")
+		}
+		defer func() {
+			_ = l.Close()
+		}()
+		out = append(out, l.Addr().String())
+	}
+	return out, nil
+}
+
+// ReadStage reads what a running stage wrote into dir.
+func ReadStage(dir string) (*Stage, error) {
+	data, err := os.ReadFile(filepath.Join(dir, StageFile))
+	if err != nil {
+		return nil, stageError(err)
+	}
+	s := &Stage{
+		Dir: dir,
+	}
+	if err := json.Unmarshal(data, s); err != nil {
+		return nil, stageError(eris.Wrap(err, StageFile))
+	}
+	return s, nil
+}
--- a/io/process/zldaemon/cost.go
+++ b/io/process/zldaemon/cost.go
@@ -17,7 +17,7 @@
 	VM zlunit.VM `json:"vm"`
 	// CPUSeconds is user and system time.
 	CPUSeconds float64 `json:"cpuSeconds"`
-	// HeapBytes is the live heap after a collection, if one was asked for.
+	// HeapBytes is the live heap after a collection, 0 if not asked for.
 	HeapBytes uint64 `json:"heapBytes"`
 	// PeakBytes is the largest resident size.
 	PeakBytes  uint64                 `json:"peakBytes"`
@@ -36,13 +36,14 @@
 // kilobyte is the unit of the resident size that the kernel reports.
 const kilobyte = 1024
 
-// Cost returns the totals so far; collect asks for a garbage collection first.
-func (d *Daemon) Cost(collect bool) Cost {
-	if collect {
+// Cost returns the totals so far. Heap asks for a garbage collection and the
+// live heap, which costs more than all the rest.
+func (d *Daemon) Cost(heap bool) Cost {
+	var memory runtime.MemStats
+	if heap {
 		runtime.GC()
+		runtime.ReadMemStats(&memory)
 	}
-	var memory runtime.MemStats
-	runtime.ReadMemStats(&memory)
 	var usage syscall.Rusage
 	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &usage)
 	c := Cost{
@@ -76,5 +77,5 @@
 
 func (d *Daemon) serveCost(w http.ResponseWriter, r *http.Request) {
 	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(d.Cost(r.URL.Query().Get("collect") == "true"))
+	_ = json.NewEncoder(w).Encode(d.Cost(r.URL.Query().Get("heap") == "true"))
 }
