zlaggr: ask a tenure before queueing and right before each send

Cause: an upstream has one holder at a time, and the lease behind it must be checked at the send. Change: the interface Tenure with Grant: refusal, end, and share of slots, cold limit and connections; deadlines are cut to the end. Nil grants everything. Result: tests pass unchanged; no tenure is wired yet. Conclusion: the hook is in place for the leases.

--- a/core/request/zlaggr/zlaggr.go
+++ b/core/request/zlaggr/zlaggr.go
@@ -55,6 +55,8 @@
 	Timer   *zltimer.Service
 	Views   *zlview.Holder
 	Fetcher Fetcher
+	// Tenure may be nil, which grants everything.
+	Tenure Tenure
 
 	shards [tableShards]tableShard
 }
@@ -114,10 +116,21 @@
 	if view.Marks.UpstreamOut(u.Name, u.DataCentre) {
 		return notRun(zlquery.ReasonMarkedOut)
 	}
-	gate := a.Gate(u)
+	grant := a.grant(u)
+	if grant.Refusal != zlquery.ReasonNone {
+		return notRun(grant.Refusal)
+	}
+	deadline = grant.cut(deadline)
+	gate := a.gate(u, &grant)
 	if reason := gate.Admit(ctx, deadline); reason != zlquery.ReasonNone {
 		return notRun(reason)
 	}
+	grant = a.grant(u)
+	if grant.Refusal != zlquery.ReasonNone {
+		gate.ReleaseFailed(false)
+		return notRun(grant.Refusal)
+	}
+	deadline = grant.cut(deadline)
 	start := a.Timer.Now()
 	fetched := a.Fetcher.Fetch(ctx, u, &Fetch{
 		Query:      batch.Query,
@@ -137,8 +150,15 @@
 	return fetched.Result
 }
 
-// Gate returns the gate of an upstream, made on first use.
-func (a *Aggregator) Gate(u zlcatalog.Upstream) *zlgate.Gate {
+func (a *Aggregator) grant(u zlcatalog.Upstream) Grant {
+	if a.Tenure == nil {
+		return AlwaysTenure{}.Grant(u)
+	}
+	return a.Tenure.Grant(u)
+}
+
+// gate returns the gate of an upstream, made on first use.
+func (a *Aggregator) gate(u zlcatalog.Upstream, grant *Grant) *zlgate.Gate {
 	s := &a.shards[xxhash.Sum64String(string(u.Name))%tableShards]
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -153,8 +173,8 @@
 		s.gates[u.Name] = g
 	}
 	g.SetLimits(zlgate.Limits{
-		Slots: u.Slots,
-		Cold:  u.ColdLimit,
+		Slots: grant.Slots,
+		Cold:  grant.Cold,
 	})
 	return g
 }
