zlclaim: a log of claims makes a request run at most once

Cause: a caller's own retry through another daemon could run a request that is not idempotent a second time. Change: package zlclaim. Ids carry their time (version 7 UUID), and each head has a floor below which ids are refused, so that old records can be dropped without trusting a clock. Lost replies are read back by nonce.

--- /dev/null
+++ b/core/request/zlclaim/guard.go
@@ -0,0 +1,196 @@
+package zlclaim
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"zinnialock/core/process/zltimer"
+	"zinnialock/core/process/zlunit"
+	"zinnialock/core/request/zlquery"
+)
+
+// Answerer runs a request.
+type Answerer interface {
+	Answer(ctx context.Context, req *zlquery.Request) *zlquery.Answer
+}
+
+// Recaller fetches the answer that a daemon gave to an earlier attempt, or nil
+// if that daemon cannot be reached or no longer has it.
+type Recaller interface {
+	Recall(ctx context.Context, holder zlunit.VM, id zlunit.RequestID) *zlquery.Answer
+}
+
+// Counter counts refusals and verdicts by reason.
+type Counter interface {
+	Count(what string, reason zlquery.Reason)
+}
+
+const (
+	// recallWait bounds the wait for an earlier attempt's answer.
+	recallWait = 200 * time.Millisecond
+	// storeRetryAfter tells a caller when to come back after the store failed.
+	storeRetryAfter = time.Second
+	// heldRetryAfter tells a caller when to ask for the outcome of an attempt
+	// that may still run.
+	heldRetryAfter = 500 * time.Millisecond
+)
+
+// Guard stands before an Answerer and lets each non-idempotent request through
+// at most once. The exported fields must be set before Run.
+type Guard struct {
+	Self     zlunit.VM
+	Next     Answerer
+	Claimer  Claimer
+	Recaller Recaller
+	Timer    *zltimer.Service
+	Counter  Counter
+	// Answers keeps what this daemon answered.
+	Answers *Answers
+
+	ctx    context.Context
+	cancel context.CancelFunc
+	mu     sync.Mutex
+	closed bool
+	wg     sync.WaitGroup
+}
+
+// Run makes the guard ready; Close ends it.
+func (g *Guard) Run() {
+	g.ctx, g.cancel = context.WithCancel(context.Background())
+}
+
+// Close waits until the outcomes of ended attempts are in the log, at the
+// latest until ctx ends. The outcome of an attempt that ends later is lost.
+func (g *Guard) Close(ctx context.Context) {
+	g.mu.Lock()
+	g.closed = true
+	g.mu.Unlock()
+	stop := context.AfterFunc(ctx, g.cancel)
+	defer stop()
+	g.wg.Wait()
+	g.cancel()
+}
+
+// Answer runs req, or tells what became of it.
+func (g *Guard) Answer(ctx context.Context, req *zlquery.Request) *zlquery.Answer {
+	if req.Idempotent {
+		return g.owned(req, g.Next.Answer(ctx, req))
+	}
+	ask := Ask{
+		ID:     req.ID,
+		Nonce:  Nonce(rand.Uint64()),
+		Holder: g.Self,
+	}
+	valid := g.Timer.Now().Add(g.life(req))
+	reply, err := g.claim(ctx, ask, valid)
+	if err != nil {
+		g.record(ask, StateNotRun)
+		return g.owned(req, g.refuse(req, zlquery.OutcomeNotRun, zlquery.ReasonClaimStore, storeRetryAfter))
+	}
+	switch reply.Verdict {
+	case VerdictFresh:
+		return g.run(ctx, req, ask, valid)
+	case VerdictDone:
+		return g.recall(ctx, req, reply.Holder)
+	case VerdictTooOld:
+		return g.refuse(req, zlquery.OutcomeUnknown, zlquery.ReasonClaimTooOld, 0)
+	case VerdictAhead:
+		return g.owned(req, g.refuse(req, zlquery.OutcomeNotRun, zlquery.ReasonClaimAhead, 0))
+	default:
+		return g.refuse(req, zlquery.OutcomeUnknown, zlquery.ReasonClaimed, heldRetryAfter)
+	}
+}
+
+// life returns how long a claim of req may be waited for and acted upon.
+func (g *Guard) life(req *zlquery.Request) time.Duration {
+	if req.Deadline.IsZero() {
+		return claimLife
+	}
+	return min(claimLife, req.Deadline.Sub(g.Timer.Now()))
+}
+
+func (g *Guard) claim(ctx context.Context, ask Ask, valid time.Time) (Reply, error) {
+	ctx, cancel := context.WithTimeout(ctx, valid.Sub(g.Timer.Now()))
+	defer cancel()
+	return g.Claimer.Claim(ctx, ask)
+}
+
+// run runs a request whose claim is fresh. A daemon that was paused since it
+// asked finds the claim's time over and sends nothing.
+func (g *Guard) run(ctx context.Context, req *zlquery.Request, ask Ask, valid time.Time) *zlquery.Answer {
+	if !g.Timer.Now().Before(valid) {
+		g.record(ask, StateNotRun)
+		return g.refuse(req, zlquery.OutcomeNotRun, zlquery.ReasonDeadline, 0)
+	}
+	a := g.Next.Answer(ctx, req)
+	switch a.Outcome {
+	case zlquery.OutcomeDone:
+		g.Answers.Keep(a)
+		g.record(ask, StateDone)
+	case zlquery.OutcomeNotRun:
+		g.record(ask, StateNotRun)
+	case zlquery.OutcomeUnknown:
+		// The claim stays: nobody may run this id again.
+	}
+	return a
+}
+
+// record puts the outcome of an attempt in the log in the background. Nothing
+// but the attempt itself may have recorded one, so the order does not matter.
+func (g *Guard) record(ask Ask, state State) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.closed {
+		g.Counter.Count("outcomeLost", zlquery.ReasonStopping)
+		return
+	}
+	g.wg.Go(func() {
+		ctx, cancel := context.WithTimeout(g.ctx, outcomeLife)
+		defer cancel()
+		err := g.Claimer.Record(ctx, Outcome{
+			ID:    ask.ID,
+			Nonce: ask.Nonce,
+			State: state,
+		})
+		if err != nil {
+			g.Counter.Count("outcomeLost", zlquery.ReasonClaimStore)
+		}
+	})
+}
+
+// recall answers a request that an earlier attempt ran.
+func (g *Guard) recall(ctx context.Context, req *zlquery.Request, holder zlunit.VM) *zlquery.Answer {
+	if a := g.Answers.Find(req.ID); a != nil {
+		return a
+	}
+	if holder != g.Self {
+		ctx, cancel := context.WithTimeout(ctx, recallWait)
+		defer cancel()
+		if a := g.Recaller.Recall(ctx, holder, req.ID); a != nil && a.ID == req.ID {
+			return a
+		}
+	}
+	return g.refuse(req, zlquery.OutcomeDone, zlquery.ReasonClaimed, 0)
+}
+
+// owned makes a proof of "not run" fit what the caller knows: it speaks of
+// this attempt only, so it is no proof where an earlier attempt may have run.
+func (g *Guard) owned(req *zlquery.Request, a *zlquery.Answer) *zlquery.Answer {
+	if req.Retry && a.Outcome == zlquery.OutcomeNotRun {
+		a.Outcome = zlquery.OutcomeUnknown
+		g.Counter.Count("unproved", a.Reason)
+	}
+	return a
+}
+
+func (g *Guard) refuse(req *zlquery.Request, outcome zlquery.Outcome, reason zlquery.Reason, after time.Duration) *zlquery.Answer {
+	g.Counter.Count("refusal", reason)
+	return &zlquery.Answer{
+		ID:         req.ID,
+		Outcome:    outcome,
+		Reason:     reason,
+		RetryAfter: after,
+	}
+}
--- /dev/null
+++ b/core/request/zlclaim/machine_test.go
@@ -0,0 +1,229 @@
+package zlclaim
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"zinnialock/core/process/zlunit"
+)
+
+// step is one action of the state machine.
+type step struct {
+	What   string
+	Daemon int
+	ID     int
+}
+
+var steps = rapid.Custom(func(t *rapid.T) step {
+	return step{
+		What: rapid.SampledFrom([]string{
+			"claim", "claim", "claim", "claimBoth", "claimTwice", "repeat", "done", "notRun", "down", "up", "lose", "late", "calm", "restart", "wait", "age",
+		}).Draw(t, "what"),
+		Daemon: rapid.IntRange(0, 2).Draw(t, "daemon"),
+		ID:     rapid.IntRange(0, 5).Draw(t, "id"),
+	}
+})
+
+// known is what the model knows of an id.
+type known struct {
+	id zlunit.RequestID
+	// holder is the nonce that may run, or 0; it ends only by its own notRun.
+	holder Nonce
+	// ended is the nonce of an attempt that ended without a run, or 0.
+	ended Nonce
+	done  bool
+}
+
+// machine drives three daemons' writers and checks each verdict.
+type machine struct {
+	store   *fakeStore
+	writers [3]*Writers
+	ids     [6]known
+	nonce   Nonce
+	fault   string
+}
+
+func (m *machine) fail(format string, args ...any) {
+	if m.fault == "" {
+		m.fault = fmt.Sprintf(format, args...)
+	}
+}
+
+func (m *machine) claim(daemon, n int) (ask Ask, verdict Verdict) {
+	m.nonce++
+	ask = Ask{
+		ID:     m.ids[n].id,
+		Nonce:  m.nonce,
+		Holder: zlunit.VM(fmt.Sprint("vm", daemon)),
+	}
+	reply, err := m.writers[daemon].Claim(context.Background(), ask)
+	if err != nil {
+		return ask, ""
+	}
+	return ask, reply.Verdict
+}
+
+// judge checks a verdict against the model.
+func (m *machine) judge(n int, ask Ask, verdict Verdict) {
+	k := &m.ids[n]
+	switch verdict {
+	case VerdictFresh:
+		if k.holder != 0 {
+			m.fail("id %d: fresh for nonce %d while %d may run", n, ask.Nonce, k.holder)
+		}
+		k.holder = ask.Nonce
+	case VerdictDone:
+		if !k.done {
+			m.fail("id %d: done, but nothing recorded so", n)
+		}
+	default:
+	}
+}
+
+func (m *machine) record(daemon, n int, state State) {
+	k := &m.ids[n]
+	if k.holder == 0 || k.done {
+		return
+	}
+	if state == StateDone {
+		k.done = true
+	}
+	// The holder ends its attempt before it records so.
+	nonce := k.holder
+	if state == StateNotRun {
+		k.holder = 0
+		k.ended = nonce
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	_ = m.writers[daemon].Record(ctx, Outcome{
+		ID:    k.id,
+		Nonce: nonce,
+		State: state,
+	})
+}
+
+func (m *machine) do(s step) {
+	switch s.What {
+	case "claim":
+		ask, verdict := m.claim(s.Daemon, s.ID)
+		m.judge(s.ID, ask, verdict)
+	case "claimBoth":
+		m.claimBoth(s, 1)
+	case "claimTwice":
+		m.claimBoth(s, 0)
+	case "repeat":
+		m.repeat(s)
+	case "done":
+		m.record(s.Daemon, s.ID, StateDone)
+	case "notRun":
+		m.record(s.Daemon, s.ID, StateNotRun)
+	case "down", "up":
+		m.store.set(func() { m.store.down = s.What == "down" })
+	case "lose":
+		m.store.set(func() { m.store.lose = 0.5 })
+	case "late":
+		m.store.set(func() { m.store.late = 0.5 })
+	case "calm":
+		m.store.set(func() { m.store.lose, m.store.late = 0, 0 })
+	case "restart":
+		m.writers[s.Daemon].Close()
+		m.writers[s.Daemon] = newWriters(m.store)
+	case "wait":
+		time.Sleep(time.Second)
+	case "age":
+		time.Sleep(Window / 2)
+	}
+}
+
+// repeat sends the ask of an ended attempt again, as a lost reply may bring
+// about.
+func (m *machine) repeat(s step) {
+	k := m.ids[s.ID]
+	if k.ended == 0 {
+		return
+	}
+	reply, err := m.writers[s.Daemon].Claim(context.Background(), Ask{
+		ID:     k.id,
+		Nonce:  k.ended,
+		Holder: "vm",
+	})
+	if err == nil && reply.Verdict == VerdictFresh && k.holder != 0 {
+		m.fail("id %d: fresh for the ended nonce %d while %d may run", s.ID, k.ended, k.holder)
+	}
+}
+
+// claimBoth claims one id twice at once, through daemons that are apart by
+// distance.
+func (m *machine) claimBoth(s step, distance int) {
+	type outcome struct {
+		ask     Ask
+		verdict Verdict
+	}
+	out := make(chan outcome, 2)
+	for i := range 2 {
+		m.nonce++
+		ask := Ask{
+			ID:     m.ids[s.ID].id,
+			Nonce:  m.nonce,
+			Holder: "vm",
+		}
+		w := m.writers[(s.Daemon+i*distance)%len(m.writers)]
+		go func() {
+			reply, err := w.Claim(context.Background(), ask)
+			if err != nil {
+				reply.Verdict = ""
+			}
+			out <- outcome{
+				ask:     ask,
+				verdict: reply.Verdict,
+			}
+		}()
+	}
+	for range 2 {
+		o := <-out
+		m.judge(s.ID, o.ask, o.verdict)
+	}
+}
+
+func runMachine(t *testing.T, list []step) string {
+	t.Helper()
+	fault := ""
+	synctest.Test(t, func(*testing.T) {
+		m := &machine{
+			store: newFakeStore(uint64(len(list))),
+		}
+		for i := range m.writers {
+			m.writers[i] = newWriters(m.store)
+		}
+		for i := range m.ids {
+			m.ids[i].id = NewID(time.Now())
+		}
+		for _, s := range list {
+			m.do(s)
+		}
+		for _, w := range m.writers {
+			w.Close()
+		}
+		time.Sleep(2 * time.Second)
+		fault = m.fault
+	})
+	return fault
+}
+
+// TestClaimsAreExclusive lets rapid draw faults and claims of few ids through
+// three daemons: at most one attempt of an id may run, until it proved that it
+// did not.
+func TestClaimsAreExclusive(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		list := rapid.SliceOfN(steps, 5, 60).Draw(rt, "steps")
+		if fault := runMachine(t, list); fault != "" {
+			rt.Fatal(fault)
+		}
+	})
+}
--- /dev/null
+++ b/core/request/zlclaim/once_test.go
@@ -0,0 +1,274 @@
+package zlclaim
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+
+	"zinnialock/core/process/zlunit"
+	"zinnialock/core/request/zlquery"
+)
+
+const (
+	historySeeds = 60
+	historyIDs   = 20
+	maxAttempts  = 5
+)
+
+// attempt is what a caller saw of one attempt.
+type attempt struct {
+	outcome zlquery.Outcome
+	// ran tells that this very attempt's answer is that of a run.
+	ran bool
+}
+
+// onceModel is the promise on one id: its state is whether it ran. An unknown
+// attempt may have run or not; all else is exact.
+var onceModel = porcupine.NondeterministicModel{
+	Partition: func(history []porcupine.Operation) [][]porcupine.Operation {
+		byID := map[zlunit.RequestID][]porcupine.Operation{}
+		for _, o := range history {
+			id := o.Input.(zlunit.RequestID)
+			byID[id] = append(byID[id], o)
+		}
+		var out [][]porcupine.Operation
+		for _, ops := range byID {
+			out = append(out, ops)
+		}
+		return out
+	},
+	Init: func() []any { return []any{false} },
+	Step: func(state, _, output any) []any {
+		ran := state.(bool)
+		a := output.(attempt)
+		switch {
+		case a.outcome == zlquery.OutcomeUnknown && ran:
+			return []any{true}
+		case a.outcome == zlquery.OutcomeUnknown:
+			return []any{false, true}
+		case a.outcome == zlquery.OutcomeNotRun && !ran:
+			return []any{false}
+		case a.outcome == zlquery.OutcomeDone && a.ran != ran:
+			return []any{true}
+		default:
+			return nil
+		}
+	},
+}
+
+// history plays callers that retry through several daemons under faults.
+type history struct {
+	mu      sync.Mutex
+	random  *rand.Rand
+	store   *fakeStore
+	writers [3]*Writers
+	guards  [3]*Guard
+	runs    map[zlunit.RequestID]int
+	ops     []porcupine.Operation
+	wg      sync.WaitGroup
+}
+
+func (h *history) float() float64 {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.random.Float64()
+}
+
+func (h *history) intN(n int) int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.random.IntN(n)
+}
+
+// pausing is a Claimer whose daemon is now and then paused after the reply.
+type pausing struct {
+	Claimer
+	h *history
+}
+
+func (p *pausing) Claim(ctx context.Context, ask Ask) (Reply, error) {
+	reply, err := p.Claimer.Claim(ctx, ask)
+	if p.h.float() < 0.1 {
+		time.Sleep(3 * time.Second)
+	}
+	return reply, err
+}
+
+func (h *history) start(i int) {
+	h.writers[i] = newWriters(h.store)
+	h.guards[i] = newGuard(zlunit.VM(fmt.Sprint("vm", i)), &pausing{
+		Claimer: h.writers[i],
+		h:       h,
+	}, runner(h.run))
+}
+
+// run is the part behind the guard: it sends, or proves that it did not.
+func (h *history) run(_ context.Context, req *zlquery.Request) *zlquery.Answer {
+	a := &zlquery.Answer{
+		ID:      req.ID,
+		Outcome: zlquery.OutcomeNotRun,
+		Reason:  zlquery.ReasonShed,
+	}
+	if h.float() < 0.3 {
+		return a
+	}
+	time.Sleep(time.Duration(h.intN(200)) * time.Millisecond)
+	h.mu.Lock()
+	h.runs[req.ID]++
+	h.mu.Unlock()
+	a.Outcome = zlquery.OutcomeDone
+	a.Reason = zlquery.ReasonNone
+	if h.float() < 0.3 {
+		a.Outcome = zlquery.OutcomeUnknown
+	}
+	return a
+}
+
+// caller sends one id until it is done, through a random daemon each time.
+func (h *history) caller(n int) {
+	time.Sleep(time.Duration(h.intN(4000)) * time.Millisecond)
+	id := NewID(time.Now())
+	for try := range maxAttempts {
+		h.mu.Lock()
+		guard := h.guards[h.random.IntN(len(h.guards))]
+		h.mu.Unlock()
+		call := time.Now().UnixNano()
+		a := guard.Answer(context.Background(), &zlquery.Request{
+			ID:       id,
+			Retry:    try > 0,
+			Deadline: time.Now().Add(2 * time.Second),
+		})
+		end := time.Now().UnixNano()
+		if a.Outcome == zlquery.OutcomeUnknown {
+			// It may take effect at any time after.
+			end = time.Now().Add(time.Hour).UnixNano() + int64(n*maxAttempts+try)
+		}
+		h.mu.Lock()
+		h.ops = append(h.ops, porcupine.Operation{
+			ClientId: n*maxAttempts + try,
+			Input:    id,
+			Call:     call,
+			Output: attempt{
+				outcome: a.Outcome,
+				ran:     a.Outcome == zlquery.OutcomeDone && a.Reason == zlquery.ReasonNone,
+			},
+			Return: end,
+		})
+		h.mu.Unlock()
+		if a.Outcome == zlquery.OutcomeDone {
+			return
+		}
+		time.Sleep(time.Duration(h.intN(1000)) * time.Millisecond)
+	}
+}
+
+// trouble brings on faults for a while, then ends them.
+func (h *history) trouble() {
+	for range 25 {
+		time.Sleep(time.Duration(h.intN(500)) * time.Millisecond)
+		down, lose, late := h.float() < 0.2, h.float()*0.4, h.float()*0.2
+		h.store.set(func() { h.store.down, h.store.lose, h.store.late = down, lose, late })
+		if i := h.intN(6); i < len(h.guards) {
+			h.kill(i)
+		}
+	}
+	h.store.set(func() { h.store.down, h.store.lose, h.store.late = false, 0, 0 })
+}
+
+// kill ends a daemon at once, outcomes unrecorded, and starts it anew.
+func (h *history) kill(i int) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	gone, writers := h.guards[i], h.writers[i]
+	ended, cancel := context.WithCancel(context.Background())
+	cancel()
+	h.wg.Go(func() {
+		writers.Close()
+		gone.Close(ended)
+	})
+	h.start(i)
+}
+
+func playHistory(t *testing.T, seed uint64) *history {
+	t.Helper()
+	h := &history{
+		random: rand.New(rand.NewPCG(seed, 2)),
+		store:  newFakeStore(seed),
+		runs:   map[zlunit.RequestID]int{},
+	}
+	synctest.Test(t, func(*testing.T) {
+		for i := range h.guards {
+			h.start(i)
+		}
+		for n := range historyIDs {
+			h.wg.Go(func() { h.caller(n) })
+		}
+		h.trouble()
+		h.wg.Wait()
+		for i := range h.guards {
+			h.guards[i].Close(context.Background())
+			h.writers[i].Close()
+		}
+		time.Sleep(2 * time.Second)
+	})
+	return h
+}
+
+// TestHistoriesRunOnce checks what callers saw against the promise, and what
+// was sent against "at most once".
+func TestHistoriesRunOnce(t *testing.T) {
+	model := onceModel.ToModel()
+	seen := map[zlquery.Outcome]int{}
+	for seed := uint64(1); seed <= historySeeds; seed++ {
+		h := playHistory(t, seed)
+		for id, n := range h.runs {
+			if n > 1 {
+				t.Errorf("seed %d: request %s ran %d times", seed, id, n)
+			}
+		}
+		for _, o := range h.ops {
+			seen[o.Output.(attempt).outcome]++
+		}
+		if !porcupine.CheckOperations(model, h.ops) {
+			t.Errorf("seed %d: the history breaks the promise", seed)
+		}
+	}
+	for _, o := range []zlquery.Outcome{zlquery.OutcomeDone, zlquery.OutcomeNotRun, zlquery.OutcomeUnknown} {
+		if seen[o] < historySeeds {
+			t.Errorf("only %d attempts were %s; the histories say too little", seen[o], o)
+		}
+	}
+	t.Logf("outcomes over %d seeds: %v", historySeeds, seen)
+}
+
+// TestModelRefusesWrongHistories makes sure that the check can fail.
+func TestModelRefusesWrongHistories(t *testing.T) {
+	done := attempt{
+		outcome: zlquery.OutcomeDone,
+		ran:     true,
+	}
+	notRun := attempt{
+		outcome: zlquery.OutcomeNotRun,
+	}
+	for _, wrong := range [][]attempt{{done, done}, {done, notRun}} {
+		var ops []porcupine.Operation
+		for i, a := range wrong {
+			ops = append(ops, porcupine.Operation{
+				ClientId: i,
+				Input:    zlunit.RequestID("r"),
+				Call:     int64(10 * i),
+				Output:   a,
+				Return:   int64(10*i + 5),
+			})
+		}
+		if porcupine.CheckOperations(onceModel.ToModel(), ops) {
+			t.Errorf("took %v for right", wrong)
+		}
+	}
+}
--- /dev/null
+++ b/core/request/zlclaim/record.go
@@ -0,0 +1,158 @@
+package zlclaim
+
+import (
+	"encoding/base64"
+	"encoding/json"
+	"strconv"
+	"strings"
+	"time"
+
+	"zinnialock/core/process/zlunit"
+
+	"github.com/google/uuid"
+	"github.com/rotisserie/eris"
+)
+
+// millis is a time in milliseconds since the Unix epoch, as ids carry it.
+type millis int64
+
+func millisOf(t time.Time) millis {
+	return millis(t.UnixMilli())
+}
+
+// CheckID returns what is wrong with the id of a non-idempotent request, or
+// nothing. Such an id must be a version 7 UUID in its canonical form: its time
+// is part of it, so that a late repetition cannot pass for a new request.
+func CheckID(id zlunit.RequestID) string {
+	if _, ok := timeOf(id); ok {
+		return ""
+	}
+	return "found " + strconv.Quote(string(id)) + ", a request that is not idempotent needs a version 7 UUID in lower case"
+}
+
+// timeOf returns the time that an id carries.
+func timeOf(id zlunit.RequestID) (millis, bool) {
+	u, err := uuid.Parse(string(id))
+	if err != nil || u.Version() != 7 || u.String() != string(id) {
+		return 0, false
+	}
+	return timeIn(u), true
+}
+
+// timeIn reads the leading 48 bits.
+func timeIn(u uuid.UUID) millis {
+	var n millis
+	for _, b := range u[:6] {
+		n = n<<8 | millis(b)
+	}
+	return n
+}
+
+// NewID returns a request id that carries the time t.
+func NewID(t time.Time) zlunit.RequestID {
+	u := uuid.New()
+	n := uint64(t.UnixMilli())
+	for i := 5; i >= 0; i-- {
+		u[i] = byte(n)
+		n >>= 8
+	}
+	u[6] = u[6]&0x0f | 0x70
+	return zlunit.RequestID(u.String())
+}
+
+// key is a request id as the log keeps it.
+type key = uuid.UUID
+
+// op is one record of the log; a later one of the same key takes its place.
+type op struct {
+	key    key
+	nonce  Nonce
+	holder zlunit.VM
+	state  State
+}
+
+// MarshalJSON implements json.Marshaler; the short form keeps writes small.
+func (o op) MarshalJSON() ([]byte, error) {
+	return json.Marshal([4]string{
+		base64.RawURLEncoding.EncodeToString(o.key[:]),
+		strconv.FormatUint(uint64(o.nonce), 36),
+		string(o.holder),
+		strconv.Itoa(int(o.state)),
+	})
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (o *op) UnmarshalJSON(data []byte) error {
+	var fields [4]string
+	if err := json.Unmarshal(data, &fields); err != nil {
+		return err
+	}
+	raw, err := base64.RawURLEncoding.DecodeString(fields[0])
+	if err != nil || len(raw) != len(o.key) {
+		return eris.Errorf("record: bad id %q", fields[0])
+	}
+	nonce, err := strconv.ParseUint(fields[1], 36, 64)
+	if err != nil {
+		return eris.Errorf("record: bad nonce %q", fields[1])
+	}
+	state, err := strconv.Atoi(fields[3])
+	if err != nil || State(state) < StateClaimed || State(state) > StateNotRun {
+		return eris.Errorf("record: bad state %q", fields[3])
+	}
+	*o = op{
+		key:    key(raw),
+		nonce:  Nonce(nonce),
+		holder: zlunit.VM(fields[2]),
+		state:  State(state),
+	}
+	return nil
+}
+
+// headName is the name of a segment's head object; it is never deleted.
+const headName = "head"
+
+// archiveRef names an archive and the largest time among its ids.
+type archiveRef struct {
+	Name   string `json:"name"`
+	Newest millis `json:"newest"`
+}
+
+// head is the value of a segment's head object.
+type head struct {
+	// Floor is the time up to which ids are refused, since they may have been
+	// forgotten.
+	Floor    millis       `json:"floor"`
+	Archives []archiveRef `json:"archives,omitempty"`
+	Ops      []op         `json:"ops,omitempty"`
+}
+
+// archive is the value of an archive object.
+type archive struct {
+	Ops []op `json:"ops"`
+}
+
+// archiveName makes a name that carries the largest time of the archive's ids.
+func archiveName(newest millis) string {
+	return strconv.FormatInt(int64(newest), 10) + "-" + uuid.NewString()[:8]
+}
+
+// newestOf reads the time out of an archive's name.
+func newestOf(name string) (millis, bool) {
+	text, _, ok := strings.Cut(name, "-")
+	if !ok {
+		return 0, false
+	}
+	n, err := strconv.ParseInt(text, 10, 64)
+	return millis(n), err == nil
+}
+
+func decodeObject(o Object, into any) error {
+	if err := json.Unmarshal(o.Value, into); err != nil {
+		return &Error{
+			Op:   "decode",
+			Kind: KindDecode,
+			Err:  eris.Wrapf(err, "object %q", o.Name),
+		}
+	}
+	return nil
+}
--- a/core/request/zlquery/zlquery.go
+++ b/core/request/zlquery/zlquery.go
@@ -16,6 +16,8 @@
 	Text          string
 	Idempotent    bool
 	LeastCoverage zlunit.Coverage
+	// Retry tells that the caller may have sent this id before.
+	Retry bool
 	// Deadline is the local time by which the answer is due.
 	Deadline time.Time
 }
@@ -47,6 +49,8 @@
 	ReasonMarkedOut       Reason = "markedOut"
 	ReasonClaimStore      Reason = "claimStore"
 	ReasonClaimed         Reason = "claimed"
+	ReasonClaimTooOld     Reason = "claimTooOld"
+	ReasonClaimAhead      Reason = "claimAhead"
 	ReasonStopping        Reason = "stopping"
 	ReasonOverload        Reason = "overload"
 )
