claims: stored on the platform, wired into the daemon and the callers' API

Cause: the log of claims had no store and nothing used it. Change: zlclaimstore keeps segments on the platform and sends each claim to the daemon that writes its segment (rendezvous, two tried, then this daemon itself); the daemon's guard stands before the coordinator. The API takes retry, wants a version 7 UUID for a request that is not idempotent, says ran yes/no/unknown and refuses a body with more than one object. A fuzz target for Decode. Conclusion: a caller's retry through another daemon no longer runs twice.

--- a/core/request/zlclaim/writers.go
+++ b/core/request/zlclaim/writers.go
@@ -36,13 +36,19 @@
 
 // Close ends all writers; what waits fails.
 func (w *Writers) Close() {
+	w.mu.Lock()
 	w.cancel()
+	w.mu.Unlock()
 	w.wg.Wait()
 }
 
+// writer returns the writer of a segment, or nil once closed.
 func (w *Writers) writer(s Segment) *writer {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if w.ctx.Err() != nil {
+		return nil
+	}
 	if w.writers[s] == nil {
 		next := &writer{
 			segment: segment{
@@ -101,8 +107,12 @@
 }
 
 func (w *Writers) serve(ctx context.Context, s Segment, j *job) (Reply, error) {
+	writer := w.writer(s)
+	if writer == nil {
+		return Reply{}, stopped()
+	}
 	select {
-	case w.writer(s).jobs <- j:
+	case writer.jobs <- j:
 	case <-ctx.Done():
 		return Reply{}, gaveUp(ctx)
 	case <-w.ctx.Done():
--- /dev/null
+++ b/io/process/zldaemon/claims.go
@@ -0,0 +1,61 @@
+package zldaemon
+
+import (
+	"context"
+
+	"zinnialock/core/request/zlclaim"
+	"zinnialock/io/request/zlclaimstore"
+)
+
+// claims are the parts that let a non-idempotent request run at most once.
+type claims struct {
+	writers *zlclaim.Writers
+	router  *zlclaimstore.Router
+	guard   *zlclaim.Guard
+}
+
+func (d *Daemon) buildClaims() {
+	answers := &zlclaim.Answers{}
+	d.claims.writers = &zlclaim.Writers{
+		Store: &zlclaimstore.Store{
+			Client: d.platform,
+		},
+		Timer: d.timer,
+	}
+	d.claims.router = &zlclaimstore.Router{
+		Self:    d.Config.Name,
+		Views:   d.views,
+		Timer:   d.timer,
+		Local:   d.claims.writers,
+		Peers:   d.node,
+		Answers: answers,
+	}
+	d.claims.guard = &zlclaim.Guard{
+		Self:     d.Config.Name,
+		Next:     d.coord,
+		Claimer:  d.claims.router,
+		Recaller: d.claims.router,
+		Timer:    d.timer,
+		Counter:  d.metrics,
+		Answers:  answers,
+	}
+}
+
+func (c *claims) run() {
+	c.writers.Run()
+	c.guard.Run()
+}
+
+// finish waits until the outcomes of ended requests are in the log, at the
+// latest until ctx ends.
+func (c *claims) finish(ctx context.Context) {
+	c.guard.Close(ctx)
+}
+
+// close ends the parts at once.
+func (c *claims) close() {
+	ended, cancel := context.WithCancel(context.Background())
+	cancel()
+	c.guard.Close(ended)
+	c.writers.Close()
+}
--- a/io/process/zldaemon/zldaemon.go
+++ b/io/process/zldaemon/zldaemon.go
@@ -75,6 +75,7 @@
 	aggregator *zlaggr.Aggregator
 	node       *zlpeer.Node
 	coord      *zlcoord.Coordinator
+	claims     claims
 	caller     *http.Server
 	admin      *http.Server
 	cancel     context.CancelFunc
@@ -89,6 +90,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	d.cancel = cancel
 	d.build()
+	d.claims.run()
 	if err := d.node.Run(); err != nil {
 		cancel()
 		return err
@@ -146,12 +148,13 @@
 		Dispatcher: d.node,
 		Counter:    d.metrics,
 	}
+	d.buildClaims()
 }
 
 func (d *Daemon) listen() error {
 	callers := http.NewServeMux()
 	callers.Handle("POST "+zlfront.Path, d.counted(&zlfront.Front{
-		Answerer: d.coord,
+		Answerer: d.claims.guard,
 		Timer:    d.timer,
 	}))
 	var err error
@@ -225,6 +228,7 @@
 	}
 	d.timer.Sleep(ctx.Done(), d.Config.StopGrace)
 	err = d.caller.Shutdown(ctx)
+	d.claims.finish(ctx)
 	cut := d.inFlight.Load()
 	d.Kill()
 	if err != nil {
@@ -246,13 +250,17 @@
 	if d.admin != nil {
 		_ = d.admin.Close()
 	}
+	d.claims.close()
 	d.node.Close()
 	d.calls.Close()
 	d.platform.HTTP.CloseIdleConnections()
 	d.parts.Wait()
 }
 
-func (d *Daemon) asked(_ context.Context, topic string, _ []byte) ([]byte, error) {
+func (d *Daemon) asked(ctx context.Context, topic string, body []byte) ([]byte, error) {
+	if reply, handled, err := d.claims.router.Asked(ctx, topic, body); handled {
+		return reply, err
+	}
 	return nil, eris.Errorf("unknown topic %q", topic)
 }
 
--- /dev/null
+++ b/io/request/zlclaimstore/router.go
@@ -0,0 +1,277 @@
+package zlclaimstore
+
+import (
+	"context"
+	"encoding/json"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"zinnialock/core/process/zltimer"
+	"zinnialock/core/process/zlunit"
+	"zinnialock/core/request/zlclaim"
+	"zinnialock/core/request/zlquery"
+	"zinnialock/core/version/zlview"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/rotisserie/eris"
+)
+
+// Peers asks other daemons.
+type Peers interface {
+	Ask(ctx context.Context, addr, topic string, body []byte) ([]byte, error)
+}
+
+// The topics of questions between daemons.
+const (
+	TopicClaim   = "claim"
+	TopicOutcome = "claimOutcome"
+	TopicAnswer  = "claimAnswer"
+)
+
+const (
+	// writersPerSegment is how many daemons are asked to write to a segment,
+	// one after the other, before a daemon writes itself.
+	writersPerSegment = 2
+	// claimWait and outcomeWait bound a question to one writer. Outcomes wait
+	// at the writer for a claim to share its write.
+	claimWait   = 400 * time.Millisecond
+	outcomeWait = 3 * time.Second
+	// avoidFor is how long a writer that did not reply is left out.
+	avoidFor = 2 * time.Second
+)
+
+// Router is a zlclaim.Claimer that sends each claim to the daemon that writes
+// its segment, so that the claims of the whole fleet share writes. Which daemon
+// writes is no matter of safety: two that write one segment meet at the
+// platform's conditional update.
+type Router struct {
+	Self    zlunit.VM
+	Views   *zlview.Holder
+	Timer   *zltimer.Service
+	Local   *zlclaim.Writers
+	Peers   Peers
+	Answers *zlclaim.Answers
+
+	mu    sync.Mutex
+	view  *zlview.View
+	order [zlclaim.Segments][]zlunit.VM
+	avoid map[zlunit.VM]time.Time
+}
+
+var (
+	_ zlclaim.Claimer  = (*Router)(nil)
+	_ zlclaim.Recaller = (*Router)(nil)
+)
+
+// claimReply is a writer's reply; Fault tells that the store failed it.
+type claimReply struct {
+	Reply zlclaim.Reply `json:"reply"`
+	Fault string        `json:"fault,omitempty"`
+}
+
+// Claim implements zlclaim.Claimer.
+func (r *Router) Claim(ctx context.Context, ask zlclaim.Ask) (zlclaim.Reply, error) {
+	return r.send(ctx, zlclaim.SegmentOf(ask.ID), TopicClaim, ask, func(ctx context.Context) (zlclaim.Reply, error) {
+		return r.Local.Claim(ctx, ask)
+	})
+}
+
+// Record implements zlclaim.Claimer.
+func (r *Router) Record(ctx context.Context, outcome zlclaim.Outcome) error {
+	_, err := r.send(ctx, zlclaim.SegmentOf(outcome.ID), TopicOutcome, outcome, func(ctx context.Context) (zlclaim.Reply, error) {
+		return zlclaim.Reply{}, r.Local.Record(ctx, outcome)
+	})
+	return err
+}
+
+// send tries the segment's writers in turn. An ask carries its nonce, so one
+// that two writers receive is still one claim.
+func (r *Router) send(ctx context.Context, s zlclaim.Segment, topic string, message any, local func(context.Context) (zlclaim.Reply, error)) (zlclaim.Reply, error) {
+	body, err := json.Marshal(message)
+	if err != nil {
+		return zlclaim.Reply{}, err
+	}
+	var fault error
+	for _, vm := range r.writers(s) {
+		if vm == r.Self {
+			return local(ctx)
+		}
+		reply, err := r.ask(ctx, vm, topic, body)
+		switch {
+		case err != nil:
+			r.shun(vm)
+		case reply.Fault != "":
+			fault = &zlclaim.Error{
+				Op:   topic,
+				Kind: zlclaim.KindStore,
+				Err:  eris.New(reply.Fault),
+			}
+		default:
+			return reply.Reply, nil
+		}
+		if ctx.Err() != nil {
+			break
+		}
+	}
+	if fault != nil {
+		return zlclaim.Reply{}, fault
+	}
+	return local(ctx)
+}
+
+func (r *Router) ask(ctx context.Context, vm zlunit.VM, topic string, body []byte) (claimReply, error) {
+	var out claimReply
+	member, ok := r.Views.Load().Peer(vm)
+	if !ok {
+		return out, eris.Errorf("no daemon %q in the roster", vm)
+	}
+	ctx, cancel := context.WithTimeout(ctx, waitOf(topic))
+	defer cancel()
+	data, err := r.Peers.Ask(ctx, member.Peer, topic, body)
+	if err != nil {
+		return out, err
+	}
+	return out, json.Unmarshal(data, &out)
+}
+
+func waitOf(topic string) time.Duration {
+	if topic == TopicOutcome {
+		return outcomeWait
+	}
+	return claimWait
+}
+
+func (r *Router) shun(vm zlunit.VM) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.avoid == nil {
+		r.avoid = map[zlunit.VM]time.Time{}
+	}
+	r.avoid[vm] = r.Timer.Now().Add(avoidFor)
+}
+
+// writers returns the daemons to ask for a segment, best first: the two of the
+// largest rendezvous score that replied when last asked.
+func (r *Router) writers(s zlclaim.Segment) []zlunit.VM {
+	view := r.Views.Load()
+	if view == nil {
+		return nil
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.view != view {
+		r.rank(view)
+	}
+	now := r.Timer.Now()
+	out := make([]zlunit.VM, 0, writersPerSegment)
+	for _, vm := range r.order[s] {
+		if now.Before(r.avoid[vm]) {
+			continue
+		}
+		out = append(out, vm)
+		if len(out) == writersPerSegment {
+			break
+		}
+	}
+	return out
+}
+
+// candidates is how many daemons are ranked for a segment.
+const candidates = 8
+
+type ranked struct {
+	vm    zlunit.VM
+	score uint64
+}
+
+// rank orders the daemons in service for every segment; mu is held.
+func (r *Router) rank(view *zlview.View) {
+	r.view = view
+	clear(r.avoid)
+	for s := range r.order {
+		var all []ranked
+		for dc, roster := range view.Rosters {
+			for _, m := range roster.Members {
+				if !view.Marks.VMOut(m.VM, dc) {
+					all = append(all, ranked{
+						vm:    m.VM,
+						score: xxhash.Sum64String(string(m.VM) + "\x00" + strconv.Itoa(s)),
+					})
+				}
+			}
+		}
+		slices.SortFunc(all, func(a, b ranked) int {
+			if a.score > b.score {
+				return -1
+			}
+			return 1
+		})
+		r.order[s] = nil
+		for _, c := range all[:min(candidates, len(all))] {
+			r.order[s] = append(r.order[s], c.vm)
+		}
+	}
+}
+
+// Recall implements zlclaim.Recaller.
+func (r *Router) Recall(ctx context.Context, holder zlunit.VM, id zlunit.RequestID) *zlquery.Answer {
+	member, ok := r.Views.Load().Peer(holder)
+	if !ok {
+		return nil
+	}
+	data, err := r.Peers.Ask(ctx, member.Peer, TopicAnswer, []byte(id))
+	if err != nil || len(data) == 0 {
+		return nil
+	}
+	var a zlquery.Answer
+	if err := json.Unmarshal(data, &a); err != nil {
+		return nil
+	}
+	return &a
+}
+
+// Asked answers other daemons' questions; handled is false for a topic that is
+// not of this package.
+func (r *Router) Asked(ctx context.Context, topic string, body []byte) (reply []byte, handled bool, err error) {
+	switch topic {
+	case TopicClaim:
+		var ask zlclaim.Ask
+		if err := json.Unmarshal(body, &ask); err != nil {
+			return nil, true, eris.Wrap(err, topic)
+		}
+		reply, err = r.serve(ctx, topic, func(ctx context.Context) (zlclaim.Reply, error) {
+			return r.Local.Claim(ctx, ask)
+		})
+	case TopicOutcome:
+		var outcome zlclaim.Outcome
+		if err := json.Unmarshal(body, &outcome); err != nil {
+			return nil, true, eris.Wrap(err, topic)
+		}
+		reply, err = r.serve(ctx, topic, func(ctx context.Context) (zlclaim.Reply, error) {
+			return zlclaim.Reply{}, r.Local.Record(ctx, outcome)
+		})
+	case TopicAnswer:
+		if a := r.Answers.Find(zlunit.RequestID(body)); a != nil {
+			reply, err = json.Marshal(a)
+		}
+	default:
+		return nil, false, nil
+	}
+	return reply, true, err
+}
+
+// serve does another daemon's question and gives up before that daemon does,
+// so that it hears of a failing store.
+func (r *Router) serve(ctx context.Context, topic string, do func(context.Context) (zlclaim.Reply, error)) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, waitOf(topic)*3/4)
+	defer cancel()
+	var out claimReply
+	reply, err := do(ctx)
+	out.Reply = reply
+	if err != nil {
+		out.Fault = err.Error()
+	}
+	return json.Marshal(out)
+}
--- a/io/request/zlfront/zlfront.go
+++ b/io/request/zlfront/zlfront.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -12,6 +13,7 @@
 
 	"zinnialock/core/process/zltimer"
 	"zinnialock/core/process/zlunit"
+	"zinnialock/core/request/zlclaim"
 	"zinnialock/core/request/zlquery"
 
 	"github.com/google/uuid"
@@ -39,6 +41,9 @@
 	// Idempotent is true when absent.
 	Idempotent    *bool           `json:"idempotent,omitempty"`
 	LeastCoverage zlunit.Coverage `json:"leastCoverage,omitempty"`
+	// Retry tells that the caller may have sent this id before, so that a
+	// refusal can only be "not run" if that is true of all attempts.
+	Retry bool `json:"retry,omitempty"`
 }
 
 // Part is one shard of an answer.
@@ -51,13 +56,23 @@
 
 // Refusal tells why there is no answer, and whether the request ran.
 type Refusal struct {
-	Reason zlquery.Reason `json:"reason"`
-	Detail string         `json:"detail,omitempty"`
-	// Ran is "no" only with proof, else "unknown".
-	Ran          string `json:"ran"`
-	RetryAfterMs int64  `json:"retryAfterMs,omitempty"`
+	Reason       zlquery.Reason `json:"reason"`
+	Detail       string         `json:"detail,omitempty"`
+	Ran          Ran            `json:"ran"`
+	RetryAfterMs int64          `json:"retryAfterMs,omitempty"`
 }
 
+// Ran tells whether a refused request ran.
+type Ran string
+
+// The values of Ran. RanNo is given only with proof; RanYes tells that an
+// earlier attempt ran whose answer is not at hand any more.
+const (
+	RanNo      Ran = "no"
+	RanYes     Ran = "yes"
+	RanUnknown Ran = "unknown"
+)
+
 // Answer is what a caller gets.
 type Answer struct {
 	RequestID zlunit.RequestID    `json:"requestId"`
@@ -96,7 +111,7 @@
 			Refusal: &Refusal{
 				Reason: zlquery.ReasonBadRequest,
 				Detail: fault,
-				Ran:    "no",
+				Ran:    RanNo,
 			},
 		})
 		return
@@ -108,6 +123,7 @@
 		Text:          in.Text,
 		Idempotent:    in.Idempotent == nil || *in.Idempotent,
 		LeastCoverage: in.LeastCoverage,
+		Retry:         in.Retry,
 	}
 	if in.DeadlineMs > 0 {
 		req.Deadline = start.Add(time.Duration(in.DeadlineMs) * time.Millisecond)
@@ -126,23 +142,40 @@
 	if err := d.Decode(&in); err != nil {
 		return in, err.Error()
 	}
+	if _, err := d.Token(); !errors.Is(err, io.EOF) {
+		return in, "found more after the JSON object, allowed is one object"
+	}
+	if fault := in.check(); fault != "" {
+		return in, fault
+	}
+	if in.RequestID == "" {
+		in.RequestID = zlunit.RequestID(uuid.NewString())
+	}
+	return in, ""
+}
+
+// check names the first key that is wrong.
+func (in *Request) check() string {
 	maxMs := maxDeadline.Milliseconds()
+	once := in.Idempotent != nil && !*in.Idempotent
 	switch {
 	case in.Service == "":
-		return in, "key \"service\": found nothing, allowed is the name of a service"
+		return "key \"service\": found nothing, allowed is the name of a service"
 	case in.DeadlineMs < 0 || in.DeadlineMs > maxMs:
-		return in, fmt.Sprintf("key \"deadlineMs\": found %d, allowed is 1 to %d", in.DeadlineMs, maxMs)
+		return fmt.Sprintf("key \"deadlineMs\": found %d, allowed is 1 to %d", in.DeadlineMs, maxMs)
 	case !(in.LeastCoverage >= 0 && in.LeastCoverage <= 1):
-		return in, fmt.Sprintf("key \"leastCoverage\": found %v, allowed is 0 to 1", in.LeastCoverage)
+		return fmt.Sprintf("key \"leastCoverage\": found %v, allowed is 0 to 1", in.LeastCoverage)
 	case len(in.RequestID) > maxID:
-		return in, fmt.Sprintf("key \"requestId\": found %d bytes, allowed are %d", len(in.RequestID), maxID)
-	case in.RequestID == "" && in.Idempotent != nil && !*in.Idempotent:
-		return in, "key \"requestId\": found nothing, a request that is not idempotent needs one"
+		return fmt.Sprintf("key \"requestId\": found %d bytes, allowed are %d", len(in.RequestID), maxID)
+	case in.RequestID == "" && in.Retry:
+		return "key \"requestId\": found nothing, a retry needs the id of the first attempt"
 	}
-	if in.RequestID == "" {
-		in.RequestID = zlunit.RequestID(uuid.NewString())
+	if once {
+		if fault := zlclaim.CheckID(in.RequestID); fault != "" {
+			return "key \"requestId\": " + fault
+		}
 	}
-	return in, ""
+	return ""
 }
 
 func encode(a *zlquery.Answer) *Answer {
@@ -166,7 +199,7 @@
 			Rows:     p.Rows,
 		})
 	}
-	if a.Outcome != zlquery.OutcomeDone {
+	if a.Reason != zlquery.ReasonNone || a.Outcome != zlquery.OutcomeDone {
 		out.Refusal = refusalOf(a)
 	}
 	return out
@@ -175,19 +208,27 @@
 func refusalOf(a *zlquery.Answer) *Refusal {
 	r := &Refusal{
 		Reason:       a.Reason,
-		Ran:          "unknown",
+		Ran:          RanUnknown,
 		RetryAfterMs: a.RetryAfter.Milliseconds(),
 	}
-	if a.Outcome == zlquery.OutcomeNotRun {
-		r.Ran = "no"
+	switch a.Outcome {
+	case zlquery.OutcomeNotRun:
+		r.Ran = RanNo
+	case zlquery.OutcomeDone:
+		r.Ran = RanYes
+	case zlquery.OutcomeUnknown:
 	}
 	return r
 }
 
 func statusOf(a *zlquery.Answer) int {
 	switch {
+	case a.Reason == zlquery.ReasonClaimed && a.Outcome == zlquery.OutcomeDone:
+		return http.StatusConflict
 	case a.Outcome == zlquery.OutcomeDone:
 		return http.StatusOK
+	case a.Reason == zlquery.ReasonClaimTooOld || a.Reason == zlquery.ReasonClaimAhead:
+		return http.StatusBadRequest
 	case a.Reason == zlquery.ReasonUnknownService:
 		return http.StatusNotFound
 	case a.Outcome == zlquery.OutcomeNotRun:
--- /dev/null
+++ b/io/request/zlfront/zlfront_test.go
@@ -0,0 +1,113 @@
+package zlfront
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/smartystreets/goconvey/convey"
+
+	"zinnialock/core/process/zltimer"
+	"zinnialock/core/request/zlclaim"
+	"zinnialock/core/request/zlquery"
+)
+
+const onceID = "018f3c5e-7d10-7abc-8def-0123456789ab"
+
+// FuzzDecode makes sure that whatever comes in is either refused with a fault
+// that can be read, or lies within every bound.
+func FuzzDecode(f *testing.F) {
+	for _, seed := range []string{
+		`{"service":"s"}`,
+		`{"service":"s","requestId":"` + onceID + `","idempotent":false,"retry":true}`,
+		`{"service":"s","idempotent":false}`,
+		`{"service":"s","deadlineMs":-1}`,
+		`{"service":"s","leastCoverage":1e999}`,
+		`{"service":"s"} {"service":"t"}`,
+		`{"servce":"s"}`,
+		`[1,2`, ``, `null`, "\x00\xff",
+	} {
+		f.Add(seed)
+	}
+	f.Fuzz(func(t *testing.T, body string) {
+		in, fault := Decode(strings.NewReader(body))
+		if fault != "" {
+			return
+		}
+		once := in.Idempotent != nil && !*in.Idempotent
+		switch {
+		case in.Service == "", in.RequestID == "", len(in.RequestID) > maxID:
+			t.Errorf("took %q without a service or id", body)
+		case in.DeadlineMs < 0 || in.DeadlineMs > maxDeadline.Milliseconds():
+			t.Errorf("took %q with deadline %d", body, in.DeadlineMs)
+		case !(in.LeastCoverage >= 0 && in.LeastCoverage <= 1):
+			t.Errorf("took %q with coverage %v", body, in.LeastCoverage)
+		case once && zlclaim.CheckID(in.RequestID) != "":
+			t.Errorf("took %q, whose id carries no time", body)
+		}
+	})
+}
+
+func TestDecodeNamesTheKey(t *testing.T) {
+	convey.Convey("Given requests with one fault each", t, func() {
+		for body, want := range map[string]string{
+			`{}`:                                                  `"service"`,
+			`{"service":"s","deadlineMs":-1}`:                     `"deadlineMs": found -1, allowed is 1 to 300000`,
+			`{"service":"s","leastCoverage":2}`:                   `"leastCoverage": found 2, allowed is 0 to 1`,
+			`{"service":"s","idempotent":false}`:                  `"requestId"`,
+			`{"service":"s","retry":true}`:                        `"requestId"`,
+			`{"service":"s","idempotent":false,"requestId":"r1"}`: `version 7 UUID`,
+			`{"servce":"s"}`:                                      `"servce"`,
+			`{"service":"s"} {}`:                                  `one object`,
+			`{"service":"s"} oops`:                                `one object`,
+		} {
+			_, fault := Decode(strings.NewReader(body))
+			convey.So(fault, convey.ShouldContainSubstring, want)
+		}
+	})
+}
+
+type fixed zlquery.Answer
+
+func (f *fixed) Answer(_ context.Context, req *zlquery.Request) *zlquery.Answer {
+	a := zlquery.Answer(*f)
+	a.ID = req.ID
+	return &a
+}
+
+func TestOutcomesOnTheWire(t *testing.T) {
+	convey.Convey("Given each outcome, the status and what is said of the run fit", t, func() {
+		for _, c := range []struct {
+			answer fixed
+			status int
+			ran    Ran
+		}{
+			{answer: fixed{Outcome: zlquery.OutcomeDone}, status: http.StatusOK},
+			{answer: fixed{Outcome: zlquery.OutcomeDone, Reason: zlquery.ReasonClaimed}, status: http.StatusConflict, ran: RanYes},
+			{answer: fixed{Outcome: zlquery.OutcomeNotRun, Reason: zlquery.ReasonShed, RetryAfter: time.Second}, status: http.StatusServiceUnavailable, ran: RanNo},
+			{answer: fixed{Outcome: zlquery.OutcomeUnknown, Reason: zlquery.ReasonClaimed}, status: http.StatusGatewayTimeout, ran: RanUnknown},
+			{answer: fixed{Outcome: zlquery.OutcomeUnknown, Reason: zlquery.ReasonClaimTooOld}, status: http.StatusBadRequest, ran: RanUnknown},
+			{answer: fixed{Outcome: zlquery.OutcomeNotRun, Reason: zlquery.ReasonUnknownService}, status: http.StatusNotFound, ran: RanNo},
+		} {
+			f := &Front{
+				Answerer: &c.answer,
+				Timer:    &zltimer.Service{},
+			}
+			w := httptest.NewRecorder()
+			f.ServeHTTP(w, httptest.NewRequest(http.MethodPost, Path, strings.NewReader(`{"service":"s","requestId":"r"}`)))
+			var a Answer
+			convey.So(json.Unmarshal(w.Body.Bytes(), &a), convey.ShouldBeNil)
+			convey.So(w.Code, convey.ShouldEqual, c.status)
+			if c.ran == "" {
+				convey.So(a.Refusal, convey.ShouldBeNil)
+				continue
+			}
+			convey.So(a.Refusal.Ran, convey.ShouldEqual, c.ran)
+			convey.So(a.Refusal.RetryAfterMs, convey.ShouldEqual, c.answer.RetryAfter.Milliseconds())
+		}
+	})
+}
