--- a/core/process/zlbudget/zlbudget.go
+++ b/core/process/zlbudget/zlbudget.go
@@ -22,11 +22,12 @@
 	b.spent = max(b.spent-float64(n)*share, 0)
 }
 
-// Take takes one token and reports whether there was one.
-func (b *Bucket) Take() bool {
+// Take takes one token, but none of the last reserve (a share of Burst), and
+// reports whether there was one.
+func (b *Bucket) Take(reserve float64) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.spent+1 > b.Burst {
+	if b.spent+1 > b.Burst*(1-reserve) {
 		return false
 	}
 	b.spent++
--- a/core/request/zlcoord/late.go
+++ b/core/request/zlcoord/late.go
@@ -80,7 +80,7 @@
 	if !ok {
 		return
 	}
-	if !r.takeRetry() {
+	if !r.takeRetry(0) {
 		r.noteRefused(st, shard, zltrace.WhatNoRetry)
 		return
 	}
@@ -100,7 +100,7 @@
 	if !ok {
 		return
 	}
-	if !w.Budgets && !r.profile.hedges.Take() {
+	if !w.Budgets && !r.profile.hedges.Take(0) {
 		r.noteRefused(st, shard, zltrace.WhatNoHedge)
 		return
 	}
--- a/core/request/zlcoord/retry.go
+++ b/core/request/zlcoord/retry.go
@@ -16,6 +16,9 @@
 	mostPause  = 200 * time.Millisecond
 	// maxPauses bounds the waits of one shard.
 	maxPauses = 8
+	// anewReserve is the share of the retry budget that asking all replicas
+	// of a shard anew does not touch.
+	anewReserve = 0.5
 	// reasonBudget marks what was left undone for want of budget.
 	reasonBudget = zlquery.ReasonOverload
 )
@@ -52,7 +55,7 @@
 		r.pause(shard, why, now)
 	case !good && st.pauses == 0 && speaksOfLoad(why):
 		r.pause(shard, why, now)
-	case !r.takeRetry():
+	case !r.takeRetry(st.round):
 		r.noteRefused(st, shard, zltrace.WhatNoRetry)
 		r.pause(shard, why, now)
 	default:
@@ -84,8 +87,17 @@
 	}
 }
 
-func (r *run) takeRetry() bool {
-	return r.coordinator.Without.Budgets || (r.policy.RetryShare > 0 && r.profile.retries.Take())
+// takeRetry takes a token for a retry. Asking all replicas anew leaves half of
+// the budget to shards whose other replicas were not asked yet.
+func (r *run) takeRetry(round int) bool {
+	if r.coordinator.Without.Budgets {
+		return true
+	}
+	reserve := 0.0
+	if round > 0 {
+		reserve = anewReserve
+	}
+	return r.policy.RetryShare > 0 && r.profile.retries.Take(reserve)
 }
 
 // pause schedules a shard to be asked again, or gives it up if there is no time
--- a/core/request/zlcoord/take.go
+++ b/core/request/zlcoord/take.go
@@ -24,13 +24,13 @@
 	}
 	switch result := reply.Result.(type) {
 	case zlquery.Done:
-		r.takeDone(sub, &result, now)
+		r.takeDone(reply.Sub, &result, now)
 	case zlquery.NotRun:
 		r.takeNotRun(sub, result, now)
 	case zlquery.Unknown:
-		r.takeUnknown(sub, result.Reason, now)
+		r.takeUnknown(reply.Sub, result.Reason, now)
 	default:
-		r.takeUnknown(sub, zlquery.ReasonBadReply, now)
+		r.takeUnknown(reply.Sub, zlquery.ReasonBadReply, now)
 	}
 }
 
@@ -48,12 +48,13 @@
 
 // takeDone merges a part. One that is not the answer to this very sub-request
 // is not used; whether the sub-request itself ran is then unknown.
-func (r *run) takeDone(sub *subState, done *zlquery.Done, now time.Time) {
+func (r *run) takeDone(id zlunit.SubID, done *zlquery.Done, now time.Time) {
+	sub := &r.subs[id]
 	part := &done.Part
 	st := &r.shards[sub.shard]
 	if part.Shard != sub.shard || part.Upstream != sub.to.Upstream || part.Version != sub.version || !r.merge.Add(*part) {
 		r.drop(zlquery.ReasonBadReply)
-		r.takeUnknown(sub, zlquery.ReasonBadReply, now)
+		r.takeUnknown(id, zlquery.ReasonBadReply, now)
 		return
 	}
 	r.end(sub, zltrace.EndDone, zlquery.ReasonNone, now)
@@ -113,7 +114,11 @@
 	r.failed(sub.shard, result.Reason, now)
 }
 
-func (r *run) takeUnknown(sub *subState, reason zlquery.Reason, now time.Time) {
+// takeUnknown ends a sub-request that may have run and may still be running,
+// which is why it is cancelled as well.
+func (r *run) takeUnknown(id zlunit.SubID, reason zlquery.Reason, now time.Time) {
+	sub := &r.subs[id]
+	sub.call.Cancel(id)
 	r.end(sub, zltrace.EndUnknown, reason, now)
 	r.shards[sub.shard].ran = true
 	switch reason {
--- a/core/request/zlmerge/zlmerge_test.go
+++ b/core/request/zlmerge/zlmerge_test.go
@@ -1,6 +1,8 @@
 package zlmerge
 
 import (
+	"flag"
+	"os"
 	"testing"
 
 	"github.com/smartystreets/goconvey/convey"
@@ -10,6 +12,14 @@
 	"zinnialock/core/request/zlquery"
 )
 
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if f := flag.Lookup("rapid.seed"); f.Value.String() == f.DefValue {
+		_ = flag.Set("rapid.seed", "1")
+	}
+	os.Exit(m.Run())
+}
+
 func TestMergeCountsOncePerShard(t *testing.T) {
 	convey.Convey("Given a merge of 4 shards at version 7", t, func() {
 		m := New(7, 4)
