--- a/core/connection/zlgate/zlgate.go
+++ b/core/connection/zlgate/zlgate.go
@@ -1,10 +1,9 @@
 // Package zlgate admits sub-requests to one upstream: within its slots, within
-// what a cold start bears, and in order of deadline.
+// what a cold start bears, and in order of deadline. It infers the upstream's
+// state from process identity, connections and service times.
 package zlgate
 
 import (
-	"container/heap"
-	"context"
 	"sync"
 	"time"
 
@@ -13,208 +12,122 @@
 	"zinnialock/core/request/zlquery"
 )
 
-// State is what the gate believes of its upstream.
-type State string
-
-// The states of an upstream.
-const (
-	StateCold    State = "cold"
-	StateWarming State = "warming"
-	StateWarm    State = "warm"
-)
-
-const (
-	// queuePerSlot bounds the waiting sub-requests for each slot.
-	queuePerSlot = 64
-	// successesPerStep is how many successes per slot in use widen a warming
-	// gate by one slot.
-	successesPerStep = 8
-)
-
 // Limits is what an upstream bears from this daemon.
 type Limits struct {
 	Slots zlunit.Slots
-	Cold  zlunit.Slots
+	// Cold bounds what is in flight while the upstream is cold; 0 means that
+	// nothing is sent then.
+	Cold        zlunit.Slots
+	Connections zlunit.Connections
+	// ColdWork is how many successes end a cold start; 0 means the default.
+	ColdWork int
+	// ColdTime is how long a cold start lasts at least; 0 means the default.
+	ColdTime time.Duration
+}
+
+// Counter counts refusals by reason.
+type Counter interface {
+	Count(what string, reason zlquery.Reason)
 }
 
-// Gate guards one upstream. Its own lock covers all its state.
+// CountRefusal names the counter of what gates refused.
+const CountRefusal = "gateRefusal"
+
+// Gate guards one upstream. Its own lock covers all its state. The exported
+// fields must be set before use.
 type Gate struct {
+	Name  zlunit.Upstream
 	Timer *zltimer.Service
-
-	mu        sync.Mutex
-	limits    Limits
-	limit     int
-	inFlight  int
+	// Counter may be nil.
+	Counter Counter
+	// Changed, if set, is called after each change of state.
+	Changed func(Change)
+
+	mu     sync.Mutex
+	limits Limits
+
+	state State
+	cause Cause
+	since time.Time
+	// turn counts the cold turns; a ticket of an earlier turn is checked anew.
+	turn uint64
+	// level is how many sub-requests the upstream has been shown to bear.
+	level     int
 	successes int
-	process   zlunit.Process
-	queue     queue
+	normals   int
+	// toll multiplies the successes that the next step up needs.
+	toll int
+	// held is when the level may rise again.
+	held time.Time
+	// retryAt is when a gone or draining upstream is tried again.
+	retryAt time.Time
+	backoff time.Duration
+
+	inFlight int
+	started  int
+	queue    queue
+	paces    map[zlunit.QueryKind]*pace
+	// mean is the smoothed service time over all query kinds.
+	mean     time.Duration
+	evidence float64
+	stretch  float64
+
+	process  zlunit.Process
+	live     int
+	reserved int
+	unproven int
+
+	changes []Change
 }
 
 // SetLimits sets what the upstream bears; a new gate starts cold.
 func (g *Gate) SetLimits(l Limits) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if g.limits == (Limits{}) {
-		g.limit = int(l.Cold)
+	if l.ColdWork == 0 {
+		l.ColdWork = defaultColdWork
 	}
-	g.limits = l
-	g.limit = min(g.limit, int(l.Slots))
-	g.wake()
-}
-
-// Snapshot returns the state, the limit in force and what is in flight.
-func (g *Gate) Snapshot() (State, int, int) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.state(), g.limit, g.inFlight
-}
-
-func (g *Gate) state() State {
-	switch {
-	case g.limit <= int(g.limits.Cold):
-		return StateCold
-	case g.limit < int(g.limits.Slots):
-		return StateWarming
-	default:
-		return StateWarm
+	if l.ColdTime == 0 {
+		l.ColdTime = defaultColdTime
 	}
-}
-
-// Admit waits for a slot until deadline. On refusal nothing was sent and the
-// reason tells why.
-func (g *Gate) Admit(ctx context.Context, deadline time.Time) zlquery.Reason {
-	w, reason := g.enqueue(deadline)
-	if w == nil {
-		return reason
-	}
-	alarm := g.Timer.After(deadline.Sub(g.Timer.Now()))
-	defer alarm.Stop()
-	select {
-	case <-w.ready:
-		return zlquery.ReasonNone
-	case <-alarm.C:
-		return g.leave(w, zlquery.ReasonDeadline)
-	case <-ctx.Done():
-		return g.leave(w, zlquery.ReasonCancelled)
-	}
-}
-
-func (g *Gate) enqueue(deadline time.Time) (*waiter, zlquery.Reason) {
+	l.Cold = min(l.Cold, l.Slots)
 	g.mu.Lock()
-	defer g.mu.Unlock()
-	if g.inFlight < g.limit && g.queue.Len() == 0 {
-		g.inFlight++
-		return nil, zlquery.ReasonNone
-	}
-	if g.queue.Len() >= queuePerSlot*max(g.limit, 1) {
-		return nil, zlquery.ReasonQueueFull
-	}
-	w := &waiter{
-		deadline: deadline,
-		ready:    make(chan struct{}),
+	if g.limits == l {
+		g.mu.Unlock()
+		return
 	}
-	heap.Push(&g.queue, w)
-	return w, zlquery.ReasonNone
-}
-
-// leave gives up waiting; a slot granted meanwhile is given back.
-func (g *Gate) leave(w *waiter, reason zlquery.Reason) zlquery.Reason {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if w.index < 0 {
-		g.inFlight--
-		g.wake()
-		return reason
+	g.limits = l
+	if g.state == "" {
+		g.toll = 1
+		g.chill(CauseFirstContact)
 	}
-	heap.Remove(&g.queue, w.index)
-	return reason
-}
-
-// Release ends an admitted sub-request that succeeded in process.
-func (g *Gate) Release(process zlunit.Process) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.inFlight--
-	if process != g.process {
-		g.process = process
-		g.chill()
+	g.level = min(g.level, int(l.Slots))
+	g.unlock(g.wake(nil))
+}
+
+// unlock releases the lock, then calls what became due: hooks may call back.
+func (g *Gate) unlock(due *Ticket) {
+	changes := g.changes
+	g.changes = nil
+	g.mu.Unlock()
+	if g.Changed != nil {
+		for _, c := range changes {
+			g.Changed(c)
+		}
 	}
-	g.widen()
-	g.wake()
-}
-
-// ReleaseFailed ends an admitted sub-request that failed; cold tells that the
-// upstream may have started anew or sheds load.
-func (g *Gate) ReleaseFailed(cold bool) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.inFlight--
-	if cold {
-		g.chill()
+	for due != nil {
+		t := due
+		due = t.next
+		t.next = nil
+		g.tell(t)
 	}
-	g.wake()
-}
-
-// Chill narrows the gate to the cold limit, with queued work left waiting.
-func (g *Gate) Chill() {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.chill()
-}
-
-func (g *Gate) chill() {
-	g.limit = min(int(g.limits.Cold), int(g.limits.Slots))
-	g.successes = 0
 }
 
-func (g *Gate) widen() {
-	if g.limit >= int(g.limits.Slots) {
+func (g *Gate) tell(t *Ticket) {
+	if t.refusal == zlquery.ReasonNone {
+		t.Entrant.Granted()
 		return
 	}
-	g.successes++
-	if g.successes >= successesPerStep*max(g.limit, 1) {
-		g.successes = 0
-		g.limit++
+	if g.Counter != nil {
+		g.Counter.Count(CountRefusal, t.refusal)
 	}
-}
-
-func (g *Gate) wake() {
-	for g.inFlight < g.limit && g.queue.Len() > 0 {
-		w := heap.Pop(&g.queue).(*waiter)
-		g.inFlight++
-		close(w.ready)
-	}
-}
-
-type waiter struct {
-	deadline time.Time
-	ready    chan struct{}
-	index    int
-}
-
-// queue is a heap of waiters, the earliest deadline first.
-type queue []*waiter
-
-func (q queue) Len() int           { return len(q) }
-func (q queue) Less(i, j int) bool { return q[i].deadline.Before(q[j].deadline) }
-
-func (q queue) Swap(i, j int) {
-	q[i], q[j] = q[j], q[i]
-	q[i].index = i
-	q[j].index = j
-}
-
-func (q *queue) Push(x any) {
-	w := x.(*waiter)
-	w.index = len(*q)
-	*q = append(*q, w)
-}
-
-func (q *queue) Pop() any {
-	old := *q
-	w := old[len(old)-1]
-	old[len(old)-1] = nil
-	*q = old[:len(old)-1]
-	w.index = -1
-	return w
+	t.Entrant.Refused(t.refusal, t.retryAfter)
 }
--- a/core/connection/zlgate/zlgate_test.go
+++ b/core/connection/zlgate/zlgate_test.go
@@ -1,7 +1,8 @@
 package zlgate
 
 import (
-	"context"
+	"flag"
+	"os"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -9,65 +10,289 @@
 	"github.com/smartystreets/goconvey/convey"
 
 	"zinnialock/core/process/zltimer"
+	"zinnialock/core/process/zlunit"
 	"zinnialock/core/request/zlquery"
 )
 
-func TestGateWarmsAndChills(t *testing.T) {
+func TestMain(m *testing.M) {
+	_ = flag.Set("rapid.seed", "1")
+	os.Exit(m.Run())
+}
+
+// request is an entrant that notes what it was told.
+type request struct {
+	ticket  Ticket
+	granted bool
+	refusal zlquery.Reason
+	after   time.Duration
+	conn    *Conn
+}
+
+func (r *request) Granted() {
+	r.granted = true
+}
+
+func (r *request) Refused(reason zlquery.Reason, after time.Duration) {
+	r.refusal = reason
+	r.after = after
+}
+
+// harness drives one gate from one goroutine.
+type harness struct {
+	gate *Gate
+	conn *Conn
+}
+
+func newHarness(l Limits) *harness {
+	h := &harness{
+		gate: &Gate{
+			Name:  "u",
+			Timer: &zltimer.Service{},
+		},
+	}
+	if l.Connections == 0 {
+		l.Connections = 100
+	}
+	h.gate.SetLimits(l)
+	return h
+}
+
+func (h *harness) enter(value Value, wait time.Duration) *request {
+	r := &request{}
+	r.ticket.Value = value
+	r.ticket.Deadline = time.Now().Add(wait)
+	r.ticket.Entrant = r
+	h.gate.Enter(&r.ticket)
+	return r
+}
+
+// connect returns an open connection, made anew if the last one ended.
+func (h *harness) connect() *Conn {
+	if h.conn == nil {
+		h.conn = h.gate.Dial()
+		h.conn.Opened()
+		h.conn.Prove("p1")
+	}
+	return h.conn
+}
+
+// serve runs n requests one after the other, each taking d.
+func (h *harness) serve(n int, d time.Duration) {
+	for range n {
+		r := h.enter(0, time.Hour)
+		if !r.granted || h.gate.Start(&r.ticket, h.connect()) != zlquery.ReasonNone {
+			panic("not admitted")
+		}
+		time.Sleep(d)
+		h.gate.End(&r.ticket, OutcomeDone, "p1")
+	}
+}
+
+func (h *harness) warm() {
+	for h.gate.Snapshot().State != StateWarm {
+		h.serve(1, 10*time.Millisecond)
+	}
+}
+
+func TestGateWarmsAndTurnsCold(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		convey.Convey("Given a cold gate of 3 slots and a cold limit of 1", t, func() {
-			g := &Gate{
-				Timer: &zltimer.Service{},
-			}
-			g.SetLimits(Limits{
+		convey.Convey("Given a new gate of 3 slots and a cold limit of 1", t, func() {
+			h := newHarness(Limits{
 				Slots: 3,
 				Cold:  1,
 			})
-			soon := time.Now().Add(time.Second)
-			convey.So(g.Admit(context.Background(), soon), convey.ShouldEqual, zlquery.ReasonNone)
-			convey.So(g.Admit(context.Background(), soon), convey.ShouldEqual, zlquery.ReasonDeadline)
-			g.Release("p1")
-
-			convey.Convey("successes widen it, and a new process narrows it again", func() {
-				for range 30 {
-					convey.So(g.Admit(context.Background(), time.Now().Add(time.Second)), convey.ShouldEqual, zlquery.ReasonNone)
-					g.Release("p1")
-				}
-				state, limit, _ := g.Snapshot()
-				convey.So(state, convey.ShouldEqual, StateWarm)
-				convey.So(limit, convey.ShouldEqual, 3)
-				convey.So(g.Admit(context.Background(), time.Now().Add(time.Second)), convey.ShouldEqual, zlquery.ReasonNone)
-				g.Release("p2")
-				state, _, _ = g.Snapshot()
-				convey.So(state, convey.ShouldEqual, StateCold)
+			convey.So(h.gate.Snapshot().State, convey.ShouldEqual, StateCold)
+			first := h.enter(0, time.Second)
+			second := h.enter(0, time.Second)
+			convey.So(first.granted, convey.ShouldBeTrue)
+			convey.So(second.granted, convey.ShouldBeFalse)
+			convey.So(h.gate.Leave(&second.ticket), convey.ShouldBeTrue)
+			h.gate.End(&first.ticket, OutcomeUnsent, "")
+
+			convey.Convey("successes warm it step by step", func() {
+				h.serve(defaultColdWork, 10*time.Millisecond)
+				convey.So(h.gate.Snapshot().State, convey.ShouldEqual, StateWarming)
+				h.warm()
+				convey.So(h.gate.Snapshot().Limit, convey.ShouldEqual, 3)
+			})
+			convey.Convey("a new process makes it cold, work granted before included", func() {
+				h.warm()
+				granted := []*request{h.enter(0, time.Second), h.enter(0, time.Second), h.enter(0, time.Second)}
+				h.conn.Prove("p2")
+				convey.So(h.gate.Snapshot().Cause, convey.ShouldEqual, CauseNewProcess)
+				convey.So(h.gate.Start(&granted[0].ticket, h.conn), convey.ShouldEqual, zlquery.ReasonNone)
+				convey.So(h.gate.Start(&granted[1].ticket, h.conn), convey.ShouldEqual, zlquery.ReasonColdBudget)
+			})
+			convey.Convey("a broken connection makes it cold", func() {
+				h.warm()
+				h.conn.Busy(true)
+				h.conn.Broken()
+				convey.So(h.gate.Snapshot().State, convey.ShouldEqual, StateCold)
+			})
+			convey.Convey("the upstream's idle timeout does not, while others live", func() {
+				h.warm()
+				other := h.gate.Dial()
+				other.Opened()
+				time.Sleep(2 * idleLong)
+				h.conn.Broken()
+				convey.So(h.gate.Snapshot().State, convey.ShouldEqual, StateWarm)
+				other.Broken()
+				convey.So(h.gate.Snapshot().State, convey.ShouldEqual, StateCold)
+			})
+			convey.Convey("a late answer of the replaced process changes nothing", func() {
+				h.warm()
+				fresh := h.gate.Dial()
+				fresh.Opened()
+				fresh.Prove("p2")
+				since := h.gate.Snapshot().Since
+				time.Sleep(time.Second)
+				h.conn.Prove("p1")
+				convey.So(h.gate.Snapshot().Since, convey.ShouldEqual, since)
+				convey.So(h.gate.Snapshot().Process, convey.ShouldEqual, zlunit.Process("p2"))
 			})
 		})
 	})
 }
 
-func TestGateServesEarliestDeadlineFirst(t *testing.T) {
+func TestGateOfLapsedShare(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		g := &Gate{
-			Timer: &zltimer.Service{},
-		}
-		g.SetLimits(Limits{
-			Slots: 1,
+		convey.Convey("Given a share without a cold limit", t, func() {
+			h := newHarness(Limits{
+				Slots: 2,
+			})
+			r := h.enter(0, time.Second)
+			convey.So(r.refusal, convey.ShouldEqual, zlquery.ReasonColdBudget)
+			convey.So(h.gate.Dial(), convey.ShouldBeNil)
+		})
+	})
+}
+
+func TestGateDrainsAndComesBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		convey.Convey("Given a warm gate whose upstream refuses as draining", t, func() {
+			h := newHarness(Limits{
+				Slots: 1,
+				Cold:  1,
+			})
+			h.warm()
+			r := h.enter(0, time.Hour)
+			waiting := h.enter(0, time.Hour)
+			_ = h.gate.Start(&r.ticket, h.conn)
+			h.gate.End(&r.ticket, OutcomeDraining, "p1")
+			convey.So(waiting.refusal, convey.ShouldEqual, zlquery.ReasonDraining)
+			convey.So(h.enter(0, time.Second).refusal, convey.ShouldEqual, zlquery.ReasonDraining)
+
+			convey.Convey("the end of its process is followed by a dial", func() {
+				h.conn.Broken()
+				h.conn.Closed()
+				convey.So(h.enter(0, time.Second).refusal, convey.ShouldEqual, zlquery.ReasonDraining)
+				time.Sleep(drainedWait)
+				r := h.enter(0, time.Second)
+				convey.So(r.granted, convey.ShouldBeTrue)
+				c := h.gate.Dial()
+				c.Failed()
+				h.gate.End(&r.ticket, OutcomeUnsent, "")
+				convey.So(h.gate.Snapshot().State, convey.ShouldEqual, StateGone)
+				refused := h.enter(0, time.Second)
+				convey.So(refused.refusal, convey.ShouldEqual, zlquery.ReasonDialFailed)
+				time.Sleep(refused.after)
+				r = h.enter(0, time.Second)
+				convey.So(r.granted, convey.ShouldBeTrue)
+				c = h.gate.Dial()
+				c.Opened()
+				convey.So(h.gate.Snapshot().State, convey.ShouldEqual, StateCold)
+			})
+		})
+	})
+}
+
+// TestSilentColdTurnIsBounded turns an upstream cold without any sign but its
+// service time. What it may get over its cold limit is one request for each
+// that was in flight at the turn, and one for each piece of evidence.
+func TestSilentColdTurnIsBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const (
+			slots  = 6
+			normal = 10 * time.Millisecond
+		)
+		h := newHarness(Limits{
+			Slots: slots,
 			Cold:  1,
 		})
-		_ = g.Admit(context.Background(), time.Now().Add(time.Second))
-		order := make(chan int, 2)
-		for i, d := range []time.Duration{2 * time.Second, time.Second} {
-			go func() {
-				if g.Admit(context.Background(), time.Now().Add(d)) == zlquery.ReasonNone {
-					order <- i
-					g.Release("p")
+		h.warm()
+		var running []*request
+		admit := func() int {
+			n := 0
+			for {
+				r := h.enter(0, time.Hour)
+				if !r.granted {
+					h.gate.Leave(&r.ticket)
+					return n
 				}
-			}()
-			synctest.Wait()
+				_ = h.gate.Start(&r.ticket, h.conn)
+				running = append(running, r)
+				n++
+			}
+		}
+		admit()
+		over := 0
+		for i := 0; h.gate.Snapshot().State != StateCold; i++ {
+			if i < slots {
+				time.Sleep(normal / slots)
+			} else {
+				time.Sleep(3 * normal)
+			}
+			h.gate.End(&running[0].ticket, OutcomeDone, "p1")
+			running = running[1:]
+			over += admit()
+		}
+		if bound := slots + int(evidenceLimit); over > bound {
+			t.Fatalf("%d requests arrived over the cold limit, want at most %d", over, bound)
+		}
+		if h.gate.Snapshot().Cause != CauseSlow {
+			t.Fatalf("cause %s, want slow", h.gate.Snapshot().Cause)
+		}
+		for len(running) > 1 {
+			h.gate.End(&running[0].ticket, OutcomeDone, "p1")
+			running = running[1:]
+			if admit() > 0 {
+				t.Fatal("admitted over the cold limit after the turn was noticed")
+			}
+		}
+	})
+}
+
+func TestStragglersDoNotTurnItCold(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(Limits{
+			Slots: 2,
+			Cold:  1,
+		})
+		h.warm()
+		for range 20 {
+			h.serve(40, 10*time.Millisecond)
+			h.serve(2, 200*time.Millisecond)
+		}
+		if s := h.gate.Snapshot(); s.State != StateWarm {
+			t.Fatalf("state %s by %s, want warm", s.State, s.Cause)
+		}
+	})
+}
+
+func TestLastingSlownessIsLearned(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(Limits{
+			Slots: 2,
+			Cold:  1,
+		})
+		h.warm()
+		h.serve(10, 50*time.Millisecond)
+		if h.gate.Snapshot().State != StateCold {
+			t.Fatal("five times the service time must be taken for a cold turn")
 		}
-		g.Release("p")
-		if first := <-order; first != 1 {
-			t.Fatalf("waiter %d went first, want the one due earlier", first)
+		h.serve(2000, 50*time.Millisecond)
+		if s := h.gate.Snapshot(); s.State != StateWarm {
+			t.Fatalf("state %s by %s, want warm", s.State, s.Cause)
 		}
-		<-order
 	})
 }
--- /dev/null
+++ b/core/request/zlaggr/sub.go
@@ -0,0 +1,216 @@
+package zlaggr
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"zinnialock/core/connection/zlgate"
+	"zinnialock/core/request/zlquery"
+	"zinnialock/core/version/zlcatalog"
+)
+
+// sub is one sub-request being served. It is the entrant at the gate and the
+// permit of its own call.
+type sub struct {
+	work     *Work
+	ask      *zlquery.Sub
+	upstream zlcatalog.Upstream
+	// guard is set once the sub-request has entered it.
+	guard  atomic.Pointer[zlgate.Gate]
+	ticket zlgate.Ticket
+	fetch  Fetch
+	// gaveUp is set before the guard is looked at, so that a sub-request that
+	// was given up is never entered.
+	gaveUp atomic.Bool
+	over   atomic.Bool
+}
+
+// begin checks whether this daemon may serve the sub-request and enters it at
+// its upstream's gate.
+func (s *sub) begin() {
+	a := s.work.aggregator
+	u, grant, reason := s.check()
+	if reason != zlquery.ReasonNone {
+		s.reply(notRun(reason, 0))
+		return
+	}
+	s.upstream = u
+	deadline := grant.cut(s.work.deadline)
+	s.prepare(deadline)
+	gate := a.gate(&s.upstream, &grant)
+	s.guard.Store(gate)
+	if s.gaveUp.Load() {
+		return
+	}
+	if deadline.Before(s.work.deadline) {
+		a.Timer.Call(deadline.Sub(a.Timer.Now()), func() {
+			s.giveUp(zlquery.ReasonDeadline)
+		})
+	}
+	gate.Enter(&s.ticket)
+}
+
+// check tells why nothing may be sent now, if so.
+func (s *sub) check() (zlcatalog.Upstream, Grant, zlquery.Reason) {
+	a := s.work.aggregator
+	view := a.Views.Load()
+	if view == nil {
+		return zlcatalog.Upstream{}, Grant{}, zlquery.ReasonNoReplica
+	}
+	u, ok := view.Upstream(s.ask.Upstream)
+	if !ok {
+		return zlcatalog.Upstream{}, Grant{}, zlquery.ReasonNoReplica
+	}
+	if holders := view.Holders(u.Name); len(holders) == 0 || holders[0] != a.Self {
+		return zlcatalog.Upstream{}, Grant{}, zlquery.ReasonNotHolder
+	}
+	if view.Marks.UpstreamOut(u.Name, u.DataCentre) {
+		return zlcatalog.Upstream{}, Grant{}, zlquery.ReasonMarkedOut
+	}
+	if u.Leaving {
+		return zlcatalog.Upstream{}, Grant{}, zlquery.ReasonDraining
+	}
+	grant := a.grant(u)
+	return u, grant, grant.Refusal
+}
+
+func (s *sub) prepare(deadline time.Time) {
+	b := s.work.batch
+	s.ticket.Kind = b.Kind
+	s.ticket.Value = zlgate.ValueOf(b.Priority, rankOf(s.ask), b.Query)
+	s.ticket.Deadline = deadline
+	s.ticket.Entrant = s
+	s.fetch.Query = b.Query
+	s.fetch.Request = b.Request
+	s.fetch.Shard = s.ask.Shard
+	s.fetch.Version = s.ask.Version
+	s.fetch.Text = b.Text
+	s.fetch.Idempotent = b.Idempotent
+	s.fetch.Deadline = deadline
+	s.fetch.Permit = s
+}
+
+func rankOf(ask *zlquery.Sub) zlgate.Rank {
+	switch {
+	case ask.Hedge:
+		return zlgate.RankHedge
+	case ask.Retry:
+		return zlgate.RankRetry
+	default:
+		return zlgate.RankFirst
+	}
+}
+
+// Granted implements zlgate.Entrant.
+func (s *sub) Granted() {
+	s.work.aggregator.fetches.Add(1)
+	go s.run()
+}
+
+// Refused implements zlgate.Entrant.
+func (s *sub) Refused(reason zlquery.Reason, retryAfter time.Duration) {
+	s.reply(notRun(reason, retryAfter))
+}
+
+// Gate implements Permit.
+func (s *sub) Gate() *zlgate.Gate {
+	return s.guard.Load()
+}
+
+// Start implements Permit: the last check before the first byte.
+func (s *sub) Start(c *zlgate.Conn) zlquery.Reason {
+	_, grant, reason := s.check()
+	if reason != zlquery.ReasonNone {
+		return reason
+	}
+	if grant.cut(s.fetch.Deadline).Before(s.fetch.Deadline) {
+		// The deadline that would be sent is past what may be held.
+		return zlquery.ReasonNotHolder
+	}
+	if !s.work.aggregator.Timer.Now().Before(s.fetch.Deadline) {
+		return zlquery.ReasonDeadline
+	}
+	return s.Gate().Start(&s.ticket, c)
+}
+
+func (s *sub) run() {
+	a := s.work.aggregator
+	defer a.fetches.Done()
+	fetched := a.Fetcher.Fetch(context.Background(), s.upstream, &s.fetch)
+	took := s.Gate().End(&s.ticket, outcomeOf(&fetched), fetched.Process)
+	if done, ok := fetched.Result.(zlquery.Done); ok {
+		done.Service = took
+		fetched.Result = done
+	}
+	s.reply(fetched.Result)
+}
+
+// giveUp replies at once; the call, if out, ends on its own.
+func (s *sub) giveUp(reason zlquery.Reason) {
+	if s.over.Load() {
+		return
+	}
+	s.gaveUp.Store(true)
+	gate := s.guard.Load()
+	unsent := gate == nil || gate.Leave(&s.ticket)
+	s.fetch.Abandon()
+	if unsent {
+		s.reply(notRun(reason, 0))
+		return
+	}
+	s.reply(zlquery.Unknown{
+		Reason: reason,
+	})
+}
+
+// reply hands over the one reply; later ones are dropped.
+func (s *sub) reply(result zlquery.Result) {
+	if !s.over.CompareAndSwap(false, true) {
+		return
+	}
+	s.work.sink(zlquery.Reply{
+		Query:  s.work.batch.Query,
+		Sub:    s.ask.ID,
+		Result: result,
+	})
+	s.work.replied()
+}
+
+func outcomeOf(f *Fetched) zlgate.Outcome {
+	switch result := f.Result.(type) {
+	case zlquery.Done:
+		return zlgate.OutcomeDone
+	case zlquery.NotRun:
+		return refusalOutcome(result.Reason)
+	case zlquery.Unknown:
+		switch result.Reason {
+		case zlquery.ReasonCancelled, zlquery.ReasonDeadline:
+			return zlgate.OutcomeGivenUp
+		case zlquery.ReasonShed, zlquery.ReasonDraining:
+			return refusalOutcome(result.Reason)
+		default:
+			return zlgate.OutcomeFailed
+		}
+	default:
+		return zlgate.OutcomeFailed
+	}
+}
+
+func refusalOutcome(reason zlquery.Reason) zlgate.Outcome {
+	switch reason {
+	case zlquery.ReasonShed:
+		return zlgate.OutcomeShed
+	case zlquery.ReasonDraining:
+		return zlgate.OutcomeDraining
+	default:
+		return zlgate.OutcomeRefused
+	}
+}
+
+func notRun(reason zlquery.Reason, retryAfter time.Duration) zlquery.Result {
+	return zlquery.NotRun{
+		Reason:     reason,
+		RetryAfter: retryAfter,
+	}
+}
--- a/core/request/zlaggr/zlaggr.go
+++ b/core/request/zlaggr/zlaggr.go
@@ -4,8 +4,8 @@
 
 import (
 	"context"
+	"sort"
 	"sync"
-	"time"
 
 	"zinnialock/core/connection/zlgate"
 	"zinnialock/core/process/zltimer"
@@ -17,31 +17,6 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// Fetch is one call to an upstream.
-type Fetch struct {
-	Query      zlunit.QueryID
-	Request    zlunit.RequestID
-	Shard      zlunit.Shard
-	Version    zlunit.IndexVersion
-	Text       string
-	Idempotent bool
-	Deadline   time.Time
-}
-
-// Fetched is the result of a Fetch.
-type Fetched struct {
-	Result zlquery.Result
-	// Process is the upstream's identity, when it said so.
-	Process zlunit.Process
-	// Broken tells that a connection broke or could not be made.
-	Broken bool
-}
-
-// Fetcher calls upstreams.
-type Fetcher interface {
-	Fetch(ctx context.Context, u zlcatalog.Upstream, f *Fetch) Fetched
-}
-
 const tableShards = 64
 
 type tableShard struct {
@@ -49,7 +24,8 @@
 	gates map[zlunit.Upstream]*zlgate.Gate
 }
 
-// Aggregator serves batches. All exported fields must be set before use.
+// Aggregator serves batches. All exported fields must be set before use, but
+// for those that may be nil.
 type Aggregator struct {
 	Self    zlunit.VM
 	Timer   *zltimer.Service
@@ -57,99 +33,29 @@
 	Fetcher Fetcher
 	// Tenure may be nil, which grants everything.
 	Tenure Tenure
-
-	shards [tableShards]tableShard
+	// Counter counts what gates refuse; it may be nil.
+	Counter zlgate.Counter
+	// Changed is called after each change of an upstream's state; it may be
+	// nil.
+	Changed func(zlgate.Change)
+
+	shards  [tableShards]tableShard
+	fetches sync.WaitGroup
 }
 
-// Work is a batch being served.
-type Work struct {
-	cancels map[zlunit.SubID]context.CancelFunc
-	wg      sync.WaitGroup
-}
-
-// Cancel gives up one sub-request; its reply still comes.
-func (w *Work) Cancel(sub zlunit.SubID) {
-	if cancel, ok := w.cancels[sub]; ok {
-		cancel()
-	}
+// Wait returns once no call to an upstream is left.
+func (a *Aggregator) Wait() {
+	a.fetches.Wait()
 }
 
-// Wait returns once every reply was handed over.
-func (w *Work) Wait() {
-	w.wg.Wait()
-}
-
-// Serve starts the sub-requests of batch; sink gets one reply for each. Ctx
-// ends them all.
+// Serve starts the sub-requests of batch; sink gets one reply for each, on any
+// goroutine. Ctx ends them all.
 func (a *Aggregator) Serve(ctx context.Context, batch *zlquery.Batch, sink func(zlquery.Reply)) *Work {
-	deadline := a.Timer.Now().Add(batch.Left)
-	w := &Work{
-		cancels: make(map[zlunit.SubID]context.CancelFunc, len(batch.Subs)),
-	}
-	contexts := make([]context.Context, len(batch.Subs))
-	for i, sub := range batch.Subs {
-		contexts[i], w.cancels[sub.ID] = context.WithCancel(ctx)
-	}
-	for i, sub := range batch.Subs {
-		cancel := w.cancels[sub.ID]
-		w.wg.Go(func() {
-			defer cancel()
-			sink(zlquery.Reply{
-				Query:  batch.Query,
-				Sub:    sub.ID,
-				Result: a.serveSub(contexts[i], batch, sub, deadline),
-			})
-		})
-	}
+	w := newWork(a, batch, sink)
+	w.start(ctx)
 	return w
 }
 
-func (a *Aggregator) serveSub(ctx context.Context, batch *zlquery.Batch, sub zlquery.Sub, deadline time.Time) zlquery.Result {
-	view := a.Views.Load()
-	u, ok := view.Upstream(sub.Upstream)
-	if !ok {
-		return notRun(zlquery.ReasonNoReplica)
-	}
-	if holders := view.Holders(u.Name); len(holders) == 0 || holders[0] != a.Self {
-		return notRun(zlquery.ReasonNotHolder)
-	}
-	if view.Marks.UpstreamOut(u.Name, u.DataCentre) {
-		return notRun(zlquery.ReasonMarkedOut)
-	}
-	grant := a.grant(u)
-	if grant.Refusal != zlquery.ReasonNone {
-		return notRun(grant.Refusal)
-	}
-	deadline = grant.cut(deadline)
-	gate := a.gate(u, &grant)
-	if reason := gate.Admit(ctx, deadline); reason != zlquery.ReasonNone {
-		return notRun(reason)
-	}
-	grant = a.grant(u)
-	if grant.Refusal != zlquery.ReasonNone {
-		gate.ReleaseFailed(false)
-		return notRun(grant.Refusal)
-	}
-	deadline = grant.cut(deadline)
-	start := a.Timer.Now()
-	fetched := a.Fetcher.Fetch(ctx, u, &Fetch{
-		Query:      batch.Query,
-		Request:    batch.Request,
-		Shard:      sub.Shard,
-		Version:    sub.Version,
-		Text:       batch.Text,
-		Idempotent: batch.Idempotent,
-		Deadline:   deadline,
-	})
-	if done, ok := fetched.Result.(zlquery.Done); ok {
-		done.Service = a.Timer.Now().Sub(start)
-		gate.Release(fetched.Process)
-		return done
-	}
-	gate.ReleaseFailed(fetched.Broken || shed(fetched.Result))
-	return fetched.Result
-}
-
 func (a *Aggregator) grant(u zlcatalog.Upstream) Grant {
 	if a.Tenure == nil {
 		return AlwaysTenure{}.Grant(u)
@@ -158,34 +64,62 @@
 }
 
 // gate returns the gate of an upstream, made on first use.
-func (a *Aggregator) gate(u zlcatalog.Upstream, grant *Grant) *zlgate.Gate {
-	s := &a.shards[xxhash.Sum64String(string(u.Name))%tableShards]
+func (a *Aggregator) gate(u *zlcatalog.Upstream, grant *Grant) *zlgate.Gate {
+	g := a.find(u.Name)
+	g.SetLimits(zlgate.Limits{
+		Slots:       grant.Slots,
+		Cold:        grant.Cold,
+		Connections: grant.Connections,
+	})
+	return g
+}
+
+func (a *Aggregator) find(name zlunit.Upstream) *zlgate.Gate {
+	s := &a.shards[xxhash.Sum64String(string(name))%tableShards]
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	g, ok := s.gates[u.Name]
+	g, ok := s.gates[name]
 	if !ok {
 		if s.gates == nil {
 			s.gates = map[zlunit.Upstream]*zlgate.Gate{}
 		}
 		g = &zlgate.Gate{
-			Timer: a.Timer,
+			Name:    name,
+			Timer:   a.Timer,
+			Counter: a.Counter,
+			Changed: a.Changed,
 		}
-		s.gates[u.Name] = g
+		s.gates[name] = g
 	}
-	g.SetLimits(zlgate.Limits{
-		Slots: grant.Slots,
-		Cold:  grant.Cold,
-	})
 	return g
 }
 
-func shed(result zlquery.Result) bool {
-	refused, ok := result.(zlquery.NotRun)
-	return ok && refused.Reason == zlquery.ReasonShed
+// Snapshot returns the status of every upstream that this daemon has spoken
+// to, by name.
+func (a *Aggregator) Snapshot() []zlgate.Status {
+	var out []zlgate.Status
+	for i := range a.shards {
+		s := &a.shards[i]
+		s.mu.Lock()
+		for _, g := range s.gates {
+			out = append(out, g.Snapshot())
+		}
+		s.mu.Unlock()
+	}
+	sort.Slice(out, func(i, j int) bool {
+		return out[i].Upstream < out[j].Upstream
+	})
+	return out
 }
 
-func notRun(reason zlquery.Reason) zlquery.Result {
-	return zlquery.NotRun{
-		Reason: reason,
+// States counts the upstreams in each state.
+func (a *Aggregator) States() map[zlgate.State]int {
+	out := map[zlgate.State]int{}
+	for _, s := range zlgate.States() {
+		out[s] = 0
+	}
+	for _, s := range a.Snapshot() {
+		out[s.State]++
 	}
+	return out
 }
--- a/core/request/zlquery/zlquery.go
+++ b/core/request/zlquery/zlquery.go
@@ -105,6 +105,9 @@
 	Version  zlunit.IndexVersion `cbor:"4,keyasint"`
 	// Hedge tells that another sub-request for the shard is already out.
 	Hedge bool `cbor:"5,keyasint,omitempty"`
+	// Retry tells that an earlier sub-request for the shard ended without a
+	// part.
+	Retry bool `cbor:"6,keyasint,omitempty"`
 }
 
 // Batch carries the sub-requests of one query to one aggregator.
@@ -118,6 +121,8 @@
 	// Left is the time to the deadline when the batch was sent.
 	Left time.Duration `cbor:"7,keyasint"`
 	Subs []Sub         `cbor:"8,keyasint"`
+	// Priority ranks the query under overload, from 0 to 9.
+	Priority int `cbor:"9,keyasint,omitempty"`
 }
 
 // Reply is the result of one Sub.
--- a/io/request/zlupcall/zlupcall.go
+++ b/io/request/zlupcall/zlupcall.go
@@ -1,102 +1,114 @@
-// Package zlupcall calls upstreams over HTTP with JSON bodies.
+// Package zlupcall calls upstreams over HTTP with JSON bodies. It keeps a pool
+// of connections for each upstream and reports their life to the gate.
 package zlupcall
 
 import (
 	"bytes"
 	"context"
 	"encoding/json"
-	"errors"
 	"io"
 	"net/http"
-	"net/http/httptrace"
 	"sync"
-	"sync/atomic"
 	"time"
 
+	"zinnialock/core/connection/zlgate"
 	"zinnialock/core/process/zlunit"
 	"zinnialock/core/request/zlaggr"
 	"zinnialock/core/request/zlquery"
 	"zinnialock/core/version/zlcatalog"
 )
 
-// Query is the body of a call to an upstream.
-type Query struct {
-	QueryID    zlunit.QueryID      `json:"queryId"`
-	RequestID  zlunit.RequestID    `json:"requestId"`
-	Shard      zlunit.Shard        `json:"shard"`
-	Version    zlunit.IndexVersion `json:"version"`
-	Text       string              `json:"text"`
-	Idempotent bool                `json:"idempotent"`
-	// DeadlineMs is the time left, in milliseconds.
-	DeadlineMs int64 `json:"deadlineMs"`
-}
-
-// Rows is the body of an upstream's answer.
-type Rows struct {
-	QueryID  zlunit.QueryID      `json:"queryId"`
-	Upstream zlunit.Upstream     `json:"upstream"`
-	Process  zlunit.Process      `json:"process"`
-	Shard    zlunit.Shard        `json:"shard"`
-	Version  zlunit.IndexVersion `json:"version"`
-	Coverage zlunit.Coverage     `json:"coverage"`
-	Rows     []string            `json:"rows"`
-}
-
-// Refusal is the body of an upstream's refusal.
-type Refusal struct {
-	Reason  zlquery.Reason `json:"reason"`
-	Process zlunit.Process `json:"process"`
-	// Started tells whether the work had begun.
-	Started      bool  `json:"started"`
-	RetryAfterMs int64 `json:"retryAfterMs,omitempty"`
-}
-
 // Path is where upstreams take queries.
 const Path = "/query"
 
-// maxReply bounds an upstream's reply, in bytes.
-const maxReply = 8 << 20
+const (
+	// maxReply bounds an upstream's reply, in bytes.
+	maxReply = 8 << 20
+	// dialLimit bounds the making of a connection.
+	dialLimit = time.Second
+	// lingerLimit bounds the wait, past the deadline, for the upstream to
+	// confirm that it stopped.
+	lingerLimit = time.Second
+	// idleLimit is how long an unused connection is kept.
+	idleLimit = 20 * time.Second
+	// maxTries bounds the connections tried for one call.
+	maxTries = 3
+)
 
 // Caller calls upstreams and keeps their connections. The zero value is ready
 // for use; Close ends it.
 type Caller struct {
-	mu      sync.Mutex
-	clients map[zlunit.Upstream]*http.Client
+	mu     sync.Mutex
+	pools  map[zlunit.Upstream]*pool
+	closed bool
 }
 
-func (c *Caller) client(u zlcatalog.Upstream) *http.Client {
+var _ zlaggr.Fetcher = (*Caller)(nil)
+
+func (c *Caller) pool(u *zlcatalog.Upstream, gate *zlgate.Gate) *pool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if client, ok := c.clients[u.Name]; ok {
-		return client
-	}
-	if c.clients == nil {
-		c.clients = map[zlunit.Upstream]*http.Client{}
-	}
-	client := &http.Client{
-		Transport: &http.Transport{
-			MaxConnsPerHost:     int(u.Connections),
-			MaxIdleConnsPerHost: int(u.Connections),
-			IdleConnTimeout:     time.Minute,
-			DisableCompression:  true,
-		},
-	}
-	c.clients[u.Name] = client
-	return client
+	p, ok := c.pools[u.Name]
+	if ok && p.address == u.Address {
+		return p
+	}
+	if ok {
+		go p.retire()
+	}
+	if c.pools == nil {
+		c.pools = map[zlunit.Upstream]*pool{}
+	}
+	p = newPool(u, gate)
+	p.closed = c.closed
+	c.pools[u.Name] = p
+	return p
 }
 
-// Close drops all idle connections.
+// Close drops all connections; calls in flight fail.
 func (c *Caller) Close() {
 	c.mu.Lock()
-	defer c.mu.Unlock()
-	for _, client := range c.clients {
-		client.CloseIdleConnections()
+	c.closed = true
+	pools := make([]*pool, 0, len(c.pools))
+	for _, p := range c.pools {
+		pools = append(pools, p)
+	}
+	c.mu.Unlock()
+	for _, p := range pools {
+		p.close()
 	}
 }
 
-// Fetch implements zlaggr.Fetcher.
+// Fetch implements zlaggr.Fetcher. Without a permit it returns at the latest
+// at the deadline or the end of ctx.
 func (c *Caller) Fetch(ctx context.Context, u zlcatalog.Upstream, f *zlaggr.Fetch) zlaggr.Fetched {
-	left := time.Until(f.Deadline)
+	var gate *zlgate.Gate
+	if f.Permit != nil {
+		gate = f.Permit.Gate()
+	} else {
+		limited, cancel := context.WithDeadline(ctx, f.Deadline)
+		defer cancel()
+		ctx = limited
+	}
+	if ctx.Done() != nil {
+		stop := context.AfterFunc(ctx, f.Abandon)
+		defer stop()
+	}
+	p := c.pool(&u, gate)
+	for range maxTries {
+		conn, reason := p.acquire(ctx, f)
+		if reason != zlquery.ReasonNone {
+			return notRun(reason, 0, "")
+		}
+		if fetched, sent := p.try(conn, f); sent {
+			return fetched
+		}
+	}
+	return notRun(zlquery.ReasonConnectionReset, 0, "")
+}
+
+// try runs f on conn. It reports false if the connection had ended before
+// anything was sent, so that another one may be tried.
+func (p *pool) try(conn *conn, f *zlaggr.Fetch) (zlaggr.Fetched, bool) {
 	body, err := json.Marshal(Query{
 		QueryID:    f.Query,
 		RequestID:  f.Request,
@@ -104,120 +116,91 @@
 		Version:    f.Version,
 		Text:       f.Text,
 		Idempotent: f.Idempotent,
-		DeadlineMs: left.Milliseconds(),
+		DeadlineMs: max(time.Until(f.Deadline).Milliseconds(), 1),
 	})
 	if err != nil {
-		return notRun(zlquery.ReasonBadRequest)
-	}
-	var wrote atomic.Bool
-	ctx, cancel := context.WithTimeout(ctx, left)
-	defer cancel()
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		// The connection is handed over before the first byte is written.
-		GotConn: func(httptrace.GotConnInfo) {
-			wrote.Store(true)
-		},
-	})
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+u.Address+Path, bytes.NewReader(body))
-	if err != nil {
-		return notRun(zlquery.ReasonBadRequest)
+		p.release(conn)
+		return notRun(zlquery.ReasonBadRequest, 0, ""), true
 	}
-	if !f.Idempotent {
-		// Without it the transport cannot send the request a second time.
-		req.GetBody = nil
+	fl := conn.begin(f)
+	if !f.HaltBy(fl) {
+		conn.finish(fl)
+		p.release(conn)
+		return notRun(zlquery.ReasonCancelled, 0, ""), true
 	}
-	resp, err := c.client(u).Do(req)
+	resp, err := conn.client.RoundTrip(p.request(body))
 	if err != nil {
-		return failed(err, wrote.Load())
-	}
-	defer func() {
-		_ = resp.Body.Close()
-	}()
-	data, err := io.ReadAll(io.LimitReader(resp.Body, maxReply))
-	if err != nil {
-		return failed(err, true)
-	}
-	if resp.StatusCode != http.StatusOK {
-		return refused(data)
-	}
-	return done(data, u.Name, f)
-}
-
-func notRun(reason zlquery.Reason) zlaggr.Fetched {
-	return zlaggr.Fetched{
-		Result: zlquery.NotRun{
-			Reason: reason,
-		},
+		conn.finish(fl)
+		_ = conn.Close()
+		if fl.clean() && !f.Abandoned() {
+			return zlaggr.Fetched{}, false
+		}
+		return failed(fl, f), true
 	}
+	return p.read(conn, fl, resp, f), true
 }
 
-func unknown(reason zlquery.Reason) zlaggr.Fetched {
-	return zlaggr.Fetched{
-		Result: zlquery.Unknown{
-			Reason: reason,
-		},
+func (p *pool) request(body []byte) *http.Request {
+	return &http.Request{
+		Method:        http.MethodPost,
+		URL:           p.target,
+		Proto:         "HTTP/1.1",
+		ProtoMajor:    1,
+		ProtoMinor:    1,
+		Header:        p.header,
+		Body:          io.NopCloser(bytes.NewReader(body)),
+		ContentLength: int64(len(body)),
+		Host:          p.address,
 	}
 }
 
-// failed classifies a transport error; wrote tells that bytes may be out.
-func failed(err error, wrote bool) zlaggr.Fetched {
-	reason := zlquery.ReasonConnectionReset
-	broken := true
-	switch {
-	case errors.Is(err, context.DeadlineExceeded):
-		reason = zlquery.ReasonDeadline
-		broken = false
-	case errors.Is(err, context.Canceled):
-		reason = zlquery.ReasonCancelled
-		broken = false
-	}
-	out := unknown(reason)
-	if !wrote {
-		if broken {
-			reason = zlquery.ReasonDialFailed
+func (p *pool) read(conn *conn, fl *flight, resp *http.Response, f *zlaggr.Fetch) zlaggr.Fetched {
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxReply+1))
+	_ = resp.Body.Close()
+	halted := conn.finish(fl)
+	if err != nil {
+		_ = conn.Close()
+		return failed(fl, f)
+	}
+	if len(data) > maxReply {
+		_ = conn.Close()
+		return unknown(zlquery.ReasonBadReply, "")
+	}
+	out := classify(resp.StatusCode, data, p.name, f)
+	if isBadReply(out.Result) {
+		_ = conn.Close()
+		if halted {
+			return failed(fl, f)
 		}
-		out = notRun(reason)
+		return out
 	}
-	out.Broken = broken
+	conn.mark.Prove(out.Process)
+	defer p.kick()
+	if halted || resp.Close {
+		_ = conn.Close()
+		return out
+	}
+	p.release(conn)
 	return out
 }
 
-func refused(data []byte) zlaggr.Fetched {
-	var r Refusal
-	if err := json.Unmarshal(data, &r); err != nil || r.Reason == zlquery.ReasonNone {
-		return unknown(zlquery.ReasonBadReply)
-	}
-	if r.Started {
-		return unknown(r.Reason)
+// failed classifies a call whose connection ended or was given up.
+func failed(fl *flight, f *zlaggr.Fetch) zlaggr.Fetched {
+	refusal, wrote, halted := fl.result()
+	given := zlquery.ReasonCancelled
+	if !time.Now().Before(f.Deadline) {
+		given = zlquery.ReasonDeadline
 	}
-	return zlaggr.Fetched{
-		Result: zlquery.NotRun{
-			Reason:     r.Reason,
-			RetryAfter: time.Duration(r.RetryAfterMs) * time.Millisecond,
-		},
-		Process: r.Process,
-	}
-}
-
-// done checks that the reply is the one to this very call.
-func done(data []byte, name zlunit.Upstream, f *zlaggr.Fetch) zlaggr.Fetched {
-	var rows Rows
-	if err := json.Unmarshal(data, &rows); err != nil {
-		return unknown(zlquery.ReasonBadReply)
-	}
-	if rows.QueryID != f.Query || rows.Shard != f.Shard || rows.Version != f.Version || rows.Upstream != name {
-		return unknown(zlquery.ReasonBadReply)
-	}
-	return zlaggr.Fetched{
-		Result: zlquery.Done{
-			Part: zlquery.Part{
-				Shard:    rows.Shard,
-				Version:  rows.Version,
-				Upstream: rows.Upstream,
-				Coverage: rows.Coverage,
-				Rows:     rows.Rows,
-			},
-		},
-		Process: rows.Process,
+	switch {
+	case refusal != zlquery.ReasonNone:
+		return notRun(refusal, 0, "")
+	case !wrote && halted:
+		return notRun(given, 0, "")
+	case !wrote:
+		return notRun(zlquery.ReasonConnectionReset, 0, "")
+	case halted:
+		return unknown(given, "")
+	default:
+		return unknown(zlquery.ReasonConnectionReset, "")
 	}
 }
--- /dev/null
+++ b/io/request/zlupcall/zlupcall_test.go
@@ -0,0 +1,189 @@
+package zlupcall_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"zinnialock/core/process/zltimer"
+	"zinnialock/core/process/zlunit"
+	"zinnialock/core/request/zlaggr"
+	"zinnialock/core/request/zlquery"
+	"zinnialock/core/version/zlcatalog"
+	"zinnialock/core/version/zlroster"
+	"zinnialock/core/version/zlview"
+	"zinnialock/io/request/zlupcall"
+	"zinnialock/io/standin/zlfakeupstream"
+)
+
+func newUpstream(t *testing.T, edit func(*zlfakeupstream.Settings)) *zlfakeupstream.Upstream {
+	t.Helper()
+	u := &zlfakeupstream.Upstream{
+		Address: "127.0.0.1:0",
+		Seed:    1,
+		Settings: zlfakeupstream.Settings{
+			Name:        "u",
+			Service:     "s",
+			Slots:       4,
+			Connections: 10,
+			ColdLimit:   1,
+			ColdWork:    20,
+			ServiceMs:   1,
+			QueueLimit:  64,
+			Shards: map[zlunit.IndexVersion][]zlunit.Shard{
+				1: {0},
+			},
+		},
+	}
+	if edit != nil {
+		edit(&u.Settings)
+	}
+	if err := u.Run(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(u.Close)
+	return u
+}
+
+func newAggregator(t *testing.T, u *zlfakeupstream.Upstream) *zlaggr.Aggregator {
+	t.Helper()
+	view := &zlview.View{
+		Home: "dc",
+		Catalogs: map[zlunit.Service]*zlcatalog.Catalog{
+			"s": {
+				Service: "s",
+				Upstreams: []zlcatalog.Upstream{
+					{
+						Name:        "u",
+						DataCentre:  "dc",
+						Address:     u.Address,
+						Slots:       u.Settings.Slots,
+						Connections: u.Settings.Connections,
+						ColdLimit:   u.Settings.ColdLimit,
+					},
+				},
+			},
+		},
+		Rosters: map[zlunit.DataCentre]zlroster.Roster{
+			"dc": {
+				Members: []zlroster.Member{
+					{
+						VM: "vm",
+					},
+				},
+			},
+		},
+	}
+	views := &zlview.Holder{}
+	views.Store(view.Build())
+	calls := &zlupcall.Caller{}
+	a := &zlaggr.Aggregator{
+		Self:    "vm",
+		Timer:   &zltimer.Service{},
+		Views:   views,
+		Fetcher: calls,
+	}
+	t.Cleanup(func() {
+		calls.Close()
+		a.Wait()
+	})
+	return a
+}
+
+var queryNumber atomic.Int64
+
+// ask runs one sub-request and returns its result.
+func ask(a *zlaggr.Aggregator, idempotent bool, left, cancelAfter time.Duration) zlquery.Result {
+	results := make(chan zlquery.Result, 1)
+	id := fmt.Sprint(queryNumber.Add(1))
+	w := a.Serve(context.Background(), &zlquery.Batch{
+		Query:      zlunit.QueryID(id),
+		Request:    zlunit.RequestID(id),
+		Service:    "s",
+		Kind:       "k",
+		Idempotent: idempotent,
+		Left:       left,
+		Subs: []zlquery.Sub{
+			{
+				Upstream: "u",
+				Version:  1,
+			},
+		},
+	}, func(r zlquery.Reply) {
+		results <- r.Result
+	})
+	if cancelAfter > 0 {
+		stop := time.AfterFunc(cancelAfter, func() {
+			w.Cancel(0)
+		})
+		defer stop.Stop()
+	}
+	return <-results
+}
+
+// load asks from several goroutines until stop is closed, cancelling some.
+func load(a *zlaggr.Aggregator, stop chan struct{}, cancel bool) *sync.WaitGroup {
+	var wg sync.WaitGroup
+	for i := range 16 {
+		wg.Go(func() {
+			for {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				after := time.Duration(0)
+				if cancel && i%4 == 0 {
+					after = 2 * time.Millisecond
+				}
+				ask(a, i%2 == 0, 200*time.Millisecond, after)
+			}
+		})
+	}
+	return &wg
+}
+
+func waitDone(u *zlfakeupstream.Upstream, more int64) {
+	from := u.Counts().Done
+	for u.Counts().Done < from+more {
+		time.Sleep(time.Millisecond)
+	}
+}
+
+func TestRestartsUnderFullLoadStayWithinTheColdLimit(t *testing.T) {
+	for _, anonymous := range []bool{false, true} {
+		for _, cancel := range []bool{false, true} {
+			t.Run(fmt.Sprintf("anonymous %v cancel %v", anonymous, cancel), func(t *testing.T) {
+				u := newUpstream(t, func(s *zlfakeupstream.Settings) {
+					s.Anonymous = anonymous
+				})
+				a := newAggregator(t, u)
+				stop := make(chan struct{})
+				wg := load(a, stop, cancel)
+				for range 5 {
+					waitDone(u, 200)
+					u.GoCold(true)
+				}
+				waitDone(u, 100)
+				close(stop)
+				wg.Wait()
+				c := u.Counts()
+				if c.ColdPeak > int(c.ColdLimit) || c.RefusedConns > 0 || len(c.Doubled) > 0 {
+					t.Fatalf("%+v", c)
+				}
+				if c.Peak < 2 {
+					t.Fatalf("peak %d: it never got warm, so the test shows nothing", c.Peak)
+				}
+			})
+		}
+	}
+}
+
+func TestMain(m *testing.M) {
+	goleak.VerifyTestMain(m)
+}
--- a/io/standin/zlfakeupstream/control.go
+++ b/io/standin/zlfakeupstream/control.go
@@ -2,9 +2,13 @@
 
 import (
 	"encoding/json"
-	"net"
+	"maps"
 	"net/http"
+	"strconv"
+	"strings"
 	"time"
+
+	"zinnialock/core/process/zlunit"
 )
 
 // Load is what the load endpoint reports.
@@ -12,30 +16,91 @@
 	Load float64 `json:"load"`
 }
 
+// Runs is how often the shards of a request ran.
+type Runs struct {
+	Request zlunit.RequestID     `json:"request"`
+	Shards  map[zlunit.Shard]int `json:"shards"`
+}
+
 func reply(w http.ResponseWriter, value any) {
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(value)
 }
 
-func (u *Upstream) serveLoad(w http.ResponseWriter, _ *http.Request) {
+// loadSample is the share of busy slots from a moment on.
+type loadSample struct {
+	at    time.Time
+	value float64
+}
+
+// noteLoad records the share of busy slots; mu is held.
+func (u *Upstream) noteLoad() {
+	if u.Settings.LoadLagMs <= 0 {
+		u.loads = nil
+		return
+	}
+	u.loads = append(u.loads, loadSample{
+		at:    time.Now(),
+		value: u.load(),
+	})
+	u.trimLoads()
+}
+
+func (u *Upstream) load() float64 {
+	return float64(u.life.running) / float64(max(u.Settings.Slots, 1))
+}
+
+// trimLoads drops all samples before the one that is reported; mu is held.
+func (u *Upstream) trimLoads() {
+	lag := time.Duration(u.Settings.LoadLagMs * float64(time.Millisecond))
+	for len(u.loads) > 1 && time.Since(u.loads[1].at) >= lag {
+		u.loads = u.loads[1:]
+	}
+}
+
+// Load returns what the load endpoint reports.
+func (u *Upstream) Load() float64 {
 	u.mu.Lock()
-	l := Load{
-		Load: u.Settings.ReportedLoad,
+	defer u.mu.Unlock()
+	if u.Settings.ReportedLoad != 0 {
+		return u.Settings.ReportedLoad
 	}
-	u.mu.Unlock()
-	reply(w, l)
+	if u.Settings.LoadLagMs <= 0 {
+		return u.load()
+	}
+	u.trimLoads()
+	lag := time.Duration(u.Settings.LoadLagMs * float64(time.Millisecond))
+	if len(u.loads) == 0 || time.Since(u.loads[0].at) < lag {
+		return 0
+	}
+	return u.loads[0].value
+}
+
+func (u *Upstream) serveLoad(w http.ResponseWriter, _ *http.Request) {
+	reply(w, Load{
+		Load: u.Load(),
+	})
 }
 
 func (u *Upstream) serveCounts(w http.ResponseWriter, _ *http.Request) {
 	reply(w, u.Counts())
 }
 
+func (u *Upstream) serveRuns(w http.ResponseWriter, r *http.Request) {
+	id := zlunit.RequestID(r.URL.Query().Get("request"))
+	reply(w, Runs{
+		Request: id,
+		Shards:  u.Runs(id),
+	})
+}
+
 // serveSettings takes a JSON object of the settings to change.
 func (u *Upstream) serveSettings(w http.ResponseWriter, r *http.Request) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	next := u.Settings
-	d := json.NewDecoder(r.Body)
+	next.Shards = maps.Clone(u.Settings.Shards)
+	d := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxQuery))
 	d.DisallowUnknownFields()
 	if err := d.Decode(&next); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
@@ -54,63 +119,32 @@
 	u.Leave()
 }
 
-// cappedListener closes connections beyond the cap at once and delays new ones
-// by their cost.
-type cappedListener struct {
-	net.Listener
-	upstream *Upstream
-}
-
-// Accept implements net.Listener.
-func (l *cappedListener) Accept() (net.Conn, error) {
-	for {
-		conn, err := l.Listener.Accept()
-		if err != nil {
-			return nil, err
-		}
-		if c := l.upstream.admit(conn); c != nil {
-			return c, nil
-		}
-		_ = conn.Close()
+// serveLose takes ?version=N&shard=N.
+func (u *Upstream) serveLose(w http.ResponseWriter, r *http.Request) {
+	version, errVersion := strconv.ParseUint(r.URL.Query().Get("version"), 10, 64)
+	shard, errShard := strconv.ParseUint(r.URL.Query().Get("shard"), 10, 32)
+	if errVersion != nil || errShard != nil {
+		http.Error(w, "version and shard must be numbers", http.StatusBadRequest)
+		return
 	}
+	u.LoseShard(zlunit.IndexVersion(version), zlunit.Shard(shard))
 }
 
-func (u *Upstream) admit(conn net.Conn) net.Conn {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	if len(u.conns) >= int(u.Settings.Connections) {
-		u.counts.RefusedConns++
-		return nil
-	}
-	u.conns[conn] = true
-	u.counts.PeakConnections = max(u.counts.PeakConnections, len(u.conns))
-	return &countedConn{
-		Conn:     conn,
-		upstream: u,
-		cost:     time.Duration(u.Settings.ConnectMs * float64(time.Millisecond)),
+// serveRepartition takes ?version=N&shards=N,N and optionally &drop=true.
+func (u *Upstream) serveRepartition(w http.ResponseWriter, r *http.Request) {
+	version, err := strconv.ParseUint(r.URL.Query().Get("version"), 10, 64)
+	if err != nil {
+		http.Error(w, "version must be a number", http.StatusBadRequest)
+		return
 	}
-}
-
-// countedConn pays the cost of a new connection before its first read.
-type countedConn struct {
-	net.Conn
-	upstream *Upstream
-	cost     time.Duration
-}
-
-// Read implements net.Conn.
-func (c *countedConn) Read(data []byte) (int, error) {
-	if c.cost > 0 {
-		time.Sleep(c.cost)
-		c.cost = 0
+	var held []zlunit.Shard
+	for _, text := range strings.Split(r.URL.Query().Get("shards"), ",") {
+		n, err := strconv.ParseUint(text, 10, 32)
+		if err != nil {
+			http.Error(w, "shards must be numbers joined by commas", http.StatusBadRequest)
+			return
+		}
+		held = append(held, zlunit.Shard(n))
 	}
-	return c.Conn.Read(data)
-}
-
-// Close implements net.Conn.
-func (c *countedConn) Close() error {
-	c.upstream.mu.Lock()
-	delete(c.upstream.conns, c.Conn)
-	c.upstream.mu.Unlock()
-	return c.Conn.Close()
+	u.Repartition(zlunit.IndexVersion(version), held, r.URL.Query().Get("drop") == "true")
 }
--- a/io/standin/zlfakeupstream/zlfakeupstream.go
+++ b/io/standin/zlfakeupstream/zlfakeupstream.go
@@ -5,7 +5,7 @@
 
 import (
 	"context"
-	"encoding/json"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -13,9 +13,7 @@
 	"time"
 
 	"zinnialock/core/process/zlunit"
-	"zinnialock/core/request/zlquery"
 	"zinnialock/io/request/zlupcall"
-	"zinnialock/io/standin/zlcorpus"
 
 	"github.com/google/uuid"
 )
@@ -47,21 +45,30 @@
 	ShedShare float64 `json:"shedShare"`
 	// PartCoverage, if not 0, is the coverage it answers with.
 	PartCoverage zlunit.Coverage `json:"partCoverage"`
-	// ReportedLoad is what its load endpoint says, whatever the truth.
+	// ReportedLoad, if not 0, is what its load endpoint says, whatever the
+	// truth.
 	ReportedLoad float64 `json:"reportedLoad"`
+	// LoadLagMs is how old the load is that its load endpoint says.
+	LoadLagMs float64 `json:"loadLagMs"`
+	// Anonymous keeps its process identity out of its replies.
+	Anonymous bool `json:"anonymous"`
 }
 
 // Counts is what an upstream saw since it was made.
 type Counts struct {
-	Received        int64                         `json:"received"`
-	Done            int64                         `json:"done"`
-	Shed            int64                         `json:"shed"`
-	Cancelled       int64                         `json:"cancelled"`
+	Received  int64 `json:"received"`
+	Done      int64 `json:"done"`
+	Shed      int64 `json:"shed"`
+	Cancelled int64 `json:"cancelled"`
+	// ColdPeak is the largest number in flight when a request arrived while
+	// cold.
 	ColdPeak        int                           `json:"coldPeak"`
 	ColdLimit       zlunit.Slots                  `json:"coldLimit"`
 	Peak            int                           `json:"peak"`
 	PeakConnections int                           `json:"peakConnections"`
+	Connects        int64                         `json:"connects"`
 	RefusedConns    int64                         `json:"refusedConnections"`
+	Restarts        int64                         `json:"restarts"`
 	AfterLeaving    int64                         `json:"afterLeaving"`
 	LastReceived    time.Time                     `json:"lastReceived"`
 	Versions        map[zlunit.IndexVersion]int64 `json:"versions"`
@@ -76,19 +83,25 @@
 	// Address is where it listens; Run replaces a port of 0.
 	Address string
 
-	mu       sync.Mutex
-	random   *rand.Rand
+	mu     sync.Mutex
+	random *rand.Rand
+	life   *life
+	cold   int
+	leftAt time.Time
+	counts Counts
+	runs   map[runKey]int
+	loads  []loadSample
+	server *http.Server
+	done   chan struct{}
+}
+
+// life is what a restart ends: work and connections of one process.
+type life struct {
 	process  zlunit.Process
-	cold     int
 	inFlight int
 	running  int
 	waiting  []chan struct{}
-	leftAt   time.Time
-	counts   Counts
-	runs     map[runKey]int
-	conns    map[net.Conn]bool
-	server   *http.Server
-	done     chan struct{}
+	conns    map[*countedConn]bool
 }
 
 type runKey struct {
@@ -96,6 +109,8 @@
 	shard   zlunit.Shard
 }
 
+type connKey struct{}
+
 // Run listens and serves until Close; it returns once the listener is up.
 func (u *Upstream) Run() error {
 	listener, err := net.Listen("tcp", u.Address)
@@ -105,13 +120,16 @@
 	u.Address = listener.Addr().String()
 	u.random = rand.New(rand.NewPCG(u.Seed, 1))
 	u.runs = map[runKey]int{}
-	u.conns = map[net.Conn]bool{}
 	u.counts.Versions = map[zlunit.IndexVersion]int64{}
 	u.done = make(chan struct{})
-	u.GoCold(true)
+	u.cold = u.Settings.ColdWork
+	u.life = newLife()
 	u.server = &http.Server{
 		Handler:           u.handler(),
 		ReadHeaderTimeout: time.Minute,
+		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
+			return context.WithValue(ctx, connKey{}, c)
+		},
 	}
 	go func() {
 		defer close(u.done)
@@ -123,6 +141,13 @@
 	return nil
 }
 
+func newLife() *life {
+	return &life{
+		process: zlunit.Process(uuid.NewString()),
+		conns:   map[*countedConn]bool{},
+	}
+}
+
 // Close stops it at once.
 func (u *Upstream) Close() {
 	_ = u.server.Close()
@@ -134,23 +159,33 @@
 	mux.HandleFunc("POST "+zlupcall.Path, u.serveQuery)
 	mux.HandleFunc("GET /load", u.serveLoad)
 	mux.HandleFunc("GET /control/counts", u.serveCounts)
+	mux.HandleFunc("GET /control/runs", u.serveRuns)
 	mux.HandleFunc("PUT /control/settings", u.serveSettings)
 	mux.HandleFunc("POST /control/cold", u.serveCold)
 	mux.HandleFunc("POST /control/leave", u.serveLeave)
+	mux.HandleFunc("POST /control/lose", u.serveLose)
+	mux.HandleFunc("POST /control/repartition", u.serveRepartition)
 	return mux
 }
 
-// GoCold makes it cold; restart also gives it a new process identity and
-// breaks its connections.
+// GoCold makes it cold; restart also gives it a new process identity, breaks
+// its connections and ends what ran on them.
 func (u *Upstream) GoCold(restart bool) {
 	u.mu.Lock()
-	defer u.mu.Unlock()
 	u.cold = u.Settings.ColdWork
 	if !restart {
+		u.mu.Unlock()
 		return
 	}
-	u.process = zlunit.Process(uuid.NewString())
-	for c := range u.conns {
+	old := u.life
+	u.life = newLife()
+	u.counts.Restarts++
+	conns := make([]*countedConn, 0, len(old.conns))
+	for c := range old.conns {
+		conns = append(conns, c)
+	}
+	u.mu.Unlock()
+	for _, c := range conns {
 		_ = c.Close()
 	}
 }
@@ -170,206 +205,57 @@
 	edit(&u.Settings)
 }
 
-// Counts returns what it saw so far.
-func (u *Upstream) Counts() Counts {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	out := u.counts
-	out.ColdLimit = u.Settings.ColdLimit
-	out.Versions = map[zlunit.IndexVersion]int64{}
-	for v, n := range u.counts.Versions {
-		out.Versions[v] = n
-	}
-	return out
-}
-
-func (u *Upstream) serveQuery(w http.ResponseWriter, r *http.Request) {
-	var q zlupcall.Query
-	if err := json.NewDecoder(r.Body).Decode(&q); err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
-		return
-	}
-	reason := u.arrive(&q)
-	if reason != zlquery.ReasonNone {
-		u.refuse(w, reason)
-		return
-	}
-	defer u.leave()
-	ctx, cancel := context.WithTimeout(r.Context(), time.Duration(q.DeadlineMs)*time.Millisecond)
-	defer cancel()
-	if !u.takeSlot(ctx) {
-		u.refuse(w, zlquery.ReasonDeadline)
-		return
-	}
-	if !u.work(ctx, &q) {
-		return
-	}
-	u.answer(w, &q)
-}
-
-// arrive counts a request and decides whether it is taken.
-func (u *Upstream) arrive(q *zlupcall.Query) zlquery.Reason {
+// LoseShard makes it no longer hold a shard of a version, or, if it was the
+// last one, the version.
+func (u *Upstream) LoseShard(version zlunit.IndexVersion, shard zlunit.Shard) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	u.counts.Received++
-	u.counts.LastReceived = time.Now()
-	if !u.leftAt.IsZero() {
-		u.counts.AfterLeaving++
-	}
-	if u.Settings.Draining {
-		return zlquery.ReasonDraining
-	}
-	if u.random.Float64() < u.Settings.ShedShare || len(u.waiting) >= u.Settings.QueueLimit {
-		u.counts.Shed++
-		return zlquery.ReasonShed
-	}
-	held, ok := u.Settings.Shards[q.Version]
-	if !ok {
-		return zlquery.ReasonVersionGone
-	}
-	if !containsShard(held, q.Shard) {
-		return zlquery.ReasonShardGone
-	}
-	u.inFlight++
-	u.counts.Peak = max(u.counts.Peak, u.inFlight)
-	if u.cold > 0 {
-		u.counts.ColdPeak = max(u.counts.ColdPeak, u.inFlight)
-	}
-	return zlquery.ReasonNone
-}
-
-func containsShard(list []zlunit.Shard, s zlunit.Shard) bool {
-	for _, x := range list {
-		if x == s {
-			return true
+	shards := maps.Clone(u.Settings.Shards)
+	var kept []zlunit.Shard
+	for _, s := range shards[version] {
+		if s != shard {
+			kept = append(kept, s)
 		}
 	}
-	return false
+	shards[version] = kept
+	if len(kept) == 0 {
+		delete(shards, version)
+	}
+	u.Settings.Shards = shards
 }
 
-func (u *Upstream) leave() {
+// Repartition makes it hold shards of a further version. Only that one stays
+// if drop is set.
+func (u *Upstream) Repartition(version zlunit.IndexVersion, held []zlunit.Shard, drop bool) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	u.inFlight--
-}
-
-// takeSlot waits for a slot, first come first served.
-func (u *Upstream) takeSlot(ctx context.Context) bool {
-	u.mu.Lock()
-	if u.running < int(u.Settings.Slots) {
-		u.running++
-		u.mu.Unlock()
-		return true
-	}
-	turn := make(chan struct{})
-	u.waiting = append(u.waiting, turn)
-	u.mu.Unlock()
-	select {
-	case <-turn:
-		return true
-	case <-ctx.Done():
+	shards := map[zlunit.IndexVersion][]zlunit.Shard{}
+	if !drop {
+		maps.Copy(shards, u.Settings.Shards)
 	}
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	for i, other := range u.waiting {
-		if other == turn {
-			u.waiting = append(u.waiting[:i], u.waiting[i+1:]...)
-			return false
-		}
-	}
-	u.passSlot()
-	return false
+	shards[version] = held
+	u.Settings.Shards = shards
 }
 
-// passSlot hands a slot to the next in line; mu is held.
-func (u *Upstream) passSlot() {
-	if len(u.waiting) == 0 {
-		u.running--
-		return
-	}
-	turn := u.waiting[0]
-	u.waiting = u.waiting[1:]
-	close(turn)
-}
-
-// work holds the slot for the service time and reports whether it finished.
-func (u *Upstream) work(ctx context.Context, q *zlupcall.Query) bool {
-	d := u.begin(q)
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	finished := true
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-		finished = false
-	}
+// Counts returns what it saw so far.
+func (u *Upstream) Counts() Counts {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	u.passSlot()
-	if !finished {
-		u.counts.Cancelled++
-		return false
-	}
-	u.counts.Done++
-	u.counts.Versions[q.Version]++
-	u.cold = max(u.cold-1, 0)
-	return true
+	out := u.counts
+	out.ColdLimit = u.Settings.ColdLimit
+	out.Versions = maps.Clone(u.counts.Versions)
+	return out
 }
 
-// coldTimes is how much longer a cold upstream takes.
-const coldTimes = 3
-
-// begin counts a run and draws its service time.
-func (u *Upstream) begin(q *zlupcall.Query) time.Duration {
+// Runs returns how often each shard of a non-idempotent request ran.
+func (u *Upstream) Runs(request zlunit.RequestID) map[zlunit.Shard]int {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	if !q.Idempotent {
-		k := runKey{
-			request: q.RequestID,
-			shard:   q.Shard,
+	out := map[zlunit.Shard]int{}
+	for k, n := range u.runs {
+		if k.request == request {
+			out[k.shard] = n
 		}
-		u.runs[k]++
-		if u.runs[k] == 2 {
-			u.counts.Doubled = append(u.counts.Doubled, q.RequestID)
-		}
-	}
-	ms := u.Settings.ServiceMs * (0.5 + u.random.Float64())
-	if u.random.Float64() < u.Settings.StraggleShare {
-		ms *= u.Settings.StraggleTimes
-	}
-	if u.cold > 0 {
-		ms *= coldTimes
 	}
-	return time.Duration(ms * float64(time.Millisecond))
-}
-
-func (u *Upstream) answer(w http.ResponseWriter, q *zlupcall.Query) {
-	u.mu.Lock()
-	rows := zlupcall.Rows{
-		QueryID:  q.QueryID,
-		Upstream: u.Settings.Name,
-		Process:  u.process,
-		Shard:    q.Shard,
-		Version:  q.Version,
-		Coverage: 1,
-		Rows:     zlcorpus.Rows(u.Settings.Service, q.Version, q.Shard, q.Text),
-	}
-	if u.Settings.PartCoverage > 0 {
-		rows.Coverage = u.Settings.PartCoverage
-	}
-	u.mu.Unlock()
-	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(rows)
-}
-
-func (u *Upstream) refuse(w http.ResponseWriter, reason zlquery.Reason) {
-	u.mu.Lock()
-	process := u.process
-	u.mu.Unlock()
-	w.Header().Set("Content-Type", "application/json")
-	w.WriteHeader(http.StatusServiceUnavailable)
-	_ = json.NewEncoder(w).Encode(zlupcall.Refusal{
-		Reason:  reason,
-		Process: process,
-	})
+	return out
 }
