--- a/core/connection/zlgate/level.go
+++ b/core/connection/zlgate/level.go
@@ -12,11 +12,13 @@
 	evidenceLimit = 4.0
 	// evidenceDecay is what a normal reply takes off.
 	evidenceDecay = 0.5
-	// stretchLimit is the ratio of service time to its median beyond which
-	// the level goes down.
+	// stretchLimit is how far service times over their median must rise above
+	// what is usual before the level goes down.
 	stretchLimit = 1.6
-	// stretchWeight is the weight of a new ratio in the running mean.
-	stretchWeight = 1.0 / 16
+	// stretchWeight and usualWeight are the weights of a new ratio in the
+	// recent and in the usual mean.
+	stretchWeight = 1.0 / 32
+	usualWeight   = 1.0 / 512
 	// meanWeight is the weight of a new service time in the running mean.
 	meanWeight = 1.0 / 16
 	maxKinds   = 32
@@ -46,7 +48,9 @@
 	p := g.paceOf(kind)
 	slow := p.slow(d)
 	g.observeMean(d)
-	g.stretch += stretchWeight * (p.ratio(d) - g.stretch)
+	ratio := p.ratio(d)
+	g.stretch += stretchWeight * (ratio - g.stretch)
+	g.usual += usualWeight * (ratio - g.usual)
 	p.learn(d, g.settled())
 	if slow {
 		g.normals = 0
@@ -144,7 +148,7 @@
 		return
 	}
 	g.successes = 0
-	if g.stretch > stretchLimit {
+	if g.stretch > stretchLimit*max(g.usual, 1) {
 		g.lower()
 		return
 	}
@@ -167,7 +171,7 @@
 func (g *Gate) lower() {
 	floor := max(int(g.limits.Cold), 1)
 	g.level = max(min(g.level-1, g.level*3/4), min(floor, g.level))
-	g.stretch = 1
+	g.stretch = g.usual
 	g.successes = 0
 }
 
--- a/core/connection/zlgate/state.go
+++ b/core/connection/zlgate/state.go
@@ -150,7 +150,7 @@
 	g.successes = 0
 	g.normals = 0
 	g.evidence = 0
-	g.stretch = 1
+	g.stretch = g.usual
 }
 
 // drain stops all new work until the upstream's process ends.
--- a/core/connection/zlgate/zlgate.go
+++ b/core/connection/zlgate/zlgate.go
@@ -70,7 +70,10 @@
 	// mean is the smoothed service time over all query kinds.
 	mean     time.Duration
 	evidence float64
-	stretch  float64
+	// stretch and usual are service times over their median, recently and in
+	// the long run.
+	stretch float64
+	usual   float64
 
 	process  zlunit.Process
 	live     int
--- a/core/connection/zlgate/zlgate_test.go
+++ b/core/connection/zlgate/zlgate_test.go
@@ -296,3 +296,24 @@
 		}
 	})
 }
+
+func TestShedLowersTheLevel(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(Limits{
+			Slots: 8,
+			Cold:  1,
+		})
+		h.warm()
+		r := h.enter(0, time.Hour)
+		_ = h.gate.Start(&r.ticket, h.conn)
+		h.gate.End(&r.ticket, OutcomeShed, "p1")
+		if s := h.gate.Snapshot(); s.State != StateShedding || s.Limit >= 8 {
+			t.Fatalf("%+v, want shedding below 8", s)
+		}
+		time.Sleep(shedHold)
+		h.serve(200, 10*time.Millisecond)
+		if s := h.gate.Snapshot(); s.State != StateWarm || s.Limit != 8 {
+			t.Fatalf("%+v, want warm at 8", s)
+		}
+	})
+}
--- a/core/request/zlcoord/send.go
+++ b/core/request/zlcoord/send.go
@@ -100,6 +100,7 @@
 		Upstream: s.to.Upstream,
 		Version:  s.version,
 		Hedge:    s.cause == zltrace.CauseHedge,
+		Retry:    s.cause == zltrace.CauseRetry || s.cause == zltrace.CauseAround,
 	}
 }
 
@@ -115,6 +116,7 @@
 		Idempotent: r.req.Idempotent,
 		Left:       r.req.Deadline.Sub(c.Timer.Now()),
 		Subs:       subs,
+		Priority:   r.policy.Priority,
 	}
 	peer.Sent(len(subs))
 	call := c.Dispatcher.Dispatch(r.ctx, peer.VM, batch, func(reply zlquery.Reply) {
--- a/io/process/zldaemon/zldaemon.go
+++ b/io/process/zldaemon/zldaemon.go
@@ -132,6 +132,7 @@
 		Timer:   d.timer,
 		Views:   d.views,
 		Fetcher: d.calls,
+		Counter: d.metrics,
 	}
 	d.node = &zlpeer.Node{
 		Self:       cfg.Name,
--- a/io/request/zlupcall/conn.go
+++ b/io/request/zlupcall/conn.go
@@ -30,6 +30,9 @@
 	flight   *flight
 	ending   bool
 	isClosed bool
+	// peerEnded tells that a read met the end or a fault.
+	peerEnded bool
+	draining  bool
 }
 
 // flight is one request on a connection; the connection's lock covers it.
@@ -101,9 +104,7 @@
 	}
 	fl.halted = true
 	if fl.permit == nil {
-		go func() {
-			_ = c.Close()
-		}()
+		go c.kill()
 		return
 	}
 	c.shut(fl.deadline)
@@ -182,6 +183,7 @@
 func (c *conn) readFailed(err error) {
 	c.mu.Lock()
 	ours := c.isClosed || (c.ending && errors.Is(err, io.EOF)) || isTimeout(err)
+	c.peerEnded = true
 	c.mu.Unlock()
 	if !ours {
 		c.mark.Broken()
@@ -193,21 +195,48 @@
 	return errors.As(err, &e) && e.Timeout()
 }
 
-// Close implements net.Conn.
+// Close implements net.Conn. Unless the upstream has ended the connection, it
+// counts until the upstream confirms the end.
 func (c *conn) Close() error {
 	c.mu.Lock()
+	defer c.mu.Unlock()
 	if c.isClosed {
-		c.mu.Unlock()
 		return nil
 	}
+	if c.Conn == nil || c.peerEnded {
+		c.gone()
+		return nil
+	}
+	if c.draining {
+		return nil
+	}
+	c.draining = true
+	c.shut(time.Time{})
+	go c.drain()
+	return nil
+}
+
+// drain waits for the upstream's end of a connection that is being closed.
+func (c *conn) drain() {
+	_, _ = io.Copy(io.Discard, c.Conn)
+	c.kill()
+}
+
+// kill ends the connection at once.
+func (c *conn) kill() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.isClosed {
+		c.gone()
+	}
+}
+
+// gone lets go of the connection; mu is held.
+func (c *conn) gone() {
 	c.isClosed = true
-	raw := c.Conn
-	c.mu.Unlock()
-	var err error
-	if raw != nil {
-		err = raw.Close()
+	if c.Conn != nil {
+		_ = c.Conn.Close()
 	}
 	c.mark.Closed()
-	c.pool.removed(c)
-	return err
+	go c.pool.removed(c)
 }
--- a/io/request/zlupcall/pool.go
+++ b/io/request/zlupcall/pool.go
@@ -48,16 +48,6 @@
 	}
 }
 
-// dialHalter stops the making of a connection.
-type dialHalter struct {
-	cancel context.CancelFunc
-}
-
-// Halt implements zlaggr.Halter.
-func (d *dialHalter) Halt() {
-	d.cancel()
-}
-
 type connKey struct{}
 
 func newPool(u *zlcatalog.Upstream, gate *zlgate.Gate) *pool {
@@ -186,28 +176,22 @@
 	return c
 }
 
+// dial makes a connection. It goes on when f is abandoned meanwhile: a
+// connection that is given up half made may still count at the upstream.
 func (p *pool) dial(ctx context.Context, f *zlaggr.Fetch, c *conn) (*conn, zlquery.Reason) {
 	ctx, cancel := context.WithTimeout(ctx, dialLimit)
 	defer cancel()
-	if !f.HaltBy(&dialHalter{
-		cancel: cancel,
-	}) {
-		c.mark.Closed()
-		p.removed(c)
-		return nil, zlquery.ReasonCancelled
-	}
 	client, err := p.transport.NewClientConn(context.WithValue(ctx, connKey{}, c), "http", p.address)
 	if err != nil {
-		if f.Abandoned() {
-			c.mark.Closed()
-			p.removed(c)
-			return nil, zlquery.ReasonCancelled
-		}
 		c.mark.Failed()
 		p.removed(c)
 		return nil, zlquery.ReasonDialFailed
 	}
 	c.client = client
+	if f.Abandoned() {
+		p.release(c)
+		return nil, zlquery.ReasonCancelled
+	}
 	return c, zlquery.ReasonNone
 }
 
@@ -314,6 +298,6 @@
 		w.Halt()
 	}
 	for _, c := range open {
-		_ = c.Close()
+		c.kill()
 	}
 }
