zlaggr: calls run on kept goroutines; a race in the overload test mended

Cause: a third of the cost of a sub-request was the growing of a new stack, and the view was looked up twice. The test drew random numbers without a lock. Change: goroutines are kept, and the view is looked at again before the send only if there is a newer one.

--- a/core/connection/zlgate/ticket.go
+++ b/core/connection/zlgate/ticket.go
@@ -206,9 +206,13 @@
 	if t.turn != g.turn && g.started >= g.capacity() {
 		return zlquery.ReasonColdBudget
 	}
+	now := g.Timer.Now()
+	if !now.Before(t.Deadline) {
+		return zlquery.ReasonDeadline
+	}
 	t.phase = phaseStarted
 	t.conn = c
-	t.startedAt = g.Timer.Now()
+	t.startedAt = now
 	g.started++
 	return zlquery.ReasonNone
 }
--- a/core/request/zlaggr/overload_test.go
+++ b/core/request/zlaggr/overload_test.go
@@ -91,6 +91,12 @@
 	}
 }
 
+func (f *farm) intN(n int) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.random.IntN(n)
+}
+
 // Count implements the counters of all parts.
 func (f *farm) Count(what string, reason zlquery.Reason) {
 	f.mu.Lock()
@@ -171,7 +177,7 @@
 		Timer: timer,
 		Views: views,
 		Router: &zlroute.Router{
-			Random: rand.New(rand.NewPCG(seed, 2)).IntN,
+			Random: f.intN,
 		},
 		Dispatcher: &local{
 			aggregator: a,
--- a/core/request/zlaggr/sub.go
+++ b/core/request/zlaggr/sub.go
@@ -6,8 +6,10 @@
 	"time"
 
 	"zinnialock/core/connection/zlgate"
+	"zinnialock/core/process/zlunit"
 	"zinnialock/core/request/zlquery"
 	"zinnialock/core/version/zlcatalog"
+	"zinnialock/core/version/zlview"
 )
 
 // sub is one sub-request being served. It is the entrant at the gate and the
@@ -16,6 +18,8 @@
 	work     *Work
 	ask      *zlquery.Sub
 	upstream zlcatalog.Upstream
+	// view is what begin decided from.
+	view *zlview.View
 	// guard is set once the sub-request has entered it.
 	guard  atomic.Pointer[zlgate.Gate]
 	ticket zlgate.Ticket
@@ -30,15 +34,21 @@
 // its upstream's gate.
 func (s *sub) begin() {
 	a := s.work.aggregator
-	u, grant, reason := s.check()
+	s.view = a.Views.Load()
+	u, reason := a.place(s.view, s.ask.Upstream)
 	if reason != zlquery.ReasonNone {
 		s.reply(notRun(reason, 0))
 		return
 	}
+	grant := a.grant(u)
+	if grant.Refusal != zlquery.ReasonNone {
+		s.reply(notRun(grant.Refusal, 0))
+		return
+	}
 	s.upstream = u
 	deadline := grant.cut(s.work.deadline)
 	s.prepare(deadline)
-	gate := a.gate(&s.upstream, &grant)
+	gate := a.gate(u.Name, &grant)
 	s.guard.Store(gate)
 	if s.gaveUp.Load() {
 		return
@@ -51,28 +61,26 @@
 	gate.Enter(&s.ticket)
 }
 
-// check tells why nothing may be sent now, if so.
-func (s *sub) check() (zlcatalog.Upstream, Grant, zlquery.Reason) {
-	a := s.work.aggregator
-	view := a.Views.Load()
+// place finds an upstream that this daemon may send new work to, by view.
+func (a *Aggregator) place(view *zlview.View, name zlunit.Upstream) (zlcatalog.Upstream, zlquery.Reason) {
 	if view == nil {
-		return zlcatalog.Upstream{}, Grant{}, zlquery.ReasonNoReplica
+		return zlcatalog.Upstream{}, zlquery.ReasonNoReplica
 	}
-	u, ok := view.Upstream(s.ask.Upstream)
+	u, ok := view.Upstream(name)
 	if !ok {
-		return zlcatalog.Upstream{}, Grant{}, zlquery.ReasonNoReplica
+		return zlcatalog.Upstream{}, zlquery.ReasonNoReplica
 	}
-	if holders := view.Holders(u.Name); len(holders) == 0 || holders[0] != a.Self {
-		return zlcatalog.Upstream{}, Grant{}, zlquery.ReasonNotHolder
-	}
-	if view.Marks.UpstreamOut(u.Name, u.DataCentre) {
-		return zlcatalog.Upstream{}, Grant{}, zlquery.ReasonMarkedOut
-	}
-	if u.Leaving {
-		return zlcatalog.Upstream{}, Grant{}, zlquery.ReasonDraining
+	holders := view.Holders(name)
+	switch {
+	case len(holders) == 0 || holders[0] != a.Self:
+		return zlcatalog.Upstream{}, zlquery.ReasonNotHolder
+	case view.Marks.UpstreamOut(name, u.DataCentre):
+		return zlcatalog.Upstream{}, zlquery.ReasonMarkedOut
+	case u.Leaving:
+		return zlcatalog.Upstream{}, zlquery.ReasonDraining
+	default:
+		return u, zlquery.ReasonNone
 	}
-	grant := a.grant(u)
-	return u, grant, grant.Refusal
 }
 
 func (s *sub) prepare(deadline time.Time) {
@@ -104,8 +112,7 @@
 
 // Granted implements zlgate.Entrant.
 func (s *sub) Granted() {
-	s.work.aggregator.fetches.Add(1)
-	go s.run()
+	s.work.aggregator.workers.run(s)
 }
 
 // Refused implements zlgate.Entrant.
@@ -118,25 +125,28 @@
 	return s.guard.Load()
 }
 
-// Start implements Permit: the last check before the first byte.
+// Start implements Permit: the last check before the first byte. What the view
+// says is looked at again only if there is a newer one.
 func (s *sub) Start(c *zlgate.Conn) zlquery.Reason {
-	_, grant, reason := s.check()
-	if reason != zlquery.ReasonNone {
-		return reason
+	a := s.work.aggregator
+	if view := a.Views.Load(); view != s.view {
+		if _, reason := a.place(view, s.ask.Upstream); reason != zlquery.ReasonNone {
+			return reason
+		}
+	}
+	grant := a.grant(s.upstream)
+	if grant.Refusal != zlquery.ReasonNone {
+		return grant.Refusal
 	}
-	if grant.cut(s.fetch.Deadline).Before(s.fetch.Deadline) {
+	if !grant.Until.IsZero() && grant.Until.Before(s.fetch.Deadline) {
 		// The deadline that would be sent is past what may be held.
 		return zlquery.ReasonNotHolder
 	}
-	if !s.work.aggregator.Timer.Now().Before(s.fetch.Deadline) {
-		return zlquery.ReasonDeadline
-	}
 	return s.Gate().Start(&s.ticket, c)
 }
 
 func (s *sub) run() {
 	a := s.work.aggregator
-	defer a.fetches.Done()
 	fetched := a.Fetcher.Fetch(context.Background(), s.upstream, &s.fetch)
 	took := s.Gate().End(&s.ticket, outcomeOf(&fetched), fetched.Process)
 	if done, ok := fetched.Result.(zlquery.Done); ok {
--- a/core/request/zlaggr/zlaggr.go
+++ b/core/request/zlaggr/zlaggr.go
@@ -40,12 +40,13 @@
 	Changed func(zlgate.Change)
 
 	shards  [tableShards]tableShard
-	fetches sync.WaitGroup
+	workers workers
 }
 
-// Wait returns once no call to an upstream is left.
+// Wait returns once no call to an upstream is left, and ends the goroutines
+// that were kept for more.
 func (a *Aggregator) Wait() {
-	a.fetches.Wait()
+	a.workers.wait()
 }
 
 // Serve starts the sub-requests of batch; sink gets one reply for each, on any
@@ -64,8 +65,8 @@
 }
 
 // gate returns the gate of an upstream, made on first use.
-func (a *Aggregator) gate(u *zlcatalog.Upstream, grant *Grant) *zlgate.Gate {
-	g := a.find(u.Name)
+func (a *Aggregator) gate(name zlunit.Upstream, grant *Grant) *zlgate.Gate {
+	g := a.find(name)
 	g.SetLimits(zlgate.Limits{
 		Slots:       grant.Slots,
 		Cold:        grant.Cold,
--- a/io/process/zldaemon/zldaemon.go
+++ b/io/process/zldaemon/zldaemon.go
@@ -255,6 +255,7 @@
 	d.claims.close()
 	d.node.Close()
 	d.calls.Close()
+	d.aggregator.Wait()
 	d.platform.HTTP.CloseIdleConnections()
 	d.parts.Wait()
 }
