--- a/core/request/zlcoord/send.go
+++ b/core/request/zlcoord/send.go
@@ -105,6 +105,7 @@
 		Upstream: s.to.Upstream,
 		Version:  s.version,
 		Hedge:    s.cause == zltrace.CauseHedge,
+		Retry:    s.cause == zltrace.CauseRetry || s.cause == zltrace.CauseAround,
 	}
 }
 
@@ -121,6 +122,7 @@
 		Idempotent: r.req.Idempotent,
 		Left:       r.req.Deadline.Sub(c.Timer.Now()),
 		Subs:       subs,
+		Priority:   r.policy.Priority,
 	}
 	inbox := r.inbox
 	peer.Sent(len(subs))
--- a/io/process/zldaemon/zldaemon.go
+++ b/io/process/zldaemon/zldaemon.go
@@ -132,6 +132,7 @@
 		Timer:   d.timer,
 		Views:   d.views,
 		Fetcher: d.calls,
+		Counter: d.metrics,
 	}
 	d.node = &zlpeer.Node{
 		Self:       cfg.Name,
@@ -254,6 +255,7 @@
 	d.claims.close()
 	d.node.Close()
 	d.calls.Close()
+	d.aggregator.Wait()
 	d.platform.HTTP.CloseIdleConnections()
 	d.parts.Wait()
 }
--- /dev/null
+++ b/io/request/zlupcall/proof_test.go
@@ -0,0 +1,270 @@
+package zlupcall_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/smartystreets/goconvey/convey"
+
+	"zinnialock/core/process/zlunit"
+	"zinnialock/core/request/zlaggr"
+	"zinnialock/core/request/zlquery"
+	"zinnialock/io/standin/zlfakeupstream"
+)
+
+// rawServer reads requests off its connections and counts them; answer gets
+// each connection after its request was read whole.
+type rawServer struct {
+	listener net.Listener
+	requests atomic.Int64
+}
+
+func newRawServer(t *testing.T, answer func(n int64, conn net.Conn)) *rawServer {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &rawServer{
+		listener: listener,
+	}
+	t.Cleanup(func() {
+		_ = listener.Close()
+	})
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go s.serve(conn, answer)
+		}
+	}()
+	return s
+}
+
+func (s *rawServer) serve(conn net.Conn, answer func(n int64, conn net.Conn)) {
+	defer func() {
+		_ = conn.Close()
+	}()
+	reader := bufio.NewReader(conn)
+	for {
+		req, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, req.Body)
+		n := s.requests.Add(1)
+		answer(n, conn)
+	}
+}
+
+func (s *rawServer) aggregator(t *testing.T) *zlaggr.Aggregator {
+	u := &zlfakeupstream.Upstream{
+		Address: s.listener.Addr().String(),
+	}
+	u.Settings.Slots = 2
+	u.Settings.Connections = 4
+	u.Settings.ColdLimit = 1
+	return newAggregator(t, u)
+}
+
+func send(conn net.Conn, status int, body string) {
+	_, _ = fmt.Fprintf(conn, "HTTP/1.1 %d X\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s", status, len(body), body)
+}
+
+func TestNothingIsResent(t *testing.T) {
+	for _, idempotent := range []bool{true, false} {
+		convey.Convey(fmt.Sprintf("An upstream that closes after reading gets the request once, idempotent %v", idempotent), t, func() {
+			s := newRawServer(t, func(_ int64, conn net.Conn) {
+				_ = conn.Close()
+			})
+			result := ask(s.aggregator(t), idempotent, 5*time.Second, 0)
+			convey.So(result, convey.ShouldResemble, zlquery.Unknown{
+				Reason: zlquery.ReasonConnectionReset,
+			})
+			convey.So(s.requests.Load(), convey.ShouldEqual, 1)
+		})
+	}
+}
+
+func TestNothingIsResentOnAReusedConnection(t *testing.T) {
+	convey.Convey("An upstream that answers once and then closes after reading", t, func() {
+		s := newRawServer(t, func(n int64, conn net.Conn) {
+			if n > 1 {
+				_ = conn.Close()
+				return
+			}
+			send(conn, http.StatusServiceUnavailable, `{"reason":"shardGone","process":"p","started":false}`)
+		})
+		a := s.aggregator(t)
+		convey.So(ask(a, false, 5*time.Second, 0), convey.ShouldResemble, zlquery.NotRun{
+			Reason: zlquery.ReasonShardGone,
+		})
+		convey.So(ask(a, false, 5*time.Second, 0), convey.ShouldResemble, zlquery.Unknown{
+			Reason: zlquery.ReasonConnectionReset,
+		})
+		convey.So(s.requests.Load(), convey.ShouldEqual, 2)
+	})
+}
+
+func TestNotRunNeedsProof(t *testing.T) {
+	cases := map[string]struct {
+		status int
+		body   string
+		want   zlquery.Result
+	}{
+		"refused before starting": {
+			status: http.StatusServiceUnavailable,
+			body:   `{"reason":"shed","started":false,"retryAfterMs":20}`,
+			want: zlquery.NotRun{
+				Reason:     zlquery.ReasonShed,
+				RetryAfter: 20 * time.Millisecond,
+			},
+		},
+		"refused after starting": {
+			status: http.StatusServiceUnavailable,
+			body:   `{"reason":"shed","started":true}`,
+			want: zlquery.Unknown{
+				Reason: zlquery.ReasonShed,
+			},
+		},
+		"refused without saying whether it started": {
+			status: http.StatusServiceUnavailable,
+			body:   `{"reason":"shed"}`,
+			want: zlquery.Unknown{
+				Reason: zlquery.ReasonShed,
+			},
+		},
+		"another error page": {
+			status: http.StatusBadGateway,
+			body:   `oops`,
+			want: zlquery.Unknown{
+				Reason: zlquery.ReasonBadReply,
+			},
+		},
+		"the answer to another query": {
+			status: http.StatusOK,
+			body:   `{"queryId":"other","upstream":"u","version":1,"coverage":1}`,
+			want: zlquery.Unknown{
+				Reason: zlquery.ReasonBadReply,
+			},
+		},
+		"an answer that is cut": {
+			status: http.StatusOK,
+			body:   `{"queryId":`,
+			want: zlquery.Unknown{
+				Reason: zlquery.ReasonBadReply,
+			},
+		},
+	}
+	for name, c := range cases {
+		convey.Convey(name, t, func() {
+			s := newRawServer(t, func(_ int64, conn net.Conn) {
+				send(conn, c.status, c.body)
+			})
+			convey.So(ask(s.aggregator(t), false, 5*time.Second, 0), convey.ShouldResemble, c.want)
+		})
+	}
+	convey.Convey("nobody listens", t, func() {
+		s := newRawServer(t, nil)
+		_ = s.listener.Close()
+		convey.So(ask(s.aggregator(t), false, 5*time.Second, 0), convey.ShouldHaveSameTypeAs, zlquery.NotRun{})
+	})
+}
+
+// TestCancelsKeepWithinTheConnectionCap cancels most requests, each of which
+// costs its connection.
+func TestCancelsKeepWithinTheConnectionCap(t *testing.T) {
+	u := newUpstream(t, func(s *zlfakeupstream.Settings) {
+		s.Connections = 3
+		s.Slots = 3
+		s.ColdLimit = 2
+		s.ServiceMs = 3
+	})
+	a := newAggregator(t, u)
+	for range 300 {
+		done := make(chan struct{}, 4)
+		for range cap(done) {
+			go func() {
+				ask(a, true, time.Second, 2*time.Millisecond)
+				done <- struct{}{}
+			}()
+		}
+		for range cap(done) {
+			<-done
+		}
+	}
+	c := u.Counts()
+	if c.RefusedConns > 0 || c.PeakConnections > 3 || c.Cancelled == 0 || c.ColdPeak > 2 {
+		t.Fatalf("%+v", c)
+	}
+}
+
+func BenchmarkCancelledShare(b *testing.B) {
+	for _, every := range []int{0, 20, 5} {
+		b.Run(fmt.Sprintf("one in %d", every), func(b *testing.B) {
+			benchmarkCancelled(b, every)
+		})
+	}
+}
+
+// benchmarkCancelled asks from as many goroutines as there are slots, and
+// cancels one in every.
+func benchmarkCancelled(b *testing.B, every int) {
+	u := &zlfakeupstream.Upstream{
+		Address: "127.0.0.1:0",
+		Seed:    1,
+		Settings: zlfakeupstream.Settings{
+			Name:        "u",
+			Slots:       3,
+			Connections: 30,
+			ColdLimit:   1,
+			ConnectMs:   6,
+			ServiceMs:   2,
+			QueueLimit:  64,
+			Shards: map[zlunit.IndexVersion][]zlunit.Shard{
+				1: {0},
+			},
+		},
+	}
+	if err := u.Run(); err != nil {
+		b.Fatal(err)
+	}
+	defer u.Close()
+	a, stop := aggregatorOf(u)
+	defer stop()
+	for range 400 {
+		ask(a, true, time.Second, 0)
+	}
+	var n atomic.Int64
+	b.ResetTimer()
+	finished := make(chan struct{}, 3)
+	for range cap(finished) {
+		go func() {
+			for {
+				i := n.Add(1)
+				if i > int64(b.N) {
+					finished <- struct{}{}
+					return
+				}
+				after := time.Duration(0)
+				if every > 0 && i%int64(every) == 0 {
+					after = 500 * time.Microsecond
+				}
+				ask(a, true, time.Second, after)
+			}
+		}()
+	}
+	for range cap(finished) {
+		<-finished
+	}
+	c := u.Counts()
+	b.ReportMetric(float64(c.Connects)/float64(b.N), "connects/op")
+}
