--- a/io/request/zlfront/zlfront_test.go
+++ b/io/request/zlfront/zlfront_test.go
@@ -79,20 +79,44 @@
 	return &a
 }
 
+// wireCase is an outcome and how a caller must see it.
+type wireCase struct {
+	answer fixed
+	status int
+	ran    Ran
+}
+
+func refusal(outcome zlquery.Outcome, reason zlquery.Reason, status int, ran Ran) wireCase {
+	return wireCase{
+		answer: fixed{
+			Outcome:    outcome,
+			Reason:     reason,
+			RetryAfter: time.Second,
+		},
+		status: status,
+		ran:    ran,
+	}
+}
+
+func wireCases() []wireCase {
+	return []wireCase{
+		{
+			answer: fixed{
+				Outcome: zlquery.OutcomeDone,
+			},
+			status: http.StatusOK,
+		},
+		refusal(zlquery.OutcomeDone, zlquery.ReasonClaimed, http.StatusConflict, RanYes),
+		refusal(zlquery.OutcomeNotRun, zlquery.ReasonShed, http.StatusServiceUnavailable, RanNo),
+		refusal(zlquery.OutcomeUnknown, zlquery.ReasonClaimed, http.StatusGatewayTimeout, RanUnknown),
+		refusal(zlquery.OutcomeUnknown, zlquery.ReasonClaimTooOld, http.StatusBadRequest, RanUnknown),
+		refusal(zlquery.OutcomeNotRun, zlquery.ReasonUnknownService, http.StatusNotFound, RanNo),
+	}
+}
+
 func TestOutcomesOnTheWire(t *testing.T) {
 	convey.Convey("Given each outcome, the status and what is said of the run fit", t, func() {
-		for _, c := range []struct {
-			answer fixed
-			status int
-			ran    Ran
-		}{
-			{answer: fixed{Outcome: zlquery.OutcomeDone}, status: http.StatusOK},
-			{answer: fixed{Outcome: zlquery.OutcomeDone, Reason: zlquery.ReasonClaimed}, status: http.StatusConflict, ran: RanYes},
-			{answer: fixed{Outcome: zlquery.OutcomeNotRun, Reason: zlquery.ReasonShed, RetryAfter: time.Second}, status: http.StatusServiceUnavailable, ran: RanNo},
-			{answer: fixed{Outcome: zlquery.OutcomeUnknown, Reason: zlquery.ReasonClaimed}, status: http.StatusGatewayTimeout, ran: RanUnknown},
-			{answer: fixed{Outcome: zlquery.OutcomeUnknown, Reason: zlquery.ReasonClaimTooOld}, status: http.StatusBadRequest, ran: RanUnknown},
-			{answer: fixed{Outcome: zlquery.OutcomeNotRun, Reason: zlquery.ReasonUnknownService}, status: http.StatusNotFound, ran: RanNo},
-		} {
+		for _, c := range wireCases() {
 			f := &Front{
 				Answerer: &c.answer,
 				Timer:    &zltimer.Service{},
--- a/io/standin/zlfakeupstream/zlfakeupstream.go
+++ b/io/standin/zlfakeupstream/zlfakeupstream.go
@@ -53,18 +53,20 @@
 
 // Counts is what an upstream saw since it was made.
 type Counts struct {
-	Received        int64                         `json:"received"`
-	Done            int64                         `json:"done"`
-	Shed            int64                         `json:"shed"`
-	Cancelled       int64                         `json:"cancelled"`
-	ColdPeak        int                           `json:"coldPeak"`
-	ColdLimit       zlunit.Slots                  `json:"coldLimit"`
-	Peak            int                           `json:"peak"`
-	PeakConnections int                           `json:"peakConnections"`
-	RefusedConns    int64                         `json:"refusedConnections"`
-	AfterLeaving    int64                         `json:"afterLeaving"`
-	LastReceived    time.Time                     `json:"lastReceived"`
-	Versions        map[zlunit.IndexVersion]int64 `json:"versions"`
+	Received        int64        `json:"received"`
+	Done            int64        `json:"done"`
+	Shed            int64        `json:"shed"`
+	Cancelled       int64        `json:"cancelled"`
+	ColdPeak        int          `json:"coldPeak"`
+	ColdLimit       zlunit.Slots `json:"coldLimit"`
+	Peak            int          `json:"peak"`
+	PeakConnections int          `json:"peakConnections"`
+	RefusedConns    int64        `json:"refusedConnections"`
+	AfterLeaving    int64        `json:"afterLeaving"`
+	LastReceived    time.Time    `json:"lastReceived"`
+	// LeftAt is when it was told to leave, or zero.
+	LeftAt   time.Time                     `json:"leftAt,omitzero"`
+	Versions map[zlunit.IndexVersion]int64 `json:"versions"`
 	// Doubled lists non-idempotent requests that ran more than once.
 	Doubled []zlunit.RequestID `json:"doubled,omitempty"`
 }
@@ -176,6 +178,7 @@
 	defer u.mu.Unlock()
 	out := u.counts
 	out.ColdLimit = u.Settings.ColdLimit
+	out.LeftAt = u.leftAt
 	out.Versions = map[zlunit.IndexVersion]int64{}
 	for v, n := range u.counts.Versions {
 		out.Versions[v] = n
