--- a/cmd/load.go
+++ b/cmd/load.go
@@ -3,99 +3,183 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
-	"strings"
+	"os"
+	"sort"
 	"time"
 
 	"zinnialock/core/process/zlunit"
-	"zinnialock/core/version/zlcatalog"
 	"zinnialock/io/process/zlload"
 	"zinnialock/io/process/zlplatform"
 )
 
+// loadOptions are the flags of load.
+type loadOptions struct {
+	targets  []string
+	platform string
+	rate     float64
+	duration time.Duration
+	deadline time.Duration
+	seed     uint64
+	kind     string
+	once     float64
+	audit    bool
+	plot     string
+	format   string
+}
+
 func runLoad(e *env, args []string) int {
 	fs := newFlags(e, "load", "Send queries at a rate and check each answer; latency counts from the intended send time.")
+	var o loadOptions
 	targets := fs.String("targets", "127.0.0.1:7100", "caller addresses of daemons, `IP:PORT[,IP:PORT]`")
-	platform := fs.String("platform", "127.0.0.1:7000", "the platform, to read the catalogue from")
-	rate := fs.Float64("rate", 50, "queries a second")
-	duration := fs.Duration("time", 10*time.Second, "length of the load")
-	deadline := fs.Duration("deadline", 2*time.Second, "time allowed for each query")
-	seed := fs.Uint64("seed", 1, "seed")
-	kind := fs.String("kind", "lookup", "query kind")
-	format := formatFlag(fs)
+	fs.StringVar(&o.platform, "platform", "127.0.0.1:7000", "the platform's `IP:PORT`, to read the catalogues from")
+	fs.Float64Var(&o.rate, "rate", 50, "queries a second")
+	fs.DurationVar(&o.duration, "time", 10*time.Second, "length of the load")
+	fs.DurationVar(&o.deadline, "deadline", 2*time.Second, "time allowed for each query")
+	fs.Uint64Var(&o.seed, "seed", 1, "seed")
+	fs.StringVar(&o.kind, "kind", "lookup", "query kind")
+	fs.Float64Var(&o.once, "once", 0, "share of queries that are not idempotent, 0 to 1")
+	fs.BoolVar(&o.audit, "audit", true, "read the counts of the upstream stand-ins; off for real upstreams")
+	fs.StringVar(&o.plot, "plot", "", "`FILE.png` for the latency distribution and the timeline")
+	fs.StringVar(&o.format, "format", "text", "text or json")
 	if code, ok := parse(e, fs, args); !ok {
 		return code
 	}
-	if err := errors.Join(checkFormat(*format), checkAddress("platform", *platform)); err != nil {
+	var err error
+	o.targets, err = checkTargets("targets", *targets)
+	if err := errors.Join(err, o.check()); err != nil {
 		return e.fail(exitUsage, err)
 	}
-	catalogs, err := readCatalogs(*platform)
-	if err != nil {
-		return e.fail(exitFailed, err)
-	}
-	load := &zlload.Load{
-		Targets:  strings.Split(*targets, ","),
-		Rate:     *rate,
-		Duration: *duration,
-		Seed:     *seed,
-		Checker: &zlload.Checker{
-			Shards: catalogs.shards,
+	return load(e, &o)
+}
+
+func (o *loadOptions) check() error {
+	return errors.Join(
+		checkFormat(o.format),
+		checkAddress("platform", o.platform),
+		checkRate("rate", o.rate),
+		checkDuration("time", o.duration, time.Millisecond, maxDuration),
+		checkDuration("deadline", o.deadline, time.Millisecond, maxDeadline),
+		checkNumber("once", o.once, 0, 1),
+		checkText("kind", o.kind, "the name of a query kind"),
+	)
+}
+
+func load(e *env, o *loadOptions) int {
+	ctx := context.Background()
+	catalogs := &zlload.Catalogs{
+		Client: &zlplatform.Client{
+			Address: o.platform,
+			HTTP:    http.DefaultClient,
+			Timeout: 5 * time.Second,
 		},
 	}
-	for service := range catalogs {
-		load.Mix = append(load.Mix, zlload.Shape{
-			Service:    service,
-			Kind:       zlunit.QueryKind(*kind),
-			Idempotent: true,
-			Weight:     1,
-			Deadline:   *deadline,
-		})
+	if err := catalogs.Read(ctx); err != nil {
+		return e.fail(exitFailed, fmt.Errorf("load: %w", err))
 	}
-	summary, _ := load.Run(context.Background())
-	if *format == "json" {
+	run := o.newLoad(catalogs)
+	if isTerminal(os.Stderr) {
+		run.Progress = func(s zlload.Summary) {
+			_, _ = fmt.Fprintf(e.stderr, "\r%s", progressLine(&s))
+		}
+	}
+	summary, points, err := run.Run(ctx)
+	if run.Progress != nil {
+		_, _ = fmt.Fprintln(e.stderr)
+	}
+	if err != nil {
+		return e.fail(exitFailed, fmt.Errorf("load: %w", err))
+	}
+	if o.format == "json" {
 		e.json(summary)
 	} else {
 		showSummary(e, &summary)
 	}
-	if len(summary.Violations) > 0 {
-		return exitFailed
+	if o.plot != "" {
+		if err := zlload.WritePlot(o.plot, points); err != nil {
+			return e.fail(exitFailed, err)
+		}
 	}
-	return exitDone
+	return verdict(&summary)
 }
 
-type catalogMap map[zlunit.Service]*zlcatalog.Catalog
-
-func (m catalogMap) shards(service zlunit.Service, version zlunit.IndexVersion) int {
-	if c, ok := m[service]; ok {
-		for _, v := range c.Versions {
-			if v.Number == version {
-				return len(v.Shards)
-			}
+func (o *loadOptions) newLoad(catalogs *zlload.Catalogs) *zlload.Load {
+	run := &zlload.Load{
+		Targets:   o.targets,
+		Rate:      o.rate,
+		Duration:  o.duration,
+		Seed:      o.seed,
+		OnceShare: o.once,
+		Checker: &zlload.Checker{
+			Shards: catalogs.Shards,
+		},
+	}
+	if o.audit {
+		run.Auditor = &zlload.Auditor{
+			Catalogs: catalogs,
+			HTTP:     auditHTTP(),
 		}
 	}
-	return 0
+	for _, c := range catalogs.Services() {
+		run.Mix = append(run.Mix, zlload.Shape{
+			Service:  c.Service,
+			Kind:     zlunit.QueryKind(o.kind),
+			Weight:   1,
+			Deadline: o.deadline,
+		})
+	}
+	// The same seed has to give the same load.
+	sort.Slice(run.Mix, func(i, j int) bool {
+		return run.Mix[i].Service < run.Mix[j].Service
+	})
+	return run
 }
 
-func readCatalogs(address string) (catalogMap, error) {
-	client := &zlplatform.Client{
-		Address: address,
-		HTTP:    http.DefaultClient,
+// auditHTTP keeps no connection to an upstream, where each counts.
+func auditHTTP() *http.Client {
+	return &http.Client{
+		Transport: &http.Transport{
+			MaxConnsPerHost: 1,
+			IdleConnTimeout: time.Second,
+		},
 		Timeout: 5 * time.Second,
 	}
-	l, err := client.Watch(context.Background(), []zlplatform.ObjectKind{zlplatform.ObjectCatalog}, 0, 0)
-	if err != nil {
-		return nil, err
+}
+
+// verdict is the exit code for a summary: nothing answered proves nothing.
+func verdict(s *zlload.Summary) int {
+	if len(s.Violations) > 0 || s.Answered == 0 {
+		return exitFailed
 	}
-	out := catalogMap{}
-	for _, o := range l.Objects {
-		c, err := zlcatalog.Decode(o.Value)
-		if err != nil {
-			return nil, err
-		}
-		out[c.Service] = c
+	return exitDone
+}
+
+func progressLine(s *zlload.Summary) string {
+	return fmt.Sprintf("answered %6d  refused %4d  p50 %6.1f ms  p99 %7.1f ms  coverage %.4f", s.Answered, s.Refused, s.P50Ms, s.P99Ms, s.CoverageMean)
+}
+
+func showSummary(e *env, s *zlload.Summary) {
+	e.printf("sent %d (%d not idempotent), answered %d, refused %d, failed %d\n", s.Sent, s.Once, s.Answered, s.Refused, s.Failed)
+	e.printf("sent again by callers %d, attempts cut %d\n", s.Again, s.Cut)
+	e.printf("p50 %.1f ms, p99 %.1f ms, p99.9 %.1f ms, largest %.1f ms\n", s.P50Ms, s.P99Ms, s.P999Ms, s.MaxMs)
+	e.printf("coverage mean %.5f, least %.5f; extra load %.4f\n", s.CoverageMean, s.CoverageMin, s.ExtraLoad)
+	reasons := make([]string, 0, len(s.Reasons))
+	for reason := range s.Reasons {
+		reasons = append(reasons, reason)
+	}
+	sort.Strings(reasons)
+	for _, reason := range reasons {
+		e.printf("refused for %s: %d\n", reason, s.Reasons[reason])
 	}
-	if len(out) == 0 {
-		return nil, errors.New("load: the platform holds no catalogue")
+	e.printf("violations: %d\n", len(s.Violations))
+	for _, v := range s.Violations {
+		e.printf("  %s\n", v)
 	}
-	return out, nil
+}
+
+// isTerminal reports whether f is a terminal.
+func isTerminal(f *os.File) bool {
+	info, err := f.Stat()
+	return err == nil && info.Mode()&os.ModeCharDevice != 0
 }
--- a/io/process/zlload/audit.go
+++ b/io/process/zlload/audit.go
@@ -22,15 +22,15 @@
 
 // Auditor reads the counts that the upstream stand-ins keep themselves.
 type Auditor struct {
-	// Catalogs returns the services with their upstreams as of now.
-	Catalogs func() []*zlcatalog.Catalog
+	Catalogs *Catalogs
 	HTTP     *http.Client
 }
 
 // Snapshot is the counts of every upstream at one moment.
 type Snapshot struct {
-	counts map[zlunit.Upstream]zlfakeupstream.Counts
-	known  map[zlunit.Upstream]map[zlunit.IndexVersion]bool
+	counts   map[zlunit.Upstream]zlfakeupstream.Counts
+	services map[zlunit.Upstream]zlunit.Service
+	catalogs *Catalogs
 }
 
 // auditors bounds how many upstreams are asked at once.
@@ -42,7 +42,7 @@
 	var wg sync.WaitGroup
 	var mu sync.Mutex
 	var first error
-	for _, c := range a.Catalogs() {
+	for _, c := range a.Catalogs.Services() {
 		for _, u := range c.Upstreams {
 			gate <- struct{}{}
 			wg.Go(func() {
@@ -62,8 +62,9 @@
 // Read takes a snapshot; an upstream that cannot be read is an error.
 func (a *Auditor) Read(ctx context.Context) (Snapshot, error) {
 	s := Snapshot{
-		counts: map[zlunit.Upstream]zlfakeupstream.Counts{},
-		known:  map[zlunit.Upstream]map[zlunit.IndexVersion]bool{},
+		counts:   map[zlunit.Upstream]zlfakeupstream.Counts{},
+		services: map[zlunit.Upstream]zlunit.Service{},
+		catalogs: a.Catalogs,
 	}
 	var mu sync.Mutex
 	err := a.each(func(c *zlcatalog.Catalog, u zlcatalog.Upstream) error {
@@ -74,10 +75,7 @@
 		mu.Lock()
 		defer mu.Unlock()
 		s.counts[u.Name] = counts
-		s.known[u.Name] = map[zlunit.IndexVersion]bool{}
-		for _, v := range c.Versions {
-			s.known[u.Name][v.Number] = true
-		}
+		s.services[u.Name] = c.Service
 		return nil
 	})
 	return s, err
@@ -142,7 +140,10 @@
 	for name, now := range s.counts {
 		was := before.counts[name]
 		received += now.Received - was.Received
-		for _, text := range countFaults(was, now, s.known[name]) {
+		known := func(v zlunit.IndexVersion) bool {
+			return s.catalogs.Known(s.services[name], v)
+		}
+		for _, text := range countFaults(was, now, known) {
 			faults = append(faults, fmt.Sprintf("upstream %s: %s", name, text))
 		}
 	}
@@ -150,7 +151,7 @@
 	return faults, received
 }
 
-func countFaults(was, now zlfakeupstream.Counts, known map[zlunit.IndexVersion]bool) []string {
+func countFaults(was, now zlfakeupstream.Counts, known func(zlunit.IndexVersion) bool) []string {
 	var out []string
 	say := func(format string, args ...any) {
 		out = append(out, fmt.Sprintf(format, args...))
@@ -168,7 +169,7 @@
 		say("received work %v after it began to leave", late.Round(time.Millisecond))
 	}
 	for version, n := range now.Versions {
-		if n > was.Versions[version] && !known[version] {
+		if n > was.Versions[version] && !known(version) {
 			say("served version %d, which the catalogue does not have", version)
 		}
 	}
--- a/io/process/zlload/caller.go
+++ b/io/process/zlload/caller.go
@@ -17,7 +17,8 @@
 const (
 	// slack is what a caller waits beyond its deadline for the answer to travel.
 	slack = 2 * time.Second
-	// maxAttempts bounds how often a caller sends one request.
+	// maxAttempts bounds how often a caller sends one request; daemons that
+	// cannot be connected to do not count.
 	maxAttempts = 4
 	// pause is the time before an attempt when a daemon gave no advice.
 	pause = 50 * time.Millisecond
@@ -76,13 +77,17 @@
 		Request: req,
 		Once:    c.once,
 	}
-	for try := range maxAttempts {
+	reached := 0
+	for try := 0; reached < maxAttempts && try < maxAttempts+len(c.load.Targets); try++ {
 		a := c.attempt(req, (c.number+try)%len(c.load.Targets))
 		entry.Attempts = append(entry.Attempts, a)
 		if !c.again(&a) {
 			break
 		}
-		req.Retry = req.Retry || !a.unreached()
+		if !a.unreached() {
+			reached++
+			req.Retry = true
+		}
 		time.Sleep(wait(&a))
 	}
 	var faults []string
--- a/io/process/zlload/check_test.go
+++ b/io/process/zlload/check_test.go
@@ -190,9 +190,7 @@
 
 func TestCountsShowEachFault(t *testing.T) {
 	left := time.Unix(1000, 0)
-	known := map[zlunit.IndexVersion]bool{
-		1: true,
-	}
+	known := func(v zlunit.IndexVersion) bool { return v == 1 }
 	right := zlfakeupstream.Counts{
 		ColdPeak:     1,
 		ColdLimit:    1,
--- a/io/process/zlload/zlload_test.go
+++ b/io/process/zlload/zlload_test.go
@@ -86,6 +86,29 @@
 	return mux
 }
 
+func testCatalogs(address string) *Catalogs {
+	c := &Catalogs{
+		services: map[zlunit.Service]*zlcatalog.Catalog{},
+		shards:   map[versionKey]int{},
+	}
+	c.add(&zlcatalog.Catalog{
+		Service: "s",
+		Upstreams: []zlcatalog.Upstream{
+			{
+				Name:    "u",
+				Address: address,
+			},
+		},
+		Versions: []zlcatalog.Version{
+			{
+				Number: 1,
+				Shards: [][]zlunit.Upstream{{"u"}},
+			},
+		},
+	})
+	return c
+}
+
 // play sends 20 requests to a tier.
 func play(t *testing.T, w *wrongTier, once float64) (Summary, []Point) {
 	t.Helper()
@@ -110,20 +133,8 @@
 			Shards: func(zlunit.Service, zlunit.IndexVersion) int { return 1 },
 		},
 		Auditor: &Auditor{
-			HTTP: server.Client(),
-			Catalogs: func() []*zlcatalog.Catalog {
-				return []*zlcatalog.Catalog{
-					{
-						Service: "s",
-						Upstreams: []zlcatalog.Upstream{
-							{
-								Name:    "u",
-								Address: address,
-							},
-						},
-					},
-				}
-			},
+			HTTP:     server.Client(),
+			Catalogs: testCatalogs(address),
 		},
 	}
 	s, points, err := l.Run(context.Background())
--- /dev/null
+++ b/io/standin/zlscene/actions.go
@@ -0,0 +1,130 @@
+package zlscene
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"zinnialock/core/process/zlunit"
+	"zinnialock/core/version/zlcatalog"
+	"zinnialock/core/version/zlmark"
+	"zinnialock/io/process/zlplatform"
+	"zinnialock/io/standin/zlfakeupstream"
+	"zinnialock/io/version/zlsync"
+
+	"github.com/rotisserie/eris"
+)
+
+// Straggle makes one upstream take straggleTimes as long for a share of its
+// requests.
+func (s *Scene) Straggle(name zlunit.Upstream, share float64) {
+	s.Upstreams[name].Update(func(u *zlfakeupstream.Settings) {
+		u.StraggleShare = share
+	})
+}
+
+// Mark takes data centres out of service, and all others into it.
+func (s *Scene) Mark(ctx context.Context, out ...zlunit.DataCentre) error {
+	marks := &zlmark.Marks{
+		DataCentres: map[zlunit.DataCentre]zlmark.Mark{},
+	}
+	for _, dc := range out {
+		marks.DataCentres[dc] = zlmark.Mark{
+			Reason: "demo",
+			At:     time.Now(),
+		}
+	}
+	version, err := s.versionOf(ctx, zlplatform.ObjectMarks, zlsync.MarksName)
+	if err != nil {
+		return err
+	}
+	_, err = s.Client.Put(ctx, zlplatform.ObjectMarks, zlsync.MarksName, version, marks)
+	return err
+}
+
+func (s *Scene) versionOf(ctx context.Context, kind zlplatform.ObjectKind, name string) (zlunit.ObjectVersion, error) {
+	o, err := s.Client.Get(ctx, kind, name)
+	if zlplatform.Is(err, zlplatform.KindNotFound) {
+		return 0, nil
+	}
+	if err != nil {
+		return 0, err
+	}
+	return o.Version, nil
+}
+
+// Received sums what the upstreams of a data centre received so far.
+func (s *Scene) Received(dc zlunit.DataCentre) int64 {
+	var n int64
+	for _, c := range s.Catalogs {
+		for _, u := range c.Upstreams {
+			if u.DataCentre == dc {
+				n += s.Upstreams[u.Name].Counts().Received
+			}
+		}
+	}
+	return n
+}
+
+// Kill ends the entry VM's daemon at once, as a crash would.
+func (s *Scene) Kill(n int) {
+	s.entries[n].Kill()
+	s.killed[n] = true
+}
+
+// Repartition gives a service a further index version with more shards, on the
+// same upstreams. The old version stays until Retire.
+func (s *Scene) Repartition(ctx context.Context, service zlunit.Service, shards int) error {
+	next := *s.Catalogs[service]
+	last := next.Versions[0]
+	version := zlcatalog.Version{
+		Number: last.Number + 1,
+		Shards: make([][]zlunit.Upstream, shards),
+	}
+	held := map[zlunit.Upstream][]zlunit.Shard{}
+	for shard := range shards {
+		replicas := last.Shards[shard%len(last.Shards)]
+		version.Shards[shard] = replicas
+		for _, name := range replicas {
+			held[name] = append(held[name], zlunit.Shard(shard))
+		}
+	}
+	for name, list := range held {
+		s.Upstreams[name].Repartition(version.Number, list, false)
+	}
+	next.Versions = append([]zlcatalog.Version{version}, next.Versions...)
+	return s.putCatalog(ctx, &next)
+}
+
+// Retire removes all but the newest version of a service, from the upstreams
+// too, whatever still runs at the older ones.
+func (s *Scene) Retire(ctx context.Context, service zlunit.Service) error {
+	next := *s.Catalogs[service]
+	newest := next.Versions[0]
+	held := map[zlunit.Upstream][]zlunit.Shard{}
+	for shard, replicas := range newest.Shards {
+		for _, name := range replicas {
+			held[name] = append(held[name], zlunit.Shard(shard))
+		}
+	}
+	next.Versions = next.Versions[:1]
+	if err := s.putCatalog(ctx, &next); err != nil {
+		return err
+	}
+	for name, list := range held {
+		s.Upstreams[name].Repartition(newest.Number, list, true)
+	}
+	return nil
+}
+
+func (s *Scene) putCatalog(ctx context.Context, c *zlcatalog.Catalog) error {
+	version, err := s.versionOf(ctx, zlplatform.ObjectCatalog, string(c.Service))
+	if err != nil {
+		return err
+	}
+	if _, err := s.Client.Put(ctx, zlplatform.ObjectCatalog, string(c.Service), version, c); err != nil {
+		return eris.Wrap(err, fmt.Sprintf("catalogue of %s", c.Service))
+	}
+	s.Catalogs[c.Service] = c
+	return nil
+}
--- /dev/null
+++ b/io/standin/zlscene/entry.go
@@ -0,0 +1,36 @@
+package zlscene
+
+import (
+	"zinnialock/io/process/zldaemon"
+)
+
+// entry is what serves callers on one entry VM.
+type entry interface {
+	// Target is its caller address.
+	Target() string
+	// Ready reports whether it serves and sees a fleet of n daemons.
+	Ready(n int) bool
+	// Kill ends it at once.
+	Kill()
+}
+
+// daemonEntry is a daemon of the tier.
+type daemonEntry struct {
+	daemon *zldaemon.Daemon
+}
+
+// Target implements entry.
+func (d *daemonEntry) Target() string {
+	return d.daemon.Config.CallerListen
+}
+
+// Ready implements entry.
+func (d *daemonEntry) Ready(n int) bool {
+	ready, _ := d.daemon.Ready()
+	return ready && d.daemon.Peers() == n
+}
+
+// Kill implements entry.
+func (d *daemonEntry) Kill() {
+	d.daemon.Kill()
+}
--- a/io/standin/zlscene/zlscene.go
+++ b/io/standin/zlscene/zlscene.go
@@ -30,13 +30,16 @@
 	Plan UserPlan
 	Seed uint64
 	Log  *log.Logger
+	// Naive runs the naive version in place of the daemons.
+	Naive bool
 
 	Platform  *zlfakeplatform.Platform
 	Client    *zlplatform.Client
 	Upstreams map[zlunit.Upstream]*zlfakeupstream.Upstream
-	Daemons   []*zldaemon.Daemon
 	Catalogs  map[zlunit.Service]*zlcatalog.Catalog
 
+	entries   []entry
+	killed    map[int]bool
 	authority *zlkeys.Authority
 	server    *http.Server
 }
@@ -54,9 +57,10 @@
 		return err
 	}
 	s.authority = authority
+	s.killed = map[int]bool{}
 	for _, dc := range s.Plan.DataCentres {
 		for i := range s.Plan.Daemons {
-			if err := s.RunDaemon(dc, i); err != nil {
+			if err := s.runEntry(dc, i); err != nil {
 				return err
 			}
 		}
@@ -170,6 +174,13 @@
 	}
 }
 
+func (s *Scene) runEntry(dc zlunit.DataCentre, i int) error {
+	if s.Naive {
+		return s.runNaive(dc)
+	}
+	return s.RunDaemon(dc, i)
+}
+
 // RunDaemon starts the daemon of entry VM i of a data centre.
 func (s *Scene) RunDaemon(dc zlunit.DataCentre, i int) error {
 	name := fmt.Sprintf("%s-%d", dc, i+1)
@@ -200,7 +211,9 @@
 	if err := d.Run(); err != nil {
 		return err
 	}
-	s.Daemons = append(s.Daemons, d)
+	s.entries = append(s.entries, &daemonEntry{
+		daemon: d,
+	})
 	return nil
 }
 
@@ -228,9 +241,8 @@
 	deadline := time.Now().Add(readyWait)
 	for time.Now().Before(deadline) && ctx.Err() == nil {
 		all := true
-		for _, d := range s.Daemons {
-			ready, _ := d.Ready()
-			all = all && ready && d.Peers() == len(s.Daemons)
+		for _, e := range s.entries {
+			all = all && e.Ready(len(s.entries))
 		}
 		if all {
 			return nil
@@ -242,49 +254,28 @@
 
 // Targets returns the daemons' caller addresses.
 func (s *Scene) Targets() []string {
-	out := make([]string, 0, len(s.Daemons))
-	for _, d := range s.Daemons {
-		out = append(out, d.Config.CallerListen)
+	out := make([]string, 0, len(s.entries))
+	for _, e := range s.entries {
+		out = append(out, e.Target())
 	}
 	return out
 }
 
-// ShardsOf returns how many shards a version has, or 0.
-func (s *Scene) ShardsOf(service zlunit.Service, version zlunit.IndexVersion) int {
-	c, ok := s.Catalogs[service]
-	if !ok {
-		return 0
-	}
-	for _, v := range c.Versions {
-		if v.Number == version {
-			return len(v.Shards)
-		}
-	}
-	return 0
-}
-
-// Faults lists what the upstreams' own counts show against the promises.
-func (s *Scene) Faults() []string {
-	var faults []string
-	for name, u := range s.Upstreams {
-		c := u.Counts()
-		if c.ColdPeak > int(c.ColdLimit) {
-			faults = append(faults, fmt.Sprintf("upstream %s: %d in flight while cold, limit %d", name, c.ColdPeak, c.ColdLimit))
-		}
-		if c.RefusedConns > 0 {
-			faults = append(faults, fmt.Sprintf("upstream %s: %d connections beyond its cap", name, c.RefusedConns))
-		}
-		for _, id := range c.Doubled {
-			faults = append(faults, fmt.Sprintf("upstream %s: request %s ran twice", name, id))
-		}
+// Admin returns the admin address of an entry VM's daemon, or nothing for the
+// naive version.
+func (s *Scene) Admin(n int) string {
+	if d, ok := s.entries[n].(*daemonEntry); ok {
+		return d.daemon.Config.AdminListen
 	}
-	return faults
+	return ""
 }
 
 // Close ends everything at once.
 func (s *Scene) Close() {
-	for _, d := range s.Daemons {
-		d.Kill()
+	for n, e := range s.entries {
+		if !s.killed[n] {
+			e.Kill()
+		}
 	}
 	for _, u := range s.Upstreams {
 		u.Close()
