--- a/io/process/zlcapacity/measure.go
+++ b/io/process/zlcapacity/measure.go
@@ -332,11 +332,10 @@
 		Seed:     1,
 		Mix: []zlload.Shape{
 			{
-				Service:    ServiceName,
-				Kind:       "capacity",
-				Idempotent: true,
-				Weight:     1,
-				Deadline:   5 * time.Second,
+				Service:  ServiceName,
+				Kind:     "capacity",
+				Weight:   1,
+				Deadline: 5 * time.Second,
 			},
 		},
 	}
@@ -347,7 +346,10 @@
 	if err != nil {
 		return 0, err
 	}
-	summary, _ := load.Run(ctx)
+	summary, _, err := load.Run(ctx)
+	if err != nil {
+		return 0, err
+	}
 	after, err := m.costs(ctx, m.Stage.Places, false)
 	if err != nil {
 		return 0, err
