--- a/io/standin/zlfakeupstream/work.go
+++ b/io/standin/zlfakeupstream/work.go
@@ -166,16 +166,7 @@
 func (u *Upstream) begin(q *zlupcall.Query) time.Duration {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	if !q.Idempotent {
-		k := runKey{
-			request: q.RequestID,
-			shard:   q.Shard,
-		}
-		u.runs[k]++
-		if u.runs[k] == 2 {
-			u.counts.Doubled = append(u.counts.Doubled, q.RequestID)
-		}
-	}
+	u.noteRun(q)
 	ms := u.Settings.ServiceMs * (0.5 + u.random.Float64())
 	if u.random.Float64() < u.Settings.StraggleShare {
 		ms *= u.Settings.StraggleTimes
--- a/io/standin/zlfakeupstream/zlfakeupstream.go
+++ b/io/standin/zlfakeupstream/zlfakeupstream.go
@@ -62,16 +62,18 @@
 	Cancelled int64 `json:"cancelled"`
 	// ColdPeak is the largest number in flight when a request arrived while
 	// cold.
-	ColdPeak        int                           `json:"coldPeak"`
-	ColdLimit       zlunit.Slots                  `json:"coldLimit"`
-	Peak            int                           `json:"peak"`
-	PeakConnections int                           `json:"peakConnections"`
-	Connects        int64                         `json:"connects"`
-	RefusedConns    int64                         `json:"refusedConnections"`
-	Restarts        int64                         `json:"restarts"`
-	AfterLeaving    int64                         `json:"afterLeaving"`
-	LastReceived    time.Time                     `json:"lastReceived"`
-	Versions        map[zlunit.IndexVersion]int64 `json:"versions"`
+	ColdPeak        int          `json:"coldPeak"`
+	ColdLimit       zlunit.Slots `json:"coldLimit"`
+	Peak            int          `json:"peak"`
+	PeakConnections int          `json:"peakConnections"`
+	Connects        int64        `json:"connects"`
+	RefusedConns    int64        `json:"refusedConnections"`
+	Restarts        int64        `json:"restarts"`
+	AfterLeaving    int64        `json:"afterLeaving"`
+	LastReceived    time.Time    `json:"lastReceived"`
+	// LeftAt is when it was told to leave, or zero.
+	LeftAt   time.Time                     `json:"leftAt,omitzero"`
+	Versions map[zlunit.IndexVersion]int64 `json:"versions"`
 	// Doubled lists non-idempotent requests that ran more than once.
 	Doubled []zlunit.RequestID `json:"doubled,omitempty"`
 }
@@ -89,7 +91,7 @@
 	cold   int
 	leftAt time.Time
 	counts Counts
-	runs   map[runKey]int
+	runs   runs
 	loads  []loadSample
 	server *http.Server
 	done   chan struct{}
@@ -104,11 +106,6 @@
 	conns    map[*countedConn]bool
 }
 
-type runKey struct {
-	request zlunit.RequestID
-	shard   zlunit.Shard
-}
-
 type connKey struct{}
 
 // Run listens and serves until Close; it returns once the listener is up.
@@ -119,7 +116,6 @@
 	}
 	u.Address = listener.Addr().String()
 	u.random = rand.New(rand.NewPCG(u.Seed, 1))
-	u.runs = map[runKey]int{}
 	u.counts.Versions = map[zlunit.IndexVersion]int64{}
 	u.done = make(chan struct{})
 	u.cold = u.Settings.ColdWork
@@ -243,19 +239,7 @@
 	defer u.mu.Unlock()
 	out := u.counts
 	out.ColdLimit = u.Settings.ColdLimit
+	out.LeftAt = u.leftAt
 	out.Versions = maps.Clone(u.counts.Versions)
 	return out
 }
-
-// Runs returns how often each shard of a non-idempotent request ran.
-func (u *Upstream) Runs(request zlunit.RequestID) map[zlunit.Shard]int {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	out := map[zlunit.Shard]int{}
-	for k, n := range u.runs {
-		if k.request == request {
-			out[k.shard] = n
-		}
-	}
-	return out
-}
