experiment: the tier beside the naive version; hedges spend their budget better

Cause: the targets on the tail had no measurement; the first one showed the budget of hedges spent on what was not late for long, and kinds with few queries hedging after 100 ms since nothing was known of them. Change: subcommand experiment runs the naive version, the tier and the tier without single mechanisms, each on a scene of its own with the same seed. Half of the hedge budget is kept for what is late beyond doubt; a query most of whose shards are out waits before it hedges; a kind with few samples goes by the latency of all kinds. The naive version counts its sub-requests and says what is missing.

--- a/cmd/cmd.go
+++ b/cmd/cmd.go
@@ -67,6 +67,11 @@
 			summary: "measure what the tier costs as it grows",
 			run:     runCapacity,
 		},
+		{
+			name:    "experiment",
+			summary: "measure the tier beside the naive version",
+			run:     runExperiment,
+		},
 	}
 }
 
@@ -96,7 +101,7 @@
 func usage(w io.Writer) {
 	_, _ = fmt.Fprintln(w, "Usage: zinnialock SUBCOMMAND [flags]")
 	for _, c := range commands() {
-		_, _ = fmt.Fprintf(w, "  %-9s %s\n", c.name, c.summary)
+		_, _ = fmt.Fprintf(w, "  %-10s %s\n", c.name, c.summary)
 	}
 	_, _ = fmt.Fprintln(w, "`zinnialock SUBCOMMAND -h` lists the flags of one.")
 }
--- /dev/null
+++ b/cmd/experiment.go
@@ -0,0 +1,136 @@
+package cmd
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"strings"
+	"time"
+
+	"zinnialock/io/process/zlexperiment"
+	"zinnialock/io/standin/zlscene"
+
+	"github.com/phuslu/log"
+)
+
+// The bounds of an experiment.
+const (
+	mostExperiment = time.Hour
+	mostServiceMs  = 1000
+)
+
+func runExperiment(e *env, args []string) int {
+	fs := newFlags(e, "experiment", "Measure the tier beside the naive version and without single mechanisms.")
+	x := &zlexperiment.Experiment{}
+	user := fs.String("user", "guild", "guild or vaxjo")
+	fs.Float64Var(&x.Rate, "rate", 120, "queries a second")
+	fs.DurationVar(&x.Duration, "time", 20*time.Second, "length of the load of each variant")
+	fs.DurationVar(&x.Warming, "warming", 5*time.Second, "length of the load that goes before, without faults")
+	fs.DurationVar(&x.Deadline, "deadline", 2*time.Second, "time allowed for each query")
+	fs.Uint64Var(&x.Seed, "seed", 1, "seed of the load and the stand-ins")
+	fs.Float64Var(&x.ServiceMs, "service-ms", 5, "mean service time of upstreams, in milliseconds")
+	fs.Float64Var(&x.StraggleShare, "straggle", 0.01, "share of sub-requests that straggle")
+	fs.Float64Var(&x.StraggleTimes, "straggle-times", 20, "how many times as long they take")
+	lost := fs.String("lost", string(zlexperiment.LostRefuses), "one replica refuses, is silent, or none is lost: refuses, silent or none")
+	without := fs.String("without", "", "mechanisms to switch off in turn, `NAME[,NAME]` or all")
+	sooner := fs.String("sooner", "", "a further variant that takes less coverage sooner, `COVERAGE,DURATION`")
+	format := formatFlag(fs)
+	if code, ok := parse(e, fs, args); !ok {
+		return code
+	}
+	x.Lost = zlexperiment.Lost(*lost)
+	arms, err := experimentArms(*without, *sooner)
+	plan, userErr := zlscene.Users(*user)
+	if userErr != nil {
+		userErr = fmt.Errorf("flag -user: %w", userErr)
+	}
+	if err := errors.Join(err, userErr, checkFormat(*format), checkExperiment(x)); err != nil {
+		return e.fail(exitUsage, err)
+	}
+	x.Plan = plan
+	x.Log = &log.Logger{
+		Level: log.ErrorLevel,
+		Writer: &log.IOWriter{
+			Writer: os.Stderr,
+		},
+	}
+	x.Progress = func(zlexperiment.Row) {}
+	if *format == "text" {
+		e.printf("%s, seed %d, %v/s for %v each, service %v ms, %v of sub-requests straggle %v times, one replica lost: %s\n", *user, x.Seed, x.Rate, x.Duration, x.ServiceMs, x.StraggleShare, x.StraggleTimes, x.Lost)
+		e.printf("| variant | answered | p50 ms | p99 ms | p99.9 ms | coverage mean | coverage min | extra sub-requests |\n|---|---|---|---|---|---|---|---|\n")
+		x.Progress = e.experimentRow
+	}
+	rows, err := x.Run(context.Background(), arms)
+	if err != nil {
+		return e.fail(exitFailed, err)
+	}
+	if *format == "json" {
+		e.json(rows)
+	}
+	return experimentCode(rows)
+}
+
+func (e *env) experimentRow(row zlexperiment.Row) {
+	s := &row.Summary
+	e.printf("| %s | %d of %d | %.1f | %.1f | %.1f | %.5f | %.4f | %.4f |\n", row.Name, s.Answered, s.Sent, s.P50Ms, s.P99Ms, s.P999Ms, s.CoverageMean, s.CoverageMin, s.ExtraLoad)
+	for _, v := range s.Violations {
+		e.printf("violation: %s\n", v)
+	}
+}
+
+func experimentArms(without, sooner string) ([]zlexperiment.Arm, error) {
+	var names []string
+	switch without {
+	case "":
+	case "all":
+		names = zlexperiment.Switches()
+	default:
+		names = strings.Split(without, ",")
+	}
+	arms, err := zlexperiment.Arms(names)
+	if err != nil {
+		return nil, fmt.Errorf("flag -without: %w", err)
+	}
+	if sooner == "" {
+		return arms, nil
+	}
+	var coverage float64
+	var after string
+	if _, err := fmt.Sscanf(strings.Replace(sooner, ",", " ", 1), "%g %s", &coverage, &after); err != nil {
+		return nil, fmt.Errorf("flag -sooner: found %q, allowed is COVERAGE,DURATION", sooner)
+	}
+	_, err = time.ParseDuration(after)
+	if err != nil || !(coverage >= 0 && coverage <= 1) {
+		return nil, fmt.Errorf("flag -sooner: found %q, allowed is a coverage from 0 to 1 and a duration", sooner)
+	}
+	return append(arms, zlexperiment.Sooner(coverage, after)), nil
+}
+
+func checkExperiment(x *zlexperiment.Experiment) error {
+	var lost error
+	switch x.Lost {
+	case zlexperiment.LostRefuses, zlexperiment.LostSilent, zlexperiment.LostNone:
+	default:
+		lost = fmt.Errorf("flag -lost: found %q, allowed is refuses, silent or none", x.Lost)
+	}
+	return errors.Join(
+		lost,
+		checkRate("rate", x.Rate),
+		checkDuration("time", x.Duration, time.Second, mostExperiment),
+		checkDuration("warming", x.Warming, 0, mostExperiment),
+		checkDuration("deadline", x.Deadline, time.Millisecond, maxDeadline),
+		checkNumber("service-ms", x.ServiceMs, 0, mostServiceMs),
+		checkNumber("straggle", x.StraggleShare, 0, 1),
+		checkNumber("straggle-times", x.StraggleTimes, 1, mostServiceMs),
+	)
+}
+
+func experimentCode(rows []zlexperiment.Row) int {
+	for i := range rows {
+		if len(rows[i].Summary.Violations) > 0 {
+			return exitFailed
+		}
+	}
+	return exitDone
+}
--- a/core/process/zlquantile/zlquantile.go
+++ b/core/process/zlquantile/zlquantile.go
@@ -13,7 +13,7 @@
 	window = 5 * time.Second
 	// leastSamples is how many samples a window must hold to be closed, and
 	// how many a quantile needs.
-	leastSamples = 100
+	leastSamples = 32
 	// refresh is how long a computed quantile is handed out.
 	refresh = 50 * time.Millisecond
 	// largest is the largest duration told apart.
--- a/core/request/zlcoord/late.go
+++ b/core/request/zlcoord/late.go
@@ -93,14 +93,15 @@
 // of hedges allows it.
 func (r *run) hedge(shard zlunit.Shard, st *shardState, now time.Time) {
 	w := &r.coordinator.Without
-	if w.Hedges || r.policy.HedgeShare == 0 {
+	if w.Hedges || r.policy.HedgeShare == 0 || r.allLate(st, now) {
 		return
 	}
 	c, _, ok := r.pick(shard, now, zlroute.CareSpare)
 	if !ok {
 		return
 	}
-	if !w.Budgets && !r.profile.hedges.Take(0) {
+	if !w.Budgets && !r.takeHedge(r.at(now)-r.subs[st.last].sent) {
+		st.lateAt = max(r.subs[st.last].sent+r.hedgeSurely, r.at(now)+r.hedgeAfter/2)
 		r.noteRefused(st, shard, zltrace.WhatNoHedge)
 		return
 	}
@@ -108,3 +109,32 @@
 	r.coordinator.Counter.Count("hedge", zlquery.ReasonDeadline)
 	r.sendOne(shard, c, zltrace.CauseHedge, zlquery.ReasonDeadline)
 }
+
+// hedgeReserve is the share of the budget of hedges that is kept for what is
+// late beyond doubt.
+const hedgeReserve = 0.5
+
+// takeHedge takes a token for a sub-request that has been out for a while.
+func (r *run) takeHedge(out time.Duration) bool {
+	reserve := hedgeReserve
+	if out >= r.hedgeSurely {
+		reserve = 0
+	}
+	return r.profile.hedges.Take(reserve)
+}
+
+const (
+	// siblings is how many shards a query must have for them to be compared.
+	siblings = 4
+	// allLateTimes is how many times the hedging delay a query waits at most
+	// for its other shards.
+	allLateTimes = 3
+)
+
+// allLate reports whether most shards of the query are out as well: then it is
+// all that is slow, and hedges would only add to it.
+func (r *run) allLate(st *shardState, now time.Time) bool {
+	n := len(r.shards)
+	out := r.at(now) - r.subs[st.last].sent
+	return n >= siblings && 2*r.pending > n && out < allLateTimes*r.hedgeAfter
+}
--- a/core/request/zlcoord/run.go
+++ b/core/request/zlcoord/run.go
@@ -79,8 +79,10 @@
 	start       time.Time
 	// due is when the wait ends.
 	due time.Time
-	// hedgeAfter is when a sub-request counts as late.
-	hedgeAfter time.Duration
+	// hedgeAfter is when a sub-request counts as late, and hedgeSurely when
+	// it does while the budget of hedges is short.
+	hedgeAfter  time.Duration
+	hedgeSurely time.Duration
 
 	inbox  *inbox
 	shards []shardState
@@ -112,7 +114,8 @@
 func (r *run) answer() *zlquery.Answer {
 	allowed := r.req.Deadline.Sub(r.start)
 	r.due = r.req.Deadline.Add(-min(lateness, allowed/10))
-	r.hedgeAfter = r.lateAfter(allowed)
+	r.hedgeAfter = r.lateAfter(allowed, r.policy.HedgeQuantile)
+	r.hedgeSurely = r.lateAfter(allowed, 1-(1-r.policy.HedgeQuantile)/surelyTimes)
 	room := rooms.Get().(*room)
 	defer room.put(r)
 	room.lend(r)
@@ -120,7 +123,9 @@
 	r.wait()
 	room.waiting = r.inbox.close()
 	r.abandon()
-	r.profile.latency.Observe(r.coordinator.Timer.Now(), r.took...)
+	now := r.coordinator.Timer.Now()
+	r.profile.latency.Observe(now, r.took...)
+	r.coordinator.latency.Observe(now, r.took...)
 	return r.finish()
 }
 
@@ -147,14 +152,26 @@
 	r.dispatchAll()
 }
 
-// defaultLate is the share of the time allowed after which a sub-request is
-// late while nothing was measured yet.
-const defaultLate = 8
+const (
+	// defaultLate is the largest share of the time allowed, as a divisor,
+	// after which a sub-request is late.
+	defaultLate = 8
+	// unknownLate is when it is late while nothing was measured yet.
+	unknownLate = 100 * time.Millisecond
+	// surelyTimes is how many times fewer sub-requests are late while the
+	// budget of hedges is short.
+	surelyTimes = 3
+)
 
-func (r *run) lateAfter(allowed time.Duration) time.Duration {
-	d, ok := r.profile.latency.Quantile(r.start, r.policy.HedgeQuantile)
+// lateAfter is the time at a quantile of the kind's latency, or of all kinds'
+// while too little is known of it.
+func (r *run) lateAfter(allowed time.Duration, quantile float64) time.Duration {
+	d, ok := r.profile.latency.Quantile(r.start, quantile)
+	if !ok {
+		d, ok = r.coordinator.latency.Quantile(r.start, quantile)
+	}
 	if !ok {
-		d = 100 * time.Millisecond
+		d = unknownLate
 	}
 	return max(min(d, allowed/defaultLate), leastLate)
 }
--- a/core/request/zlcoord/zlcoord.go
+++ b/core/request/zlcoord/zlcoord.go
@@ -7,6 +7,7 @@
 	"errors"
 	"time"
 
+	"zinnialock/core/process/zlquantile"
 	"zinnialock/core/process/zlroute"
 	"zinnialock/core/process/zltimer"
 	"zinnialock/core/process/zlunit"
@@ -37,6 +38,8 @@
 
 // Without names mechanisms that are switched off, for experiments only.
 type Without struct {
+	// Routing is heeded by whoever sets the Router.
+	Routing  bool
 	Hedges   bool
 	Retries  bool
 	Around   bool
@@ -62,6 +65,8 @@
 	Without Without
 
 	profiles profileTable
+	// latency is that of all query kinds, for kinds that are new.
+	latency zlquantile.Tracker
 }
 
 const (
--- a/core/request/zlnaive/zlnaive.go
+++ b/core/request/zlnaive/zlnaive.go
@@ -7,6 +7,7 @@
 	"context"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 
 	"zinnialock/core/process/zltimer"
 	"zinnialock/core/process/zlunit"
@@ -49,12 +50,13 @@
 		}
 	}
 	merge := zlmerge.New(plan.Version, len(plan.Shards))
+	var subs atomic.Int64
 	var mu sync.Mutex
 	var wg sync.WaitGroup
 	query := zlunit.QueryID(uuid.NewString())
 	for s := range plan.Shards {
 		wg.Go(func() {
-			part, ok := n.shard(ctx, view, req, plan, query, zlunit.Shard(s))
+			part, ok := n.shard(ctx, view, req, plan, query, zlunit.Shard(s), &subs)
 			mu.Lock()
 			defer mu.Unlock()
 			if ok {
@@ -63,16 +65,20 @@
 		})
 	}
 	wg.Wait()
-	return answer(req, plan, merge)
+	a := answer(req, plan, merge)
+	a.Subs = int(subs.Load())
+	a.Retries = a.Subs - len(plan.Shards)
+	return a
 }
 
-func (n *Naive) shard(ctx context.Context, view *zlview.View, req *zlquery.Request, plan *zlplan.Plan, query zlunit.QueryID, s zlunit.Shard) (zlquery.Part, bool) {
+func (n *Naive) shard(ctx context.Context, view *zlview.View, req *zlquery.Request, plan *zlplan.Plan, query zlunit.QueryID, s zlunit.Shard, subs *atomic.Int64) (zlquery.Part, bool) {
 	replicas := plan.Shards[s]
 	for range triesPerShard {
 		if len(replicas) == 0 || !n.Timer.Now().Before(req.Deadline) {
 			break
 		}
 		u, _ := view.Upstream(replicas[rand.IntN(len(replicas))].Upstream)
+		subs.Add(1)
 		fetched := n.Fetcher.Fetch(ctx, u, &zlaggr.Fetch{
 			Query:      query,
 			Request:    req.ID,
@@ -98,6 +104,14 @@
 		Complete: merge.Complete(),
 		Parts:    merge.Parts(),
 	}
+	for s := range plan.Shards {
+		if !merge.Has(zlunit.Shard(s)) {
+			a.Missing = append(a.Missing, zlquery.Missing{
+				Shard:  zlunit.Shard(s),
+				Reason: zlquery.ReasonBadReply,
+			})
+		}
+	}
 	if len(a.Parts) == 0 {
 		a.Outcome = zlquery.OutcomeUnknown
 		a.Reason = zlquery.ReasonCoverage
--- a/io/process/zldaemon/zldaemon.go
+++ b/io/process/zldaemon/zldaemon.go
@@ -60,11 +60,13 @@
 }
 
 // Daemon is one process of the tier. Config, Keys and Log must be set before
-// Run.
+// Run; Without may be.
 type Daemon struct {
 	Config *zlconfig.Config
 	Keys   *zlkeys.Store
 	Log    *log.Logger
+	// Without switches mechanisms of queries off, for experiments.
+	Without zlcoord.Without
 
 	timer      *zltimer.Service
 	views      *zlview.Holder
@@ -143,12 +145,15 @@
 		Asked:      d.asked,
 	}
 	d.coord = &zlcoord.Coordinator{
-		Self:       cfg.Name,
-		Timer:      d.timer,
-		Views:      d.views,
-		Router:     &zlroute.Router{},
+		Self:  cfg.Name,
+		Timer: d.timer,
+		Views: d.views,
+		Router: &zlroute.Router{
+			Blind: d.Without.Routing,
+		},
 		Dispatcher: d.node,
 		Counter:    d.metrics,
+		Without:    d.Without,
 	}
 	d.buildClaims()
 }
--- a/io/standin/zlscene/zlscene.go
+++ b/io/standin/zlscene/zlscene.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"net"
 	"net/http"
 	"time"
 
 	"zinnialock/core/process/zlunit"
+	"zinnialock/core/request/zlcoord"
 	"zinnialock/core/version/zlcatalog"
 	"zinnialock/core/version/zltree"
 	"zinnialock/io/process/zlconfig"
@@ -32,6 +34,10 @@
 	Log  *log.Logger
 	// Naive runs the naive version in place of the daemons.
 	Naive bool
+	// Without switches mechanisms of the daemons off, for experiments.
+	Without zlcoord.Without
+	// Settings are further settings of the deployment.
+	Settings zltree.Node
 
 	Platform  *zlfakeplatform.Platform
 	Client    *zlplatform.Client
@@ -110,11 +116,13 @@
 
 // tree is the deployment's first settings tree.
 func (s *Scene) tree() *zltree.Tree {
+	node := zltree.Node{
+		zltree.KeyDeadline: "2s",
+	}
+	maps.Copy(node, s.Settings)
 	return &zltree.Tree{
 		Nodes: map[zltree.Path]zltree.Node{
-			zltree.Path(s.Plan.Deployment): {
-				zltree.KeyDeadline: "2s",
-			},
+			zltree.Path(s.Plan.Deployment): node,
 		},
 	}
 }
@@ -205,8 +213,9 @@
 			StopGrace:       time.Second,
 			StopLimit:       10 * time.Second,
 		},
-		Keys: keys,
-		Log:  s.Log,
+		Keys:    keys,
+		Log:     s.Log,
+		Without: s.Without,
 	}
 	if err := d.Run(); err != nil {
 		return err
