Claims: a non-idempotent request may carry any id

Cause: only version 7 UUIDs were taken, since their time tells a late repetition from a new request. Callers have ids of their own, and a refusal of all of them serves nobody.

Change: any other id is claimed under its hash and remembered for Window at least from its claim on. A version 7 UUID keeps its stronger promise: repeated later than that, it is refused as too old and not run.

Measured: claim tests with the race detector pass (the state machine now mixes both kinds of id); a repeat just before Window's end through another daemon does not run again.

Conclusion: the promise for a caller's own id has an end that the API page must state.

--- a/core/request/zlclaim/guard_test.go
+++ b/core/request/zlclaim/guard_test.go
@@ -125,6 +125,14 @@
 		convey.So(s.ask(1, id, true).Outcome, convey.ShouldNotEqual, zlquery.OutcomeNotRun)
 		convey.So(s.runs, convey.ShouldEqual, 1)
 	})
+	inScene(t, "an id of the caller's own form runs once, also long after and through another daemon", func(s *scene) {
+		id := zlunit.RequestID("booking 17/b")
+		convey.So(s.ask(0, id, false).Outcome, convey.ShouldEqual, zlquery.OutcomeDone)
+		time.Sleep(Window - time.Second)
+		convey.So(s.ask(1, id, true).Outcome, convey.ShouldNotEqual, zlquery.OutcomeNotRun)
+		convey.So(s.ask(0, id, true).Outcome, convey.ShouldNotEqual, zlquery.OutcomeNotRun)
+		convey.So(s.runs, convey.ShouldEqual, 1)
+	})
 	inScene(t, "an id from long ago or from the future is refused, not run", func(s *scene) {
 		old := s.ask(0, NewID(time.Now().Add(-Window-time.Second)), false)
 		convey.So(old.Reason, convey.ShouldEqual, zlquery.ReasonClaimTooOld)
--- a/core/request/zlclaim/machine_test.go
+++ b/core/request/zlclaim/machine_test.go
@@ -203,6 +203,9 @@
 		}
 		for i := range m.ids {
 			m.ids[i].id = NewID(time.Now())
+			if i%2 == 1 {
+				m.ids[i].id = zlunit.RequestID(fmt.Sprintf("caller's own %d", i))
+			}
 		}
 		for _, s := range list {
 			m.do(s)
--- a/core/request/zlclaim/record.go
+++ b/core/request/zlclaim/record.go
@@ -1,6 +1,7 @@
 package zlclaim
 
 import (
+	"crypto/sha256"
 	"encoding/base64"
 	"encoding/json"
 	"strconv"
@@ -20,23 +21,40 @@
 	return millis(t.UnixMilli())
 }
 
-// CheckID returns what is wrong with the id of a non-idempotent request, or
-// nothing. Such an id must be a version 7 UUID in its canonical form: its time
-// is part of it, so that a late repetition cannot pass for a new request.
-func CheckID(id zlunit.RequestID) string {
-	if _, ok := timeOf(id); ok {
-		return ""
-	}
-	return "found " + strconv.Quote(string(id)) + ", a request that is not idempotent needs a version 7 UUID in lower case"
+// timed reports whether the id behind k carries its own time, so that a late
+// repetition cannot pass for a new request. Other ids are remembered from the
+// time of their claim on, for Window at least.
+func timed(k key) bool {
+	return k.Version() == timedVersion
 }
 
-// timeOf returns the time that an id carries.
-func timeOf(id zlunit.RequestID) (millis, bool) {
+const (
+	// timedVersion is the version of UUIDs that carry their time.
+	timedVersion = 7
+	// hashedVersion is the version of UUIDs that hold what their maker likes.
+	hashedVersion = 8
+)
+
+// keyOf returns the key of an id: a version 7 UUID itself, or else a hash.
+func keyOf(id zlunit.RequestID) key {
 	u, err := uuid.Parse(string(id))
-	if err != nil || u.Version() != 7 || u.String() != string(id) {
-		return 0, false
+	if err == nil && u.Version() == timedVersion && u.String() == string(id) {
+		return u
 	}
-	return timeIn(u), true
+	sum := sha256.Sum256([]byte(id))
+	copy(u[:], sum[:])
+	u[6] = u[6]&0x0f | hashedVersion<<4
+	u[8] = u[8]&0x3f | 0x80
+	return u
+}
+
+// timeOf returns the time that decides how long a key claimed at now is
+// remembered.
+func timeOf(k key, now time.Time) millis {
+	if timed(k) {
+		return timeIn(k)
+	}
+	return millisOf(now)
 }
 
 // timeIn reads the leading 48 bits.
@@ -65,7 +83,9 @@
 
 // op is one record of the log; a later one of the same key takes its place.
 type op struct {
-	key    key
+	key key
+	// at decides how long the record is kept.
+	at     millis
 	nonce  Nonce
 	holder zlunit.VM
 	state  State
@@ -73,17 +93,40 @@
 
 // MarshalJSON implements json.Marshaler; the short form keeps writes small.
 func (o op) MarshalJSON() ([]byte, error) {
-	return json.Marshal([4]string{
+	return json.Marshal([5]string{
 		base64.RawURLEncoding.EncodeToString(o.key[:]),
 		strconv.FormatUint(uint64(o.nonce), 36),
 		string(o.holder),
 		strconv.Itoa(int(o.state)),
+		o.timeText(),
 	})
 }
 
+// timeText is empty where the key tells the time.
+func (o op) timeText() string {
+	if timed(o.key) {
+		return ""
+	}
+	return strconv.FormatInt(int64(o.at), 36)
+}
+
+// readTime sets the time from text as timeText made it.
+func (o *op) readTime(text string) error {
+	if timed(o.key) {
+		o.at = timeIn(o.key)
+		return nil
+	}
+	at, err := strconv.ParseInt(text, 36, 64)
+	if err != nil {
+		return eris.Errorf("record: bad time %q", text)
+	}
+	o.at = millis(at)
+	return nil
+}
+
 // UnmarshalJSON implements json.Unmarshaler.
 func (o *op) UnmarshalJSON(data []byte) error {
-	var fields [4]string
+	var fields [5]string
 	if err := json.Unmarshal(data, &fields); err != nil {
 		return err
 	}
@@ -105,7 +148,7 @@
 		holder: zlunit.VM(fields[2]),
 		state:  State(state),
 	}
-	return nil
+	return o.readTime(fields[4])
 }
 
 // headName is the name of a segment's head object; it is never deleted.
--- a/core/request/zlclaim/segment.go
+++ b/core/request/zlclaim/segment.go
@@ -12,6 +12,7 @@
 
 // entry is the newest record of an id.
 type entry struct {
+	at     millis
 	nonce  Nonce
 	holder zlunit.VM
 	state  State
@@ -110,6 +111,7 @@
 func (s *segment) apply(ops []op) {
 	for _, o := range ops {
 		s.index[o.key] = entry{
+			at:     o.at,
 			nonce:  o.nonce,
 			holder: o.holder,
 			state:  o.state,
@@ -117,10 +119,10 @@
 	}
 }
 
-// forget drops the ids at or below the floor, which are refused by their time.
+// forget drops the ids at or below the floor.
 func (s *segment) forget(floor millis) {
-	for k := range s.index {
-		if timeIn(k) <= floor {
+	for k, e := range s.index {
+		if e.at <= floor {
 			delete(s.index, k)
 		}
 	}
@@ -129,9 +131,9 @@
 // judge returns the reply to an ask as far as this copy knows; fresh tells
 // that the ask needs a record.
 func (s *segment) judge(ask Ask, k key, now time.Time) (reply Reply, fresh bool) {
-	at := timeIn(k)
+	at := timeOf(k, now)
 	switch {
-	case at <= s.head.Floor, at < millisOf(now.Add(-Window)):
+	case timed(k) && at <= s.head.Floor, at < millisOf(now.Add(-Window)):
 		return Reply{
 			Verdict: VerdictTooOld,
 		}, false
@@ -189,7 +191,7 @@
 	for i, o := range ops {
 		if last[o.key] == i {
 			out = append(out, o)
-			newest = max(newest, timeIn(o.key))
+			newest = max(newest, o.at)
 		}
 	}
 	return out, newest
--- a/core/request/zlclaim/writer.go
+++ b/core/request/zlclaim/writer.go
@@ -242,6 +242,7 @@
 		fresh = append(fresh, j)
 		ops = append(ops, op{
 			key:    j.key,
+			at:     timeOf(j.key, now),
 			nonce:  j.ask.Nonce,
 			holder: j.ask.Holder,
 			state:  StateClaimed,
@@ -253,6 +254,7 @@
 func (w *writer) outcomeOp(j *job) op {
 	return op{
 		key:    j.key,
+		at:     w.segment.index[j.key].at,
 		nonce:  j.outcome.Nonce,
 		holder: w.segment.index[j.key].holder,
 		state:  j.outcome.State,
--- a/core/request/zlclaim/writers.go
+++ b/core/request/zlclaim/writers.go
@@ -7,7 +7,6 @@
 
 	"zinnialock/core/process/zltimer"
 
-	"github.com/google/uuid"
 	"github.com/rotisserie/eris"
 )
 
@@ -68,17 +67,9 @@
 
 // Claim implements Claimer.
 func (w *Writers) Claim(ctx context.Context, ask Ask) (Reply, error) {
-	k, err := uuid.Parse(string(ask.ID))
-	if err != nil {
-		return Reply{}, &Error{
-			Op:   "claim",
-			Kind: KindDecode,
-			Err:  eris.Wrap(err, "request id"),
-		}
-	}
 	j := &job{
 		ask:     &ask,
-		key:     k,
+		key:     keyOf(ask.ID),
 		expires: w.Timer.Now().Add(claimLife),
 		reply:   make(chan result, 1),
 	}
@@ -88,21 +79,13 @@
 // Record implements Claimer; it returns once the outcome is in the log, or
 // need not be.
 func (w *Writers) Record(ctx context.Context, outcome Outcome) error {
-	k, err := uuid.Parse(string(outcome.ID))
-	if err != nil {
-		return &Error{
-			Op:   "record",
-			Kind: KindDecode,
-			Err:  eris.Wrap(err, "request id"),
-		}
-	}
 	j := &job{
 		outcome: &outcome,
-		key:     k,
+		key:     keyOf(outcome.ID),
 		expires: w.Timer.Now().Add(outcomeLife),
 		reply:   make(chan result, 1),
 	}
-	_, err = w.serve(ctx, SegmentOf(outcome.ID), j)
+	_, err := w.serve(ctx, SegmentOf(outcome.ID), j)
 	return err
 }
 
--- a/io/request/zlfront/zlfront.go
+++ b/io/request/zlfront/zlfront.go
@@ -13,7 +13,6 @@
 
 	"zinnialock/core/process/zltimer"
 	"zinnialock/core/process/zlunit"
-	"zinnialock/core/request/zlclaim"
 	"zinnialock/core/request/zlquery"
 
 	"github.com/google/uuid"
@@ -167,14 +166,11 @@
 		return fmt.Sprintf("key \"leastCoverage\": found %v, allowed is 0 to 1", in.LeastCoverage)
 	case len(in.RequestID) > maxID:
 		return fmt.Sprintf("key \"requestId\": found %d bytes, allowed are %d", len(in.RequestID), maxID)
+	case in.RequestID == "" && once:
+		return "key \"requestId\": found nothing, a request that is not idempotent needs one"
 	case in.RequestID == "" && in.Retry:
 		return "key \"requestId\": found nothing, a retry needs the id of the first attempt"
 	}
-	if once {
-		if fault := zlclaim.CheckID(in.RequestID); fault != "" {
-			return "key \"requestId\": " + fault
-		}
-	}
 	return ""
 }
 
