--- a/core/process/zlquantile/zlquantile.go
+++ b/core/process/zlquantile/zlquantile.go
@@ -36,7 +36,7 @@
 	former  *hdrhistogram.Histogram
 	opened  time.Time
 	last    time.Time
-	cache   [2]cached
+	cache   [4]cached
 }
 
 // Observe adds durations that were measured at now.
--- a/core/process/zlroute/record.go
+++ b/core/process/zlroute/record.go
@@ -183,6 +183,9 @@
 	for {
 		old := r.mean.Load()
 		mean := math.Float64frombits(old)
+		if old == 0 {
+			mean = float64(d)
+		}
 		mean += smoothing * (float64(d) - mean)
 		if r.mean.CompareAndSwap(old, math.Float64bits(mean)) {
 			return
--- a/core/request/zlcoord/late.go
+++ b/core/request/zlcoord/late.go
@@ -128,7 +128,7 @@
 	siblings = 4
 	// allLateTimes is how many times the hedging delay a query waits at most
 	// for its other shards.
-	allLateTimes = 3
+	allLateTimes = 8
 )
 
 // allLate reports whether most shards of the query are out as well: then it is
--- a/core/request/zlcoord/run.go
+++ b/core/request/zlcoord/run.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"zinnialock/core/process/zlquantile"
 	"zinnialock/core/process/zlroute"
 	"zinnialock/core/process/zltimer"
 	"zinnialock/core/process/zlunit"
@@ -114,8 +115,8 @@
 func (r *run) answer() *zlquery.Answer {
 	allowed := r.req.Deadline.Sub(r.start)
 	r.due = r.req.Deadline.Add(-min(lateness, allowed/10))
-	r.hedgeAfter = r.lateAfter(allowed, r.policy.HedgeQuantile)
-	r.hedgeSurely = r.lateAfter(allowed, 1-(1-r.policy.HedgeQuantile)/surelyTimes)
+	r.hedgeAfter = r.lateAfter(allowed, r.policy.HedgeQuantile, lateMedians)
+	r.hedgeSurely = r.lateAfter(allowed, 1-(1-r.policy.HedgeQuantile)/surelyTimes, surelyMedians)
 	room := rooms.Get().(*room)
 	defer room.put(r)
 	room.lend(r)
@@ -161,17 +162,24 @@
 	// surelyTimes is how many times fewer sub-requests are late while the
 	// budget of hedges is short.
 	surelyTimes = 3
+	// lateMedians and surelyMedians bound the two delays by the median, which
+	// a moment in which all was slow does not move.
+	lateMedians   = 3
+	surelyMedians = 4
 )
 
 // lateAfter is the time at a quantile of the kind's latency, or of all kinds'
-// while too little is known of it.
-func (r *run) lateAfter(allowed time.Duration, quantile float64) time.Duration {
-	d, ok := r.profile.latency.Quantile(r.start, quantile)
-	if !ok {
-		d, ok = r.coordinator.latency.Quantile(r.start, quantile)
-	}
-	if !ok {
-		d = unknownLate
+// while too little is known of it, but no more than some medians.
+func (r *run) lateAfter(allowed time.Duration, quantile float64, medians time.Duration) time.Duration {
+	d := unknownLate
+	for _, tracker := range []*zlquantile.Tracker{&r.profile.latency, &r.coordinator.latency} {
+		at, ok := tracker.Quantile(r.start, quantile)
+		if !ok {
+			continue
+		}
+		median, _ := tracker.Quantile(r.start, 0.5)
+		d = min(at, medians*median)
+		break
 	}
 	return max(min(d, allowed/defaultLate), leastLate)
 }
