A hedge goes to an upstream only where the gate holds it for warm

Cause: the coordinator learns of a cold upstream only from refusals; a hedge could take a cold upstream's one slot. Change: the aggregator refuses hedges at a gate that is not warm, with the reason, and nothing is sent. Conclusion: the daemon that knows decides.

--- /dev/null
+++ b/core/request/zlaggr/hedge_test.go
@@ -0,0 +1,70 @@
+package zlaggr_test
+
+import (
+	"context"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/smartystreets/goconvey/convey"
+
+	"zinnialock/core/process/zltimer"
+	"zinnialock/core/process/zlunit"
+	"zinnialock/core/request/zlaggr"
+	"zinnialock/core/request/zlquery"
+	"zinnialock/core/version/zlview"
+)
+
+func TestHedgeGoesToWarmUpstreamsOnly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		convey.Convey("Given an upstream that nothing is known of", t, func() {
+			views := &zlview.Holder{}
+			views.Store(farmView())
+			views.Confirm(time.Now())
+			f := &farm{
+				random: rand.New(rand.NewPCG(1, 1)),
+				counts: map[zlquery.Reason]int{},
+			}
+			a := &zlaggr.Aggregator{
+				Self:    "vm",
+				Timer:   &zltimer.Service{},
+				Views:   views,
+				Fetcher: f,
+				Counter: f,
+			}
+			convey.Reset(a.Wait)
+			id := zlunit.SubID(0)
+			ask := func(hedge bool) zlquery.Result {
+				out := make(chan zlquery.Result, 1)
+				id++
+				a.Serve(context.Background(), &zlquery.Batch{
+					Query:      "q",
+					Idempotent: true,
+					Left:       time.Second,
+					Subs: []zlquery.Sub{
+						{
+							ID:       id,
+							Upstream: "u-0-0",
+							Version:  1,
+							Hedge:    hedge,
+						},
+					},
+				}, func(r zlquery.Reply) {
+					out <- r.Result
+				})
+				return <-out
+			}
+			convey.So(ask(true), convey.ShouldResemble, zlquery.NotRun{
+				Reason: zlquery.ReasonColdBudget,
+			})
+
+			convey.Convey("it takes hedges once it has shown that it is warm", func() {
+				for range 200 {
+					ask(false)
+				}
+				convey.So(ask(true), convey.ShouldHaveSameTypeAs, zlquery.Done{})
+			})
+		})
+	})
+}
--- a/core/request/zlaggr/sub.go
+++ b/core/request/zlaggr/sub.go
@@ -49,6 +49,10 @@
 	deadline := grant.cut(s.work.deadline)
 	s.prepare(deadline)
 	gate := a.gate(u.Name, &grant)
+	if reason := spare(s.ask, gate); reason != zlquery.ReasonNone {
+		s.reply(notRun(reason, 0))
+		return
+	}
 	s.guard.Store(gate)
 	if s.gaveUp.Load() {
 		return
@@ -83,6 +87,26 @@
 	}
 }
 
+// spare tells why a hedge does not go to an upstream: it is not needed, so only
+// one that is known to be warm and has room for it gets it.
+func spare(ask *zlquery.Sub, gate *zlgate.Gate) zlquery.Reason {
+	if !ask.Hedge {
+		return zlquery.ReasonNone
+	}
+	switch gate.Snapshot().State {
+	case zlgate.StateCold, zlgate.StateWarming:
+		return zlquery.ReasonColdBudget
+	case zlgate.StateShedding:
+		return zlquery.ReasonShed
+	case zlgate.StateDraining:
+		return zlquery.ReasonDraining
+	case zlgate.StateGone:
+		return zlquery.ReasonDialFailed
+	default:
+		return zlquery.ReasonNone
+	}
+}
+
 func (s *sub) prepare(deadline time.Time) {
 	b := s.work.batch
 	s.ticket.Kind = b.Kind
