--- a/core/process/zlbudget/zlbudget.go
+++ b/core/process/zlbudget/zlbudget.go
@@ -22,6 +22,13 @@
 	b.spent = max(b.spent-float64(n)*share, 0)
 }
 
+// Drop removes n tokens, so that a new bucket starts with less than Burst.
+func (b *Bucket) Drop(n float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.spent = min(b.spent+n, b.Burst)
+}
+
 // Take takes one token, but none of the last reserve (a share of Burst), and
 // reports whether there was one.
 func (b *Bucket) Take(reserve float64) bool {
--- a/core/request/zlcoord/machine_test.go
+++ b/core/request/zlcoord/machine_test.go
@@ -15,6 +15,7 @@
 
 	"pgregory.net/rapid"
 
+	"zinnialock/core/process/zlbudget"
 	"zinnialock/core/process/zlroute"
 	"zinnialock/core/process/zltimer"
 	"zinnialock/core/process/zlunit"
@@ -93,8 +94,12 @@
 		Traces:     m,
 	}
 	p := m.c.profiles.get("s", "k")
-	p.hedges.Burst = machineHedgeBurst
-	p.retries.Burst = machineRetryBurst
+	p.hedges = zlbudget.Bucket{
+		Burst: machineHedgeBurst,
+	}
+	p.retries = zlbudget.Bucket{
+		Burst: machineRetryBurst,
+	}
 	m.show()
 	return m
 }
--- a/core/request/zlcoord/profile.go
+++ b/core/request/zlcoord/profile.go
@@ -20,6 +20,7 @@
 	// retries. Retries have more, since a daemon that dies takes a share of
 	// all sub-requests in flight with it.
 	hedgeBurst = 16
+	hedgeStart = 4
 	retryBurst = 256
 	// goneFor is how long a version that upstreams no longer hold is left
 	// out of plans. It ends, since a lagging upstream may yet load it.
@@ -107,7 +108,7 @@
 }
 
 func newProfile(key profileKey) *profile {
-	return &profile{
+	p := &profile{
 		key: key,
 		hedges: zlbudget.Bucket{
 			Burst: hedgeBurst,
@@ -117,6 +118,9 @@
 		},
 		gone: map[zlunit.IndexVersion]time.Time{},
 	}
+	// A daemon that has sent nothing yet has earned few hedges.
+	p.hedges.Drop(hedgeBurst - hedgeStart)
+	return p
 }
 
 // policyOf resolves the settings tree, once for each view.
