--- /dev/null
+++ b/core/request/zlcoord/hedge_test.go
@@ -0,0 +1,88 @@
+package zlcoord
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/smartystreets/goconvey/convey"
+
+	"zinnialock/core/process/zlunit"
+	"zinnialock/core/request/zlquery"
+	"zinnialock/core/version/zltree"
+)
+
+// hedgesOf asks n queries over 10 shards and returns the hedges and the longest
+// answer. Delay says how long a sub-request takes.
+func hedgesOf(policy zltree.Node, n int, delay func(query int, sub zlquery.Sub) time.Duration) (int, time.Duration) {
+	query := 0
+	c := testCoordinator(&fakeDispatcher{
+		answer: func(_ *zlquery.Batch, sub zlquery.Sub) (zlquery.Result, time.Duration) {
+			return done(sub), delay(query, sub)
+		},
+	})
+	c.Views.Store(policyView(10, policy))
+	hedges := 0
+	longest := time.Duration(0)
+	for query = range n {
+		c.Views.Confirm(time.Now())
+		start := time.Now()
+		a := c.Answer(context.Background(), &zlquery.Request{
+			ID:         "r",
+			Service:    "s",
+			Idempotent: true,
+			Deadline:   start.Add(2 * time.Second),
+		})
+		hedges += a.Hedges
+		longest = max(longest, time.Since(start))
+	}
+	return hedges, longest
+}
+
+func TestHedges(t *testing.T) {
+	plain := 5 * time.Millisecond
+	straggle := func(query int, sub zlquery.Sub) time.Duration {
+		if query >= 20 && query%5 == 0 && sub.ID == zlunit.SubID(query/5%10) {
+			return 100 * time.Millisecond
+		}
+		return plain
+	}
+	synctest.Test(t, func(t *testing.T) {
+		convey.Convey("Given queries of 10 shards at 5 ms each", t, func() {
+			convey.Convey("one straggler in 50 sub-requests does not show", func() {
+				hedges, longest := hedgesOf(zltree.Node{}, 300, straggle)
+				convey.So(hedges, convey.ShouldEqual, 56)
+				convey.So(longest, convey.ShouldBeLessThan, 25*time.Millisecond)
+			})
+
+			convey.Convey("a share of 0 switches hedges off", func() {
+				hedges, longest := hedgesOf(zltree.Node{
+					zltree.KeyHedgeShare: 0.0,
+				}, 300, straggle)
+				convey.So(hedges, convey.ShouldEqual, 0)
+				convey.So(longest, convey.ShouldEqual, 100*time.Millisecond)
+			})
+
+			convey.Convey("a moment in which all shards are slow brings no hedges", func() {
+				hedges, _ := hedgesOf(zltree.Node{}, 100, func(query int, _ zlquery.Sub) time.Duration {
+					if query == 50 {
+						return 38 * time.Millisecond
+					}
+					return plain
+				})
+				convey.So(hedges, convey.ShouldEqual, 0)
+			})
+
+			convey.Convey("stragglers beyond the budget are left to themselves", func() {
+				hedges, _ := hedgesOf(zltree.Node{}, 300, func(query int, sub zlquery.Sub) time.Duration {
+					if sub.ID < 2 {
+						return 100 * time.Millisecond
+					}
+					return plain
+				})
+				convey.So(hedges, convey.ShouldBeBetween, 20, 300*10*4/100+hedgeBurst)
+			})
+		})
+	})
+}
