A refused hedge costs nothing and another replica is asked at once

Change: a refused hedge gives its token back and the next replica is asked at once; a replica that refused one gets no hedges for half a second, and ordinary work as before. A gate that is past its cold start and has room takes hedges. Times kept as numbers are positive under virtual time too, where a daemon never heard was never held for silent.

--- a/core/process/zlbudget/zlbudget.go
+++ b/core/process/zlbudget/zlbudget.go
@@ -29,6 +29,13 @@
 	b.spent = min(b.spent+n, b.Burst)
 }
 
+// Return puts back a token whose work was not done.
+func (b *Bucket) Return() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.spent = max(b.spent-1, 0)
+}
+
 // Take takes one token, but none of the last reserve (a share of Burst), and
 // reports whether there was one.
 func (b *Bucket) Take(reserve float64) bool {
--- a/core/process/zlroute/pick.go
+++ b/core/process/zlroute/pick.go
@@ -56,7 +56,7 @@
 		if c.VM == "" || (len(skip) > 0 && slices.Contains(skip, c.Upstream)) {
 			continue
 		}
-		switch c.standing(now) {
+		switch c.standing(now, care) {
 		case standingGood:
 			good = append(good, i)
 		case standingProbe:
@@ -135,7 +135,10 @@
 	}, chosen >= 0
 }
 
-func (c *Candidate) standing(now time.Time) standing {
+func (c *Candidate) standing(now time.Time, care Care) standing {
+	if care == CareSpare && c.Record.spared.Load() > ticks(now) {
+		return standingAvoid
+	}
 	if !c.Record.troubled.Load() && !c.Peer.suspect.Load() {
 		return standingGood
 	}
--- a/core/process/zlroute/record.go
+++ b/core/process/zlroute/record.go
@@ -28,6 +28,8 @@
 	avoidShed     = 50 * time.Millisecond
 	avoidCold     = 250 * time.Millisecond
 	avoidDraining = 2 * time.Second
+	// spareFor is how long a replica that refused a hedge gets none.
+	spareFor = 500 * time.Millisecond
 	// avoidMost bounds what a hint may ask for.
 	avoidMost = 10 * time.Second
 )
@@ -40,6 +42,8 @@
 	// bits of a float64.
 	mean atomic.Uint64
 	last atomic.Int64
+	// spared is the time in ticks until which it gets no hedges.
+	spared atomic.Int64
 	// troubled tells that failures or avoid below are set.
 	troubled atomic.Bool
 
@@ -178,6 +182,13 @@
 	r.avoidFor(now, wait)
 }
 
+// RefusedHedge notes that a hedge was refused: the upstream has nothing to spare
+// for work that is not needed, which tells nothing against other work.
+func (r *Record) RefusedHedge(now time.Time) {
+	r.inFlight.Add(-1)
+	r.spared.Store(ticks(now.Add(spareFor)))
+}
+
 func (r *Record) observe(now time.Time, d time.Duration) {
 	r.last.Store(ticks(now))
 	for {
--- a/core/process/zlroute/zlroute.go
+++ b/core/process/zlroute/zlroute.go
@@ -70,8 +70,9 @@
 	return p
 }
 
-// epoch is what times are counted from where they are kept as numbers.
-var epoch = time.Now()
+// epoch is what times are counted from where they are kept as numbers. It lies
+// far back, so that all counts are positive under virtual time as well.
+var epoch = time.Now().Add(-100 * 365 * 24 * time.Hour)
 
 func ticks(t time.Time) int64 {
 	return int64(t.Sub(epoch))
--- a/core/request/zlaggr/sub.go
+++ b/core/request/zlaggr/sub.go
@@ -88,14 +88,20 @@
 }
 
 // spare tells why a hedge does not go to an upstream: it is not needed, so only
-// one that is known to be warm and has room for it gets it.
+// one that is known to be warm, or past its cold start with room, gets it.
 func spare(ask *zlquery.Sub, gate *zlgate.Gate) zlquery.Reason {
 	if !ask.Hedge {
 		return zlquery.ReasonNone
 	}
-	switch gate.Snapshot().State {
-	case zlgate.StateCold, zlgate.StateWarming:
+	now := gate.Snapshot()
+	switch now.State {
+	case zlgate.StateCold:
 		return zlquery.ReasonColdBudget
+	case zlgate.StateWarming:
+		if now.InFlight+now.Queued >= now.Limit {
+			return zlquery.ReasonColdBudget
+		}
+		return zlquery.ReasonNone
 	case zlgate.StateShedding:
 		return zlquery.ReasonShed
 	case zlgate.StateDraining:
--- a/core/request/zlcoord/machine_test.go
+++ b/core/request/zlcoord/machine_test.go
@@ -109,6 +109,9 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for _, try := range t.Tries {
+		if try.Cause == zltrace.CauseHedge && try.End == zltrace.EndNotRun {
+			continue
+		}
 		m.causes[try.Cause]++
 	}
 }
--- a/core/request/zlcoord/take.go
+++ b/core/request/zlcoord/take.go
@@ -109,11 +109,26 @@
 	if result.Reason == zlquery.ReasonPeerLost {
 		r.suspect(sub.to.Peer, now)
 	}
-	sub.to.Record.Refused(now, result.Reason, result.RetryAfter)
+	if sub.cause == zltrace.CauseHedge && result.Reason != zlquery.ReasonPeerLost {
+		r.hedgeNotRun(sub, now)
+	} else {
+		sub.to.Record.Refused(now, result.Reason, result.RetryAfter)
+	}
 	r.shards[sub.shard].hint = result.RetryAfter
 	r.failed(sub.shard, result.Reason, now)
 }
 
+// hedgeNotRun handles the refusal of a hedge: nothing was spent, and another
+// replica may be asked at once.
+func (r *run) hedgeNotRun(sub *subState, now time.Time) {
+	sub.to.Record.RefusedHedge(now)
+	r.profile.hedges.Return()
+	r.hedges--
+	st := &r.shards[sub.shard]
+	st.lateAt = r.at(now)
+	r.rearm = true
+}
+
 // takeUnknown ends a sub-request that may have run and may still be running,
 // which is why it is cancelled as well.
 func (r *run) takeUnknown(id zlunit.SubID, reason zlquery.Reason, now time.Time) {
