zlpeer: frames with bounds, replies that are ready together in one write

Cause: each reply was a write of its own; sizes were bounded by the codec alone; an unknown message ended the stream; one dead daemon held up every dial; a clean stop was noticed by others only after the idle timeout. Change: frames of kind and length, bounds on every count and length, unknown kinds skipped and counted, a writer for each batch, cancels that do not wait for the network, one dial for all who wait, connections closed with a word. Fuzz targets for frames and upstream replies. zlaggr tells how many batches are open.

--- a/core/request/zlaggr/work.go
+++ b/core/request/zlaggr/work.go
@@ -45,7 +45,7 @@
 
 func (w *Work) start(ctx context.Context) {
 	if len(w.subs) == 0 {
-		close(w.done)
+		w.end()
 		return
 	}
 	w.mu.Lock()
@@ -101,5 +101,10 @@
 	}
 	w.alarm.Stop()
 	w.stop()
+	w.end()
+}
+
+func (w *Work) end() {
+	w.aggregator.batches.Add(-1)
 	close(w.done)
 }
--- a/core/request/zlaggr/zlaggr.go
+++ b/core/request/zlaggr/zlaggr.go
@@ -6,6 +6,7 @@
 	"context"
 	"sort"
 	"sync"
+	"sync/atomic"
 
 	"zinnialock/core/connection/zlgate"
 	"zinnialock/core/process/zltimer"
@@ -41,6 +42,13 @@
 
 	shards  [tableShards]tableShard
 	workers workers
+	batches atomic.Int64
+}
+
+// Batches returns how many batches have replies outstanding. A planned stop
+// waits until there are none.
+func (a *Aggregator) Batches() int64 {
+	return a.batches.Load()
 }
 
 // Wait returns once no call to an upstream is left, and ends the goroutines
@@ -52,6 +60,7 @@
 // Serve starts the sub-requests of batch; sink gets one reply for each, on any
 // goroutine. Ctx ends them all.
 func (a *Aggregator) Serve(ctx context.Context, batch *zlquery.Batch, sink func(zlquery.Reply)) *Work {
+	a.batches.Add(1)
 	w := newWork(a, batch, sink)
 	w.start(ctx)
 	return w
--- /dev/null
+++ b/io/connection/zlpeer/bench_test.go
@@ -0,0 +1,189 @@
+package zlpeer_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"zinnialock/core/process/zltimer"
+	"zinnialock/core/process/zlunit"
+	"zinnialock/core/request/zlaggr"
+	"zinnialock/core/request/zlquery"
+	"zinnialock/core/version/zlcatalog"
+	"zinnialock/core/version/zlroster"
+	"zinnialock/core/version/zlview"
+	"zinnialock/io/connection/zlpeer"
+	"zinnialock/io/process/zlkeys"
+)
+
+// instant is a Fetcher whose upstreams take no time.
+type instant struct{}
+
+// Fetch implements zlaggr.Fetcher.
+func (instant) Fetch(_ context.Context, u zlcatalog.Upstream, call *zlaggr.Fetch) zlaggr.Fetched {
+	if reason := call.Permit.Start(nil); reason != zlquery.ReasonNone {
+		return zlaggr.Fetched{
+			Result: zlquery.NotRun{
+				Reason: reason,
+			},
+		}
+	}
+	return zlaggr.Fetched{
+		Result: zlquery.Done{
+			Part: zlquery.Part{
+				Shard:    call.Shard,
+				Version:  call.Version,
+				Upstream: u.Name,
+				Coverage: 1,
+				Rows:     []string{"one row of a shard's answer", "another row of a shard's answer"},
+			},
+		},
+		Process: "p",
+	}
+}
+
+const testSubs = 16
+
+// pair is two daemons; the second holds all upstreams.
+type pair struct {
+	nodes [2]*zlpeer.Node
+	views *zlview.Holder
+}
+
+func newPair(tb testing.TB, fetcher zlaggr.Fetcher, edit func(*zlpeer.Node)) *pair {
+	tb.Helper()
+	authority, err := zlkeys.NewAuthority()
+	if err != nil {
+		tb.Fatal(err)
+	}
+	p := &pair{
+		views: &zlview.Holder{},
+	}
+	view := &zlview.View{
+		Home: "dc",
+		Rosters: map[zlunit.DataCentre]zlroster.Roster{
+			"dc": {},
+			"aggregators": {
+				Members: []zlroster.Member{
+					{
+						VM: "b",
+					},
+				},
+			},
+		},
+		Catalogs: map[zlunit.Service]*zlcatalog.Catalog{
+			"s": {
+				Service: "s",
+			},
+		},
+	}
+	for i := range testSubs {
+		view.Catalogs["s"].Upstreams = append(view.Catalogs["s"].Upstreams, zlcatalog.Upstream{
+			Name:        zlunit.Upstream(fmt.Sprintf("upstream-%d", i)),
+			DataCentre:  "aggregators",
+			Slots:       100,
+			Connections: 100,
+			ColdLimit:   100,
+		})
+	}
+	p.views.Store(view.Build())
+	for i, name := range []zlunit.VM{"a", "b"} {
+		keys, err := authority.Store(string(name))
+		if err != nil {
+			tb.Fatal(err)
+		}
+		aggregator := &zlaggr.Aggregator{
+			Self:    name,
+			Timer:   &zltimer.Service{},
+			Views:   p.views,
+			Fetcher: fetcher,
+		}
+		n := &zlpeer.Node{
+			Self:       name,
+			Address:    "127.0.0.1:0",
+			TLS:        keys.Config(zlpeer.Protocol),
+			Views:      p.views,
+			Aggregator: aggregator,
+			Asked: func(_ context.Context, _ string, body []byte) ([]byte, error) {
+				return body, nil
+			},
+		}
+		if edit != nil {
+			edit(n)
+		}
+		if err := n.Run(); err != nil {
+			tb.Fatal(err)
+		}
+		tb.Cleanup(func() {
+			n.Close()
+			aggregator.Wait()
+		})
+		p.nodes[i] = n
+	}
+	next := *view
+	next.Rosters = map[zlunit.DataCentre]zlroster.Roster{
+		"aggregators": {
+			Members: []zlroster.Member{
+				{
+					VM:   "b",
+					Peer: p.nodes[1].Bound(),
+				},
+			},
+		},
+	}
+	p.views.Store(next.Build())
+	return p
+}
+
+func testBatch(query string) *zlquery.Batch {
+	b := &zlquery.Batch{
+		Query:      zlunit.QueryID(query),
+		Request:    "request",
+		Service:    "s",
+		Kind:       "k",
+		Text:       "seed paper",
+		Idempotent: true,
+		Left:       10 * time.Second,
+	}
+	for i := range testSubs {
+		b.Subs = append(b.Subs, zlquery.Sub{
+			ID:       zlunit.SubID(i),
+			Upstream: zlunit.Upstream(fmt.Sprintf("upstream-%d", i)),
+			Version:  1,
+		})
+	}
+	return b
+}
+
+// BenchmarkBatch sends batches to another daemon over loopback and waits for
+// the replies, as many batches at a time as there are processors.
+func BenchmarkBatch(b *testing.B) {
+	for _, size := range []int{1, 4, 16} {
+		b.Run(fmt.Sprint(size), func(b *testing.B) {
+			p := newPair(b, instant{}, nil)
+			b.ReportAllocs()
+			b.RunParallel(func(pb *testing.PB) {
+				for pb.Next() {
+					p.exchange(b, size)
+				}
+			})
+		})
+	}
+}
+
+// exchange sends one batch and waits for its replies.
+func (p *pair) exchange(tb testing.TB, size int) {
+	batch := testBatch("0123456789abcdef")
+	batch.Subs = batch.Subs[:size]
+	var wg sync.WaitGroup
+	wg.Add(size)
+	p.nodes[0].Dispatch(context.Background(), "b", batch, func(r zlquery.Reply) {
+		if _, ok := r.Result.(zlquery.Done); !ok {
+			tb.Errorf("%+v", r.Result)
+		}
+		wg.Done()
+	})
+	wg.Wait()
+}
--- a/io/connection/zlpeer/call.go
+++ b/io/connection/zlpeer/call.go
@@ -7,12 +7,12 @@
 	"zinnialock/core/process/zlunit"
 	"zinnialock/core/request/zlquery"
 
-	"github.com/fxamacker/cbor/v2"
 	"github.com/quic-go/quic-go"
 )
 
 // call is the dialling side of one batch.
 type call struct {
+	node   *Node
 	ctx    context.Context
 	cancel context.CancelFunc
 	batch  *zlquery.Batch
@@ -21,41 +21,60 @@
 	mu sync.Mutex
 	// open holds the sub-requests without a reply.
 	open map[zlunit.SubID]bool
-	// encoder is nil until the batch was written.
-	encoder *cbor.Encoder
-	// dropped holds what was cancelled before the batch was written.
+	// stream is nil until the batch was written.
+	stream *quic.Stream
+	// dropped holds what was cancelled and not yet told.
 	dropped []zlunit.SubID
+	telling bool
 }
 
-func newCall(ctx context.Context, batch *zlquery.Batch, sink func(zlquery.Reply)) *call {
+func newCall(ctx context.Context, n *Node, batch *zlquery.Batch, sink func(zlquery.Reply)) *call {
 	ctx, cancel := context.WithCancel(ctx)
 	c := &call{
+		node:   n,
 		ctx:    ctx,
 		cancel: cancel,
 		batch:  batch,
 		sink:   sink,
 		open:   make(map[zlunit.SubID]bool, len(batch.Subs)),
 	}
-	for _, sub := range batch.Subs {
-		c.open[sub.ID] = true
+	for i := range batch.Subs {
+		c.open[batch.Subs[i].ID] = true
 	}
 	return c
 }
 
-// Cancel implements zlcoord.Call.
+// Cancel implements zlcoord.Call. It does not wait for the network.
 func (c *call) Cancel(sub zlunit.SubID) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !c.open[sub] {
 		return
 	}
-	if c.encoder == nil {
-		c.dropped = append(c.dropped, sub)
+	c.dropped = append(c.dropped, sub)
+	if c.stream == nil || c.telling {
 		return
 	}
-	_ = c.encoder.Encode(toServer{
-		Cancel: &sub,
-	})
+	c.telling = true
+	c.node.spawn(c.tell)
+}
+
+// tell writes the cancels that are waiting, several in one frame.
+func (c *call) tell() {
+	for {
+		c.mu.Lock()
+		subs := c.dropped
+		c.dropped = nil
+		if len(subs) == 0 || len(c.open) == 0 {
+			c.telling = false
+			c.mu.Unlock()
+			return
+		}
+		c.mu.Unlock()
+		_ = writeFrame(c.stream, frameCancel, cancelMessage{
+			Subs: subs,
+		})
+	}
 }
 
 // run writes the batch and delivers replies until all are in or the stream
@@ -66,39 +85,59 @@
 		stream.CancelWrite(0)
 	})
 	defer stop()
-	if !c.start(stream) {
+	if err := writeFrame(stream, frameBatch, c.batch); err != nil {
 		c.failAll(true)
 		return
 	}
-	decoder := decMode.NewDecoder(stream)
+	c.started(stream)
+	reader := newFrameReader(stream, maxReplyFrame, c.node.countUnknown)
 	for c.left() > 0 {
-		var m replyMessage
-		if err := decoder.Decode(&m); err != nil {
+		kind, data, err := reader.next()
+		if err != nil {
 			c.failAll(true)
 			return
 		}
-		r, ok := decodeReply(&m)
-		if ok && c.close(r.Sub) {
-			c.sink(r)
+		if kind != frameReplies {
+			c.node.countUnknown()
+			continue
+		}
+		if !c.deliver(data) {
+			stream.CancelRead(1)
+			c.failAll(true)
+			return
 		}
 	}
 	_ = stream.Close()
 }
 
-func (c *call) start(stream *quic.Stream) bool {
+// started lets cancels through, those that came before included.
+func (c *call) started(stream *quic.Stream) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	encoder := cbor.NewEncoder(stream)
-	if err := encoder.Encode(toServer{
-		Batch: c.batch,
-	}); err != nil {
+	c.stream = stream
+	if len(c.dropped) > 0 && !c.telling {
+		c.telling = true
+		c.node.spawn(c.tell)
+	}
+}
+
+// deliver hands over the replies of a frame; it reports false if the frame
+// cannot be read.
+func (c *call) deliver(data []byte) bool {
+	replies, dropped, err := decodeReplies(data)
+	if err != nil {
+		c.node.drop(zlquery.ReasonBadReply)
 		return false
 	}
-	c.encoder = encoder
-	for _, sub := range c.dropped {
-		_ = encoder.Encode(toServer{
-			Cancel: &sub,
-		})
+	for range dropped {
+		c.node.drop(zlquery.ReasonBadReply)
+	}
+	for i := range replies {
+		if replies[i].Query != c.batch.Query || !c.close(replies[i].Sub) {
+			c.node.drop(zlquery.ReasonBadReply)
+			continue
+		}
+		c.sink(replies[i])
 	}
 	return true
 }
--- a/io/connection/zlpeer/traffic.go
+++ b/io/connection/zlpeer/traffic.go
@@ -47,6 +47,17 @@
 	})
 }
 
+// open returns the live connections.
+func (m *trafficMeter) open() []*quic.Conn {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	out := make([]*quic.Conn, 0, len(m.live))
+	for conn := range m.live {
+		out = append(out, conn)
+	}
+	return out
+}
+
 // Traffic returns the totals since Run.
 func (n *Node) Traffic() Traffic {
 	n.meter.mu.Lock()
--- a/io/connection/zlpeer/zlpeer.go
+++ b/io/connection/zlpeer/zlpeer.go
@@ -16,7 +16,6 @@
 	"zinnialock/core/request/zlquery"
 	"zinnialock/core/version/zlview"
 
-	"github.com/fxamacker/cbor/v2"
 	"github.com/quic-go/quic-go"
 	"github.com/rotisserie/eris"
 )
@@ -62,28 +61,6 @@
 	maxStreams = 1 << 14
 )
 
-var streamKinds = struct {
-	batch byte
-	ask   byte
-}{
-	batch: 'b',
-	ask:   'a',
-}
-
-var decMode = mustDecMode()
-
-func mustDecMode() cbor.DecMode {
-	mode, err := cbor.DecOptions{
-		MaxArrayElements: 1 << 17,
-		MaxMapPairs:      1 << 17,
-		MaxNestedLevels:  16,
-	}.DecMode()
-	if err != nil {
-		panic(err)
-	}
-	return mode
-}
-
 func quicConfig() *quic.Config {
 	return &quic.Config{
 		MaxIdleTimeout:        idleTimeout,
@@ -94,6 +71,18 @@
 	}
 }
 
+// Counter counts dropped messages by reason.
+type Counter interface {
+	Count(what string, reason zlquery.Reason)
+}
+
+const (
+	// countDropped names the counter of messages that cannot be used.
+	countDropped = "peerDropped"
+	// reasonUnknownKind is its reason for a message of unknown kind.
+	reasonUnknownKind zlquery.Reason = "unknownKind"
+)
+
 // Asked answers a small request of another daemon.
 type Asked func(ctx context.Context, topic string, body []byte) ([]byte, error)
 
@@ -106,8 +95,11 @@
 	Views      *zlview.Holder
 	Aggregator *zlaggr.Aggregator
 	Asked      Asked
+	// Counter counts what is dropped; it may be nil.
+	Counter Counter
 
-	done      chan struct{}
+	ctx       context.Context
+	cancel    context.CancelFunc
 	transport *quic.Transport
 	listener  *quic.Listener
 	mu        sync.Mutex
@@ -131,7 +123,7 @@
 	n.transport = &quic.Transport{
 		Conn: conn,
 	}
-	n.done = make(chan struct{})
+	n.ctx, n.cancel = context.WithCancel(context.Background())
 	n.links = map[string]*link{}
 	n.listener, err = n.transport.Listen(n.TLS, quicConfig())
 	if err != nil {
@@ -148,13 +140,12 @@
 
 // Close ends all connections and waits for their goroutines.
 func (n *Node) Close() {
-	close(n.done)
+	n.cancel()
 	_ = n.listener.Close()
-	n.mu.Lock()
-	for _, l := range n.links {
-		l.close()
+	for _, conn := range n.meter.open() {
+		// The other daemon hears of it and need not wait for a timeout.
+		_ = conn.CloseWithError(0, "closing")
 	}
-	n.mu.Unlock()
 	_ = n.transport.Close()
 	_ = n.transport.Conn.Close()
 	n.wg.Wait()
@@ -166,8 +157,8 @@
 	if to == n.Self {
 		return n.Aggregator.Serve(ctx, batch, sink)
 	}
-	c := newCall(ctx, batch, sink)
-	n.wg.Go(func() {
+	c := newCall(ctx, n, batch, sink)
+	n.spawn(func() {
 		n.runCall(to, c)
 	})
 	return c
@@ -175,7 +166,7 @@
 
 func (n *Node) runCall(to zlunit.VM, c *call) {
 	defer c.cancel()
-	stream, err := n.open(c.ctx, to, streamKinds.batch)
+	stream, err := n.open(c.ctx, to)
 	if err != nil {
 		c.failAll(false)
 		return
@@ -185,7 +176,7 @@
 
 // Ask sends a small request to the daemon at addr and returns its reply.
 func (n *Node) Ask(ctx context.Context, addr, topic string, body []byte) ([]byte, error) {
-	stream, err := n.openAt(ctx, addr, streamKinds.ask)
+	stream, err := n.openAt(ctx, addr)
 	if err != nil {
 		return nil, err
 	}
@@ -194,33 +185,34 @@
 		stream.CancelWrite(0)
 	})
 	defer stop()
-	if err := cbor.NewEncoder(stream).Encode(question{
+	if err := writeFrame(stream, frameQuestion, question{
 		Topic: topic,
 		Body:  body,
 	}); err != nil {
 		return nil, unreachable("ask", err)
 	}
 	_ = stream.Close()
-	var a reply
-	if err := decMode.NewDecoder(stream).Decode(&a); err != nil {
+	return n.readAnswer(stream)
+}
+
+func (n *Node) readAnswer(stream *quic.Stream) ([]byte, error) {
+	kind, data, err := newFrameReader(stream, maxReplyFrame, n.countUnknown).next()
+	if err != nil {
 		return nil, unreachable("ask", err)
 	}
+	var a reply
+	if kind != frameAnswer {
+		return nil, decodeFault(eris.Errorf("found a frame of kind %q, allowed is an answer", byte(kind)))
+	}
+	if err := decMode.Unmarshal(data, &a); err != nil {
+		return nil, decodeFault(err)
+	}
 	if a.Fault != "" {
 		return nil, unreachable("ask", eris.New(a.Fault))
 	}
 	return a.Body, nil
 }
 
-type question struct {
-	Topic string `cbor:"1,keyasint"`
-	Body  []byte `cbor:"2,keyasint"`
-}
-
-type reply struct {
-	Body  []byte `cbor:"1,keyasint"`
-	Fault string `cbor:"2,keyasint,omitempty"`
-}
-
 func unreachable(op string, err error) error {
 	return &Error{
 		Op:   op,
@@ -229,15 +221,15 @@
 	}
 }
 
-func (n *Node) open(ctx context.Context, to zlunit.VM, kind byte) (*quic.Stream, error) {
+func (n *Node) open(ctx context.Context, to zlunit.VM) (*quic.Stream, error) {
 	m, ok := n.Views.Load().Peer(to)
 	if !ok {
 		return nil, unreachable("open", eris.Errorf("no daemon %q in the roster", to))
 	}
-	return n.openAt(ctx, m.Peer, kind)
+	return n.openAt(ctx, m.Peer)
 }
 
-func (n *Node) openAt(ctx context.Context, addr string, kind byte) (*quic.Stream, error) {
+func (n *Node) openAt(ctx context.Context, addr string) (*quic.Stream, error) {
 	conn, err := n.link(addr).get(ctx, n)
 	if err != nil {
 		return nil, unreachable("open", err)
@@ -246,9 +238,6 @@
 	if err != nil {
 		return nil, unreachable("open", err)
 	}
-	if _, err := stream.Write([]byte{kind}); err != nil {
-		return nil, unreachable("open", err)
-	}
 	return stream, nil
 }
 
@@ -264,3 +253,24 @@
 	}
 	return l
 }
+
+// Bound returns the address that Run listens on.
+func (n *Node) Bound() string {
+	return n.transport.Conn.LocalAddr().String()
+}
+
+// spawn runs f on a goroutine that Close waits for.
+func (n *Node) spawn(f func()) {
+	n.wg.Go(f)
+}
+
+// drop counts a message that cannot be used.
+func (n *Node) drop(reason zlquery.Reason) {
+	if n.Counter != nil {
+		n.Counter.Count(countDropped, reason)
+	}
+}
+
+func (n *Node) countUnknown() {
+	n.drop(reasonUnknownKind)
+}
--- /dev/null
+++ b/io/connection/zlpeer/zlpeer_test.go
@@ -0,0 +1,219 @@
+package zlpeer_test
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/smartystreets/goconvey/convey"
+	"go.uber.org/goleak"
+
+	"zinnialock/core/process/zlunit"
+	"zinnialock/core/request/zlaggr"
+	"zinnialock/core/request/zlquery"
+	"zinnialock/core/version/zlcatalog"
+	"zinnialock/io/connection/zlpeer"
+)
+
+func TestMain(m *testing.M) {
+	_ = flag.Set("rapid.seed", "1")
+	flag.Parse()
+	if flag.Lookup("test.bench").Value.String() != "" {
+		os.Exit(m.Run())
+	}
+	goleak.VerifyTestMain(m)
+}
+
+// stuck is a Fetcher that works until it is told to stop.
+type stuck struct {
+	started chan struct{}
+}
+
+type stopper chan struct{}
+
+// Halt implements zlaggr.Halter.
+func (s stopper) Halt() {
+	close(s)
+}
+
+// Fetch implements zlaggr.Fetcher.
+func (f *stuck) Fetch(_ context.Context, _ zlcatalog.Upstream, call *zlaggr.Fetch) zlaggr.Fetched {
+	_ = call.Permit.Start(nil)
+	f.started <- struct{}{}
+	stop := make(stopper)
+	if call.HaltBy(stop) {
+		<-stop
+	}
+	return zlaggr.Fetched{
+		Result: zlquery.Unknown{
+			Reason: zlquery.ReasonCancelled,
+		},
+	}
+}
+
+// counter counts by reason.
+type counter struct {
+	mu     sync.Mutex
+	counts map[zlquery.Reason]int
+}
+
+// Count implements zlpeer.Counter.
+func (c *counter) Count(_ string, reason zlquery.Reason) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.counts == nil {
+		c.counts = map[zlquery.Reason]int{}
+	}
+	c.counts[reason]++
+}
+
+func (c *counter) get(reason zlquery.Reason) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.counts[reason]
+}
+
+func collect(n int) (chan zlquery.Reply, func(zlquery.Reply)) {
+	replies := make(chan zlquery.Reply, n)
+	return replies, func(r zlquery.Reply) {
+		replies <- r
+	}
+}
+
+func TestBatchIsAnsweredOnceForEachSub(t *testing.T) {
+	p := newPair(t, instant{}, nil)
+	for i := range 50 {
+		replies, sink := collect(2 * testSubs)
+		query := fmt.Sprint("query-", i)
+		p.nodes[0].Dispatch(context.Background(), "b", testBatch(query), sink)
+		seen := map[zlunit.SubID]bool{}
+		for range testSubs {
+			r := <-replies
+			done, ok := r.Result.(zlquery.Done)
+			if !ok || seen[r.Sub] || r.Query != zlunit.QueryID(query) || done.Part.Upstream != zlunit.Upstream(fmt.Sprintf("upstream-%d", r.Sub)) {
+				t.Fatalf("%+v", r)
+			}
+			seen[r.Sub] = true
+		}
+	}
+}
+
+func TestCancelReachesTheOtherDaemon(t *testing.T) {
+	f := &stuck{
+		started: make(chan struct{}, testSubs),
+	}
+	p := newPair(t, f, nil)
+	replies, sink := collect(testSubs)
+	call := p.nodes[0].Dispatch(context.Background(), "b", testBatch("q"), sink)
+	for range testSubs {
+		<-f.started
+	}
+	for i := range testSubs {
+		call.Cancel(zlunit.SubID(i))
+	}
+	for range testSubs {
+		r := <-replies
+		if r.Result != zlquery.Result(zlquery.Unknown{
+			Reason: zlquery.ReasonCancelled,
+		}) {
+			t.Fatalf("%+v", r)
+		}
+	}
+}
+
+func TestLostDaemonIsUnknownOnceSentAndNotRunBefore(t *testing.T) {
+	f := &stuck{
+		started: make(chan struct{}, testSubs),
+	}
+	p := newPair(t, f, nil)
+	replies, sink := collect(testSubs)
+	p.nodes[0].Dispatch(context.Background(), "b", testBatch("q"), sink)
+	for range testSubs {
+		<-f.started
+	}
+	p.nodes[1].Close()
+	for range testSubs {
+		if r := <-replies; r.Result != zlquery.Result(zlquery.Unknown{
+			Reason: zlquery.ReasonPeerLost,
+		}) {
+			t.Fatalf("%+v", r)
+		}
+	}
+	p.nodes[0].Dispatch(context.Background(), "nobody", testBatch("q"), sink)
+	for range testSubs {
+		if r := <-replies; r.Result != zlquery.Result(zlquery.NotRun{
+			Reason: zlquery.ReasonPeerLost,
+		}) {
+			t.Fatalf("%+v", r)
+		}
+	}
+}
+
+func TestBatchOutOfBoundsIsDroppedAndCounted(t *testing.T) {
+	c := &counter{}
+	p := newPair(t, instant{}, func(n *zlpeer.Node) {
+		n.Counter = c
+	})
+	edits := map[string]func(*zlquery.Batch){
+		"text": func(b *zlquery.Batch) {
+			b.Text = strings.Repeat("x", 64<<10+1)
+		},
+		"query": func(b *zlquery.Batch) {
+			b.Query = zlunit.QueryID(strings.Repeat("x", 257))
+		},
+		"twice": func(b *zlquery.Batch) {
+			b.Subs[1].ID = b.Subs[0].ID
+		},
+		"left": func(b *zlquery.Batch) {
+			b.Left = 2 * time.Hour
+		},
+		"priority": func(b *zlquery.Batch) {
+			b.Priority = 10
+		},
+		"subs": func(b *zlquery.Batch) {
+			for i := len(b.Subs); i <= 4096; i++ {
+				b.Subs = append(b.Subs, zlquery.Sub{
+					ID:       zlunit.SubID(i),
+					Upstream: "u",
+				})
+			}
+		},
+		"frame": func(b *zlquery.Batch) {
+			b.Text = strings.Repeat("x", 1<<20)
+		},
+	}
+	dropped := 0
+	for name, edit := range edits {
+		convey.Convey("Out of bounds: "+name, t, func() {
+			b := testBatch("q")
+			edit(b)
+			replies, sink := collect(len(b.Subs))
+			p.nodes[0].Dispatch(context.Background(), "b", b, sink)
+			r := <-replies
+			convey.So(r.Result, convey.ShouldHaveSameTypeAs, zlquery.Unknown{})
+			dropped++
+			convey.So(c.get(zlquery.ReasonBadRequest), convey.ShouldEqual, dropped)
+		})
+	}
+}
+
+func TestAsk(t *testing.T) {
+	convey.Convey("A question gets its answer, also a large one", t, func() {
+		p := newPair(t, instant{}, nil)
+		for _, size := range []int{0, 1, 1 << 19} {
+			body := make([]byte, size)
+			got, err := p.nodes[0].Ask(context.Background(), p.nodes[1].Bound(), "topic", body)
+			convey.So(err, convey.ShouldBeNil)
+			convey.So(len(got), convey.ShouldEqual, size)
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), 20*time.Millisecond)
+		defer cancel()
+		_, err := p.nodes[0].Ask(ctx, "127.0.0.1:1", "topic", nil)
+		convey.So(err, convey.ShouldHaveSameTypeAs, &zlpeer.Error{})
+	})
+}
--- a/io/process/zldaemon/zldaemon.go
+++ b/io/process/zldaemon/zldaemon.go
@@ -140,6 +140,7 @@
 		TLS:        d.Keys.Config(zlpeer.Protocol),
 		Views:      d.views,
 		Aggregator: d.aggregator,
+		Counter:    d.metrics,
 		Asked:      d.asked,
 	}
 	d.coord = &zlcoord.Coordinator{
--- /dev/null
+++ b/io/request/zlupcall/fuzz_test.go
@@ -0,0 +1,39 @@
+package zlupcall
+
+import (
+	"net/http"
+	"testing"
+
+	"zinnialock/core/request/zlaggr"
+	"zinnialock/core/request/zlquery"
+)
+
+func FuzzReply(f *testing.F) {
+	f.Add(http.StatusOK, []byte(`{"queryId":"q","upstream":"u","shard":1,"version":2,"coverage":0.5,"rows":["r"]}`))
+	f.Add(http.StatusOK, []byte(`{"queryId":"q","upstream":"u","shard":1,"version":2,"coverage":1e99}`))
+	f.Add(http.StatusOK, []byte(`{"queryId":"q"`))
+	f.Add(http.StatusOK, []byte(`null`))
+	f.Add(http.StatusServiceUnavailable, []byte(`{"reason":"shed","started":false,"retryAfterMs":-5}`))
+	f.Add(http.StatusServiceUnavailable, []byte(`{"reason":"shed"}`))
+	f.Fuzz(func(t *testing.T, status int, data []byte) {
+		call := &zlaggr.Fetch{
+			Query:   "q",
+			Shard:   1,
+			Version: 2,
+		}
+		switch result := classify(status, data, "u", call).Result.(type) {
+		case zlquery.Done:
+			p := result.Part
+			if status != http.StatusOK || p.Shard != 1 || p.Version != 2 || p.Upstream != "u" || !(p.Coverage >= 0 && p.Coverage <= 1) {
+				t.Fatalf("%+v", p)
+			}
+		case zlquery.NotRun:
+			if status == http.StatusOK || result.RetryAfter < 0 {
+				t.Fatalf("%+v", result)
+			}
+		case zlquery.Unknown:
+		default:
+			t.Fatalf("no result: %v", result)
+		}
+	})
+}
