--- a/io/process/zlload/caller.go
+++ b/io/process/zlload/caller.go
@@ -68,6 +68,8 @@
 		Kind:       c.shape.Kind,
 		Text:       fmt.Sprintf("text-%d-%d", c.load.Seed, c.number),
 		DeadlineMs: c.shape.Deadline.Milliseconds(),
+
+		LeastCoverage: c.shape.Least,
 	}
 	if c.once {
 		idempotent := false
--- a/io/process/zlload/zlload.go
+++ b/io/process/zlload/zlload.go
@@ -20,6 +20,8 @@
 	Kind     zlunit.QueryKind
 	Weight   int
 	Deadline time.Duration
+	// Least is the least coverage that the query asks for.
+	Least zlunit.Coverage
 }
 
 // Load is one run. All fields must be set before Run, but those said to be
