--- a/core/request/zlaggr/sub.go
+++ b/core/request/zlaggr/sub.go
@@ -48,7 +48,7 @@
 	s.upstream = u
 	deadline := grant.cut(s.work.deadline)
 	s.prepare(deadline)
-	gate := a.gate(u.Name, &grant)
+	gate := a.gate(&u, &grant)
 	s.guard.Store(gate)
 	if s.gaveUp.Load() {
 		return
--- a/core/request/zlaggr/zlaggr.go
+++ b/core/request/zlaggr/zlaggr.go
@@ -7,6 +7,7 @@
 	"sort"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"zinnialock/core/connection/zlgate"
 	"zinnialock/core/process/zltimer"
@@ -74,12 +75,14 @@
 }
 
 // gate returns the gate of an upstream, made on first use.
-func (a *Aggregator) gate(name zlunit.Upstream, grant *Grant) *zlgate.Gate {
-	g := a.find(name)
+func (a *Aggregator) gate(u *zlcatalog.Upstream, grant *Grant) *zlgate.Gate {
+	g := a.find(u.Name)
 	g.SetLimits(zlgate.Limits{
 		Slots:       grant.Slots,
 		Cold:        grant.Cold,
 		Connections: grant.Connections,
+		ColdWork:    u.ColdWork,
+		ColdTime:    time.Duration(u.ColdMs) * time.Millisecond,
 	})
 	return g
 }
--- a/core/version/zlcatalog/zlcatalog.go
+++ b/core/version/zlcatalog/zlcatalog.go
@@ -45,7 +45,13 @@
 	Slots       zlunit.Slots       `json:"slots"`
 	Connections zlunit.Connections `json:"connections"`
 	ColdLimit   zlunit.Slots       `json:"coldLimit"`
-	Leaving     bool               `json:"leaving,omitempty"`
+	// ColdWork is how many answers a cold start lasts at least; 0 means the
+	// default.
+	ColdWork int `json:"coldWork,omitempty"`
+	// ColdMs is how long a cold start lasts at least, in milliseconds; 0 means
+	// the default.
+	ColdMs  int64 `json:"coldMs,omitempty"`
+	Leaving bool  `json:"leaving,omitempty"`
 }
 
 // Version is one index snapshot: for each shard, by number, its replicas.
@@ -93,6 +99,9 @@
 		if u.Slots < 1 || u.Connections < 1 || u.ColdLimit < 1 {
 			return eris.Errorf("service %q: upstream %q: slots, connections and coldLimit start at 1", c.Service, u.Name)
 		}
+		if u.ColdWork < 0 || u.ColdMs < 0 {
+			return eris.Errorf("service %q: upstream %q: coldWork and coldMs start at 0", c.Service, u.Name)
+		}
 		known[u.Name] = true
 	}
 	for _, v := range c.Versions {
--- a/io/process/zldaemon/admin.go
+++ b/io/process/zldaemon/admin.go
@@ -13,6 +13,7 @@
 	mux.HandleFunc("GET /readyz", d.serveReady)
 	mux.HandleFunc("GET /cost", d.serveCost)
 	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
+		d.updateGauges()
 		_ = d.metrics.WriteText(w)
 	})
 	return mux
--- /dev/null
+++ b/io/process/zldaemon/gauges.go
@@ -0,0 +1,19 @@
+package zldaemon
+
+// updateGauges sets the gauges of the upstreams that this daemon speaks to:
+// how many are in each state, and what is in flight and queued in all.
+func (d *Daemon) updateGauges() {
+	scope := d.metrics.Scope()
+	inFlight, queued := 0, 0
+	for _, s := range d.aggregator.Snapshot() {
+		inFlight += s.InFlight
+		queued += s.Queued
+	}
+	scope.Gauge("upstreamInFlight").Update(float64(inFlight))
+	scope.Gauge("upstreamQueued").Update(float64(queued))
+	for state, n := range d.aggregator.States() {
+		scope.Tagged(map[string]string{
+			"state": string(state),
+		}).Gauge("upstreams").Update(float64(n))
+	}
+}
