--- a/core/version/zlroster/zlroster.go
+++ b/core/version/zlroster/zlroster.go
@@ -3,8 +3,6 @@
 package zlroster
 
 import (
-	"slices"
-
 	"zinnialock/core/process/zlunit"
 
 	"github.com/cespare/xxhash/v2"
@@ -13,12 +11,39 @@
 // HoldersPerUpstream is how many daemons speak to one upstream.
 const HoldersPerUpstream = 1
 
+// State is where a member stands in its life.
+type State string
+
+// The states of a member. The empty state means ready.
+const (
+	// StateStarting is a daemon that is not in the roster yet.
+	StateStarting State = "starting"
+	StateReady    State = "ready"
+	// StateLeaving is a member that holds no upstreams any more.
+	StateLeaving State = "leaving"
+)
+
 // Member is one daemon of a roster.
 type Member struct {
 	VM          zlunit.VM          `json:"vm"`
 	Incarnation zlunit.Incarnation `json:"incarnation"`
 	// Peer is the address of its QUIC listener, IP and port.
-	Peer string `json:"peer"`
+	Peer  string `json:"peer"`
+	State State  `json:"state,omitempty"`
+}
+
+// Key tells members apart, also two processes under one VM name.
+type Key struct {
+	VM          zlunit.VM
+	Incarnation zlunit.Incarnation
+}
+
+// Key returns the key of m.
+func (m Member) Key() Key {
+	return Key{
+		VM:          m.VM,
+		Incarnation: m.Incarnation,
+	}
 }
 
 // Roster lists the daemons of one data centre. Its epoch is the version of the
@@ -27,41 +52,49 @@
 	DataCentre zlunit.DataCentre    `json:"dataCentre"`
 	Epoch      zlunit.ObjectVersion `json:"-"`
 	Members    []Member             `json:"members"`
+	// Past holds the changes that led here, oldest first. From it a daemon
+	// that missed epochs knows who may still hold tenure of one of them.
+	Past []Change `json:"past,omitempty"`
 }
 
-// With returns a copy in which m replaces the member of the same name.
-func (r Roster) With(m Member) Roster {
-	out := r.Without(m.VM)
-	out.Members = append(out.Members, m)
-	slices.SortFunc(out.Members, func(a, b Member) int {
-		if a.VM < b.VM {
-			return -1
+// Member finds a member by name.
+func (r Roster) Member(vm zlunit.VM) (Member, bool) {
+	for _, m := range r.Members {
+		if m.VM == vm {
+			return m, true
 		}
-		return 1
-	})
-	return out
+	}
+	return Member{}, false
 }
 
-// Without returns a copy that lacks the member named vm.
-func (r Roster) Without(vm zlunit.VM) Roster {
-	out := r
-	out.Members = nil
+// holding returns the members that hold upstreams: those that are not leaving,
+// or all if every one is.
+func (r Roster) holding() []Member {
+	leaving := 0
 	for _, m := range r.Members {
-		if m.VM != vm {
-			out.Members = append(out.Members, m)
+		if m.State == StateLeaving {
+			leaving++
+		}
+	}
+	if leaving == 0 || leaving == len(r.Members) {
+		return r.Members
+	}
+	out := make([]Member, 0, len(r.Members)-leaving)
+	for _, m := range r.Members {
+		if m.State != StateLeaving {
+			out = append(out, m)
 		}
 	}
 	return out
 }
 
-// Member finds a member by name.
-func (r Roster) Member(vm zlunit.VM) (Member, bool) {
-	for _, m := range r.Members {
-		if m.VM == vm {
-			return m, true
-		}
+// Holder returns the daemon that speaks to u, or false if there is none.
+func (r Roster) Holder(u zlunit.Upstream) (Member, bool) {
+	holders := r.Holders(u)
+	if len(holders) == 0 {
+		return Member{}, false
 	}
-	return Member{}, false
+	return r.Member(holders[0])
 }
 
 func score(vm zlunit.VM, u zlunit.Upstream) uint64 {
@@ -82,7 +115,7 @@
 	}
 	var best [HoldersPerUpstream]ranked
 	n := 0
-	for _, m := range r.Members {
+	for _, m := range r.holding() {
 		c := ranked{
 			vm:    m.VM,
 			score: score(m.VM, u),
