zlfleet: daemons join, vouch, take over and leave; status and events

Cause: a dead daemon stayed in the roster for ever and its upstreams were lost; a planned stop left the roster before its upstreams were drained. Change: zlfleet runs zltenure and zlmember in the daemon, with heartbeats to three vouchers and no platform call in the steady state. A planned stop says leaving, drains, and records its release. The subcommands status and events; replaced key files are taken up.

--- a/cmd/cmd.go
+++ b/cmd/cmd.go
@@ -52,6 +52,16 @@
 			summary: "send queries at a rate and check each answer",
 			run:     runLoad,
 		},
+		{
+			name:    "status",
+			summary: "show each daemon's view of the fleet",
+			run:     runStatus,
+		},
+		{
+			name:    "events",
+			summary: "show what daemons repaired, and why",
+			run:     runEvents,
+		},
 		{
 			name:    "standin",
 			summary: "run a small stand-in for the platform or an upstream",
--- a/cmd/serve.go
+++ b/cmd/serve.go
@@ -1,7 +1,7 @@
 package cmd
 
 import (
-	"errors"
+	"fmt"
 	"os"
 	"os/signal"
 	"syscall"
@@ -73,6 +73,6 @@
 		logger.Info().Msg("serve: stopped, nothing was cut")
 		return exitDone
 	case <-signals:
-		return e.fail(exitFailed, errors.New("serve: second signal, running queries were cut"))
+		return e.fail(exitFailed, fmt.Errorf("serve: second signal: %d running queries were cut", d.InFlight()))
 	}
 }
--- /dev/null
+++ b/core/request/zlaggr/drained.go
@@ -0,0 +1,21 @@
+package zlaggr
+
+import (
+	"zinnialock/core/process/zlunit"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Drained reports that nothing is in flight or queued at an upstream from
+// this daemon.
+func (a *Aggregator) Drained(name zlunit.Upstream) bool {
+	s := &a.shards[xxhash.Sum64String(string(name))%tableShards]
+	s.mu.Lock()
+	g, ok := s.gates[name]
+	s.mu.Unlock()
+	if !ok {
+		return true
+	}
+	status := g.Snapshot()
+	return status.InFlight == 0 && status.Queued == 0
+}
--- a/io/process/zldaemon/zldaemon.go
+++ b/io/process/zldaemon/zldaemon.go
@@ -11,16 +11,16 @@
 	"sync/atomic"
 	"time"
 
+	"zinnialock/core/process/zlevent"
 	"zinnialock/core/process/zlroute"
 	"zinnialock/core/process/zltimer"
-	"zinnialock/core/process/zlunit"
 	"zinnialock/core/request/zlaggr"
 	"zinnialock/core/request/zlcoord"
 	"zinnialock/core/request/zlquery"
-	"zinnialock/core/version/zlroster"
 	"zinnialock/core/version/zlview"
 	"zinnialock/io/connection/zlpeer"
 	"zinnialock/io/process/zlconfig"
+	"zinnialock/io/process/zlfleet"
 	"zinnialock/io/process/zlkeys"
 	"zinnialock/io/process/zlmetric"
 	"zinnialock/io/process/zlplatform"
@@ -76,6 +76,8 @@
 	node       *zlpeer.Node
 	coord      *zlcoord.Coordinator
 	claims     claims
+	fleet      *zlfleet.Fleet
+	events     *zlevent.Ring
 	caller     *http.Server
 	admin      *http.Server
 	cancel     context.CancelFunc
@@ -83,6 +85,8 @@
 	stopping   atomic.Bool
 	inFlight   atomic.Int64
 	meter      zlplatform.Meter
+	started    time.Time
+	settled    atomic.Bool
 }
 
 // Run starts all parts and returns once the daemon serves.
@@ -100,15 +104,21 @@
 		return err
 	}
 	d.parts.Go(func() {
-		d.join(ctx)
 		d.follower.Run(ctx)
 	})
+	d.parts.Go(func() {
+		d.fleet.Run(ctx)
+	})
+	d.parts.Go(func() {
+		d.followKeys(ctx)
+	})
 	return nil
 }
 
 func (d *Daemon) build() {
 	cfg := d.Config
 	d.timer = &zltimer.Service{}
+	d.started = d.timer.Now()
 	d.views = &zlview.Holder{}
 	d.metrics = zlmetric.New(map[string]string{
 		"vm": string(cfg.Name),
@@ -151,6 +161,7 @@
 		Counter:    d.metrics,
 	}
 	d.buildClaims()
+	d.buildFleet()
 }
 
 func (d *Daemon) listen() error {
@@ -197,41 +208,23 @@
 	})
 }
 
-// join enters this daemon into the roster of its data centre.
-func (d *Daemon) join(ctx context.Context) {
-	self := zlroster.Member{
-		VM:          d.Config.Name,
-		Incarnation: zlunit.Incarnation(time.Now().UnixNano()),
-		Peer:        d.Config.PeerListen,
-	}
-	for ctx.Err() == nil {
-		err := zlsync.EditRoster(ctx, d.platform, d.Config.DataCentre, func(r zlroster.Roster) zlroster.Roster {
-			return r.With(self)
-		})
-		if err == nil {
-			return
-		}
-		d.Log.Warn().Err(err).Msg("daemon: joining the roster failed")
-		d.timer.Sleep(ctx.Done(), time.Second)
-	}
-}
-
-// Stop leaves the roster, goes on serving for the grace, lets running queries
-// finish and ends. The error, if any, says how many were cut.
+// Stop says that the daemon is leaving, goes on serving for the grace, lets
+// running queries finish, hands its upstreams over and ends. The error, if
+// any, says how many queries were cut.
 func (d *Daemon) Stop() error {
 	d.stopping.Store(true)
 	ctx, cancel := context.WithTimeout(context.Background(), d.Config.StopLimit)
 	defer cancel()
-	err := zlsync.EditRoster(ctx, d.platform, d.Config.DataCentre, func(r zlroster.Roster) zlroster.Roster {
-		return r.Without(d.Config.Name)
-	})
-	if err != nil {
-		d.Log.Warn().Err(err).Msg("daemon: leaving the roster failed")
+	if err := d.fleet.Leave(ctx); err != nil {
+		d.Log.Warn().Err(err).Msg("daemon: saying that it leaves failed")
 	}
 	d.timer.Sleep(ctx.Done(), d.Config.StopGrace)
-	err = d.caller.Shutdown(ctx)
+	err := d.caller.Shutdown(ctx)
 	d.claims.finish(ctx)
 	cut := d.inFlight.Load()
+	if !d.fleet.Release(ctx) {
+		d.Log.Warn().Msg("daemon: left without a full release, others wait for its lease")
+	}
 	d.Kill()
 	if err != nil {
 		return &Error{
@@ -243,6 +236,11 @@
 	return nil
 }
 
+// InFlight returns how many queries of callers are running.
+func (d *Daemon) InFlight() int64 {
+	return d.inFlight.Load()
+}
+
 // Kill ends the daemon at once.
 func (d *Daemon) Kill() {
 	d.cancel()
@@ -253,8 +251,10 @@
 		_ = d.admin.Close()
 	}
 	d.claims.close()
-	d.node.Close()
+	// The calls end before the peer port closes: others take a closed port as
+	// proof that nothing is sent to upstreams any more.
 	d.calls.Close()
+	d.node.Close()
 	d.aggregator.Wait()
 	d.platform.HTTP.CloseIdleConnections()
 	d.parts.Wait()
@@ -264,9 +264,16 @@
 	if reply, handled, err := d.claims.router.Asked(ctx, topic, body); handled {
 		return reply, err
 	}
+	if topic == topicBeat {
+		return d.answerBeat(body)
+	}
 	return nil, eris.Errorf("unknown topic %q", topic)
 }
 
+// settleLimit bounds how long a daemon that has just started is not ready for
+// the sake of its own upstreams; without the platform it never holds any.
+const settleLimit = 10 * time.Second
+
 // Ready reports whether the daemon can answer queries, and if not, why.
 func (d *Daemon) Ready() (bool, string) {
 	switch {
@@ -274,7 +281,12 @@
 		return false, string(zlquery.ReasonStopping)
 	case d.views.Load() == nil:
 		return false, "no view of the platform yet"
+	case d.settled.Load():
+		return true, "ready"
+	case d.timer.Now().Sub(d.started) < settleLimit && !d.fleet.Settled():
+		return false, "earlier holders are waited for"
 	default:
+		d.settled.Store(true)
 		return true, "ready"
 	}
 }
