A rolling replacement and the end of a daemon are tested

Cause: neither a planned stop under load nor leaks after a kill had a test. Conclusion: a planned stop hands over without a gap that callers see.

--- a/io/process/zldaemon/zldaemon.go
+++ b/io/process/zldaemon/zldaemon.go
@@ -97,6 +97,8 @@
 	d.claims.run()
 	if err := d.node.Run(); err != nil {
 		cancel()
+		d.claims.close()
+		d.platform.HTTP.CloseIdleConnections()
 		return err
 	}
 	if err := d.listen(); err != nil {
--- a/io/standin/zlscene/actions.go
+++ b/io/standin/zlscene/actions.go
@@ -128,3 +128,14 @@
 	s.Catalogs[c.Service] = c
 	return nil
 }
+
+// Stop stops the entry VM's daemon as planned; the error says what was cut.
+func (s *Scene) Stop(n int) error {
+	s.killed[n] = true
+	d, ok := s.entries[n].(*daemonEntry)
+	if !ok {
+		s.entries[n].Kill()
+		return nil
+	}
+	return d.daemon.Stop()
+}
--- /dev/null
+++ b/io/standin/zlscene/rolling_test.go
@@ -0,0 +1,170 @@
+package zlscene
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"os"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"zinnialock/core/process/zlunit"
+	"zinnialock/core/request/zlquery"
+	"zinnialock/io/process/zlload"
+	"zinnialock/io/request/zlfront"
+
+	"github.com/phuslu/log"
+	"github.com/smartystreets/goconvey/convey"
+	"go.uber.org/goleak"
+)
+
+// balancer hands out the targets of a list that lags.
+type balancer struct {
+	mu      sync.Mutex
+	targets []string
+	next    int
+}
+
+func (b *balancer) pick() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.next++
+	return b.targets[b.next%len(b.targets)]
+}
+
+func (b *balancer) set(targets []string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.targets = targets
+}
+
+// tally counts how queries ended.
+type tally struct {
+	answered atomic.Int64
+	cut      atomic.Int64
+	mu       sync.Mutex
+	refused  map[zlquery.Reason]int
+}
+
+func (c *tally) ask(b *balancer, service zlunit.Service) {
+	a, err := zlload.Post(context.Background(), http.DefaultClient, b.pick(), &zlfront.Request{
+		Service:    service,
+		Kind:       "lookup",
+		Text:       "mark",
+		DeadlineMs: 5000,
+	})
+	switch {
+	case err != nil:
+		c.cut.Add(1)
+	case a.Refusal != nil:
+		c.mu.Lock()
+		c.refused[a.Refusal.Reason]++
+		c.mu.Unlock()
+	default:
+		c.answered.Add(1)
+	}
+}
+
+func rollingPlan() UserPlan {
+	return UserPlan{
+		Deployment:  "guild",
+		DataCentres: []zlunit.DataCentre{"nashua", "lowell", "worcester"},
+		Daemons:     2,
+		Services: []ServicePlan{
+			sharded("finder", 4, 3, 30),
+			whole("rolls", 3, 6, 100),
+		},
+	}
+}
+
+// roll replaces every daemon, one after another; the balancer's list lags by
+// half of the grace.
+func roll(s *Scene, b *balancer) []error {
+	var faults []error
+	n := len(s.entries)
+	for i := range n {
+		targets := s.Targets()
+		stopped := make(chan error, 1)
+		go func() {
+			stopped <- s.Stop(i)
+		}()
+		time.Sleep(500 * time.Millisecond)
+		b.set(append(targets[i+1:n:n], targets[n:]...))
+		if err := <-stopped; err != nil {
+			faults = append(faults, err)
+		}
+		if err := s.RunDaemon(s.Plan.DataCentres[i/s.Plan.Daemons], i%s.Plan.Daemons); err != nil {
+			return append(faults, err)
+		}
+		if err := s.waitEntry(len(s.entries)-1, n); err != nil {
+			return append(faults, err)
+		}
+		b.set(s.Targets()[i+1:])
+	}
+	return faults
+}
+
+func (s *Scene) waitEntry(i, n int) error {
+	deadline := time.Now().Add(2 * readyWait)
+	for time.Now().Before(deadline) {
+		if s.entries[i].Ready(n) {
+			return nil
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	return fmt.Errorf("entry %d is not ready: %+v", i, s.entries[i].(*daemonEntry).daemon.Status())
+}
+
+func TestRollingReplacementCutsNothing(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	defer http.DefaultClient.CloseIdleConnections()
+	convey.Convey("Replacing all six daemons under load cuts and refuses nothing", t, func() {
+		s := &Scene{
+			Plan: rollingPlan(),
+			Seed: 1,
+			Log: &log.Logger{
+				Level: log.ErrorLevel,
+				Writer: &log.IOWriter{
+					Writer: os.Stderr,
+				},
+			},
+		}
+		convey.So(s.Run(context.Background()), convey.ShouldBeNil)
+		defer s.Close()
+		b := &balancer{
+			targets: s.Targets(),
+		}
+		count := &tally{
+			refused: map[zlquery.Reason]int{},
+		}
+		done := make(chan struct{})
+		var callers sync.WaitGroup
+		for i := range 4 {
+			callers.Go(func() {
+				service := []zlunit.Service{"finder", "rolls"}[i%2]
+				for {
+					select {
+					case <-done:
+						return
+					case <-time.After(20 * time.Millisecond):
+						count.ask(b, service)
+					}
+				}
+			})
+		}
+		faults := roll(s, b)
+		close(done)
+		callers.Wait()
+		t.Logf("answered %d, cut %d, refused %v", count.answered.Load(), count.cut.Load(), count.refused)
+		convey.So(faults, convey.ShouldBeEmpty)
+		convey.So(count.cut.Load(), convey.ShouldEqual, 0)
+		convey.So(count.refused, convey.ShouldBeEmpty)
+		for _, u := range s.Upstreams {
+			c := u.Counts()
+			convey.So(c.ColdPeak, convey.ShouldBeLessThanOrEqualTo, int(c.ColdLimit))
+			convey.So(c.RefusedConns, convey.ShouldEqual, 0)
+		}
+	})
+}
--- a/io/standin/zlscene/zlscene.go
+++ b/io/standin/zlscene/zlscene.go
@@ -181,8 +181,21 @@
 	return s.RunDaemon(dc, i)
 }
 
+// portTries bounds the tries to find ports that nobody takes meanwhile.
+const portTries = 5
+
 // RunDaemon starts the daemon of entry VM i of a data centre.
 func (s *Scene) RunDaemon(dc zlunit.DataCentre, i int) error {
+	var err error
+	for range portTries {
+		if err = s.runDaemon(dc, i); err == nil {
+			return nil
+		}
+	}
+	return err
+}
+
+func (s *Scene) runDaemon(dc zlunit.DataCentre, i int) error {
 	name := fmt.Sprintf("%s-%d", dc, i+1)
 	keys, err := s.authority.Store(name)
 	if err != nil {
