Settings and marks: accepted edits with history, versions that only grow, news between daemons

Cause: the tree and the marks were written blind, a daemon knew only what its own watch brought, and every daemon called the platform each second. Change: zlhistory keeps a record's changes inside the record, one conditional write for both, each with a nonce, so that a lost reply is recognised; older entries move to an archive object first. zlsync.Editor makes an edit, goes on top of others' and loses with the difference shown where the same value changed. zlnews orders states by serial, version and history; the follower refuses bad and forked records, and writes back what a restored platform lost. zlgossip compares digests with fixed neighbours, pulls what is newer, and takes over the age of the platform's confirmation. Conclusion: what is accepted stays in force; a second change right after a first may wait up to 2 s for the re-armed watch, which the news between daemons covers.

--- a/core/process/zlunit/zlunit.go
+++ b/core/process/zlunit/zlunit.go
@@ -44,6 +44,10 @@
 // ObjectVersion is the version the platform gives an object; it only grows.
 type ObjectVersion uint64
 
+// Serial counts the accepted changes of a record, in the record itself; unlike
+// ObjectVersion it outlives a platform that was restored from an older state.
+type Serial uint64
+
 // Coverage is a share of an index, from 0 to 1.
 type Coverage float64
 
--- /dev/null
+++ b/core/version/zlmark/record.go
@@ -0,0 +1,74 @@
+package zlmark
+
+import (
+	"zinnialock/core/process/zlunit"
+	"zinnialock/core/version/zlhistory"
+)
+
+// Subject is the sort of thing that a mark is about.
+type Subject string
+
+// The subjects of marks.
+const (
+	SubjectVM         Subject = "vm"
+	SubjectDataCentre Subject = "dc"
+	SubjectUpstream   Subject = "upstream"
+)
+
+// Subjects lists all subjects.
+var Subjects = []Subject{SubjectVM, SubjectDataCentre, SubjectUpstream}
+
+var _ zlhistory.Record = (*Marks)(nil)
+
+// A mark is a value at the path of its subject with the name as key; the value
+// is the reason.
+
+// Value implements zlhistory.Record.
+func (m *Marks) Value(p zlhistory.Place) any {
+	var mark Mark
+	var ok bool
+	switch Subject(p.Path) {
+	case SubjectVM:
+		mark, ok = m.VMs[zlunit.VM(p.Key)]
+	case SubjectDataCentre:
+		mark, ok = m.DataCentres[zlunit.DataCentre(p.Key)]
+	case SubjectUpstream:
+		mark, ok = m.Upstreams[zlunit.Upstream(p.Key)]
+	}
+	if !ok {
+		return nil
+	}
+	return mark.Reason
+}
+
+// Set implements zlhistory.Record.
+func (m *Marks) Set(c zlhistory.Change, e *zlhistory.Entry) {
+	var mark *Mark
+	if reason, ok := c.New.(string); ok {
+		mark = &Mark{
+			Reason: reason,
+			By:     e.By,
+			At:     e.At,
+		}
+	}
+	switch Subject(c.Path) {
+	case SubjectVM:
+		m.VMs = put(m.VMs, zlunit.VM(c.Key), mark)
+	case SubjectDataCentre:
+		m.DataCentres = put(m.DataCentres, zlunit.DataCentre(c.Key), mark)
+	case SubjectUpstream:
+		m.Upstreams = put(m.Upstreams, zlunit.Upstream(c.Key), mark)
+	}
+}
+
+func put[K comparable](marks map[K]Mark, name K, mark *Mark) map[K]Mark {
+	if mark == nil {
+		delete(marks, name)
+		return marks
+	}
+	if marks == nil {
+		marks = map[K]Mark{}
+	}
+	marks[name] = *mark
+	return marks
+}
--- a/core/version/zltree/policy.go
+++ b/core/version/zltree/policy.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"zinnialock/core/process/zlunit"
+	"zinnialock/core/version/zlhistory"
 )
 
 // Key names one setting of the tree.
@@ -112,14 +113,14 @@
 func checkValue(key Key, value any) string {
 	s, ok := specs[key]
 	if !ok {
-		return "unknown key"
+		return fmt.Sprintf("found an unknown key, allowed is one of %v", Keys())
 	}
 	n, err := s.number(value)
 	if err != nil {
 		return err.Error()
 	}
 	if n < s.low || n > s.high {
-		return fmt.Sprintf("found %v, allowed is %s", value, s.allowed())
+		return fmt.Sprintf("found %s, allowed is %s", zlhistory.Text(value), s.allowed())
 	}
 	return ""
 }
@@ -136,13 +137,13 @@
 	if s.unit == unitNumber {
 		n, ok := value.(float64)
 		if !ok {
-			return 0, fmt.Errorf("found %v, allowed is %s", value, s.allowed())
+			return 0, fmt.Errorf("found %s, allowed is %s", zlhistory.Text(value), s.allowed())
 		}
 		return n, nil
 	}
 	text, ok := value.(string)
 	if !ok {
-		return 0, fmt.Errorf("found %v, allowed is %s", value, s.allowed())
+		return 0, fmt.Errorf("found %s, allowed is %s", zlhistory.Text(value), s.allowed())
 	}
 	d, err := time.ParseDuration(text)
 	if err != nil {
--- /dev/null
+++ b/core/version/zltree/record.go
@@ -0,0 +1,109 @@
+package zltree
+
+import (
+	"encoding/json"
+	"reflect"
+	"sort"
+	"strconv"
+
+	"zinnialock/core/process/zlunit"
+	"zinnialock/core/version/zlhistory"
+)
+
+var _ zlhistory.Record = (*Tree)(nil)
+
+// Value implements zlhistory.Record.
+func (t *Tree) Value(p zlhistory.Place) any {
+	value, ok := t.Nodes[Path(p.Path)][Key(p.Key)]
+	if !ok {
+		return nil
+	}
+	return value
+}
+
+// Set implements zlhistory.Record.
+func (t *Tree) Set(c zlhistory.Change, _ *zlhistory.Entry) {
+	path := Path(c.Path)
+	if c.New == nil {
+		delete(t.Nodes[path], Key(c.Key))
+		if len(t.Nodes[path]) == 0 {
+			delete(t.Nodes, path)
+		}
+		return
+	}
+	if t.Nodes == nil {
+		t.Nodes = map[Path]Node{}
+	}
+	if t.Nodes[path] == nil {
+		t.Nodes[path] = Node{}
+	}
+	t.Nodes[path][Key(c.Key)] = c.New
+}
+
+// Diff lists the changes that turn t into next, in a fixed order.
+func (t *Tree) Diff(next *Tree) []zlhistory.Change {
+	places := map[zlhistory.Place]bool{}
+	for _, tree := range []*Tree{t, next} {
+		for path, node := range tree.Nodes {
+			for key := range node {
+				places[zlhistory.Place{
+					Path: string(path),
+					Key:  string(key),
+				}] = true
+			}
+		}
+	}
+	var changes []zlhistory.Change
+	for p := range places {
+		old, value := t.Value(p), next.Value(p)
+		if !reflect.DeepEqual(old, value) {
+			changes = append(changes, zlhistory.Change{
+				Path: p.Path,
+				Key:  p.Key,
+				Old:  old,
+				New:  value,
+			})
+		}
+	}
+	sort.Slice(changes, func(i, j int) bool {
+		a, b := changes[i], changes[j]
+		return a.Path < b.Path || a.Path == b.Path && a.Key < b.Key
+	})
+	return changes
+}
+
+// Parse reads the value of a key from text: a number, or else a duration.
+func Parse(key Key, text string) any {
+	s, known := specs[key]
+	n, err := strconv.ParseFloat(text, 64)
+	if err != nil || known && s.unit == unitDuration {
+		return text
+	}
+	return n
+}
+
+func placeOf(parts []string) Place {
+	return Place{
+		Deployment: zlunit.Deployment(parts[0]),
+		DataCentre: zlunit.DataCentre(parts[1]),
+		Service:    zlunit.Service(parts[2]),
+		Kind:       zlunit.QueryKind(parts[3]),
+	}
+}
+
+// Read decodes a tree without checking its values, for tools that must show or
+// mend a bad one; data may be empty.
+func Read(data []byte) (*Tree, error) {
+	var t Tree
+	if len(data) == 0 {
+		return &t, nil
+	}
+	if err := json.Unmarshal(data, &t); err != nil {
+		return nil, &Error{
+			Op:   "read",
+			Kind: KindDecode,
+			Err:  err,
+		}
+	}
+	return &t, nil
+}
--- a/core/version/zltree/zltree.go
+++ b/core/version/zltree/zltree.go
@@ -5,10 +5,10 @@
 import (
 	"encoding/json"
 	"fmt"
-	"sort"
 	"strings"
 
 	"zinnialock/core/process/zlunit"
+	"zinnialock/core/version/zlhistory"
 
 	"github.com/rotisserie/eris"
 )
@@ -22,15 +22,19 @@
 	KindInvalid Kind = "invalid"
 )
 
-// Error reports a tree that cannot be used. All faults stand in Err.
+// Error reports a tree that cannot be used. Faults lists all that is wrong.
 type Error struct {
-	Op   string
-	Kind Kind
-	Err  error
+	Op     string
+	Kind   Kind
+	Err    error
+	Faults []string
 }
 
 // Error implements error.
 func (e *Error) Error() string {
+	if len(e.Faults) > 0 {
+		return "the tree is refused whole:\n  " + strings.Join(e.Faults, "\n  ")
+	}
 	return fmt.Sprintf("zltree: %s: %s: %v", e.Op, e.Kind, e.Err)
 }
 
@@ -51,6 +55,7 @@
 // Tree is the whole tree, a flat map from path to the values set there.
 type Tree struct {
 	Nodes map[Path]Node `json:"nodes"`
+	zlhistory.Meta
 }
 
 // Decode reads a tree and checks every path, key and value; the error is an
@@ -66,32 +71,15 @@
 	}
 	if faults := t.Check(); len(faults) > 0 {
 		return nil, &Error{
-			Op:   "check",
-			Kind: KindInvalid,
-			Err:  eris.New(strings.Join(faults, "; ")),
+			Op:     "check",
+			Kind:   KindInvalid,
+			Err:    eris.Errorf("%d faults", len(faults)),
+			Faults: faults,
 		}
 	}
 	return &t, nil
 }
 
-// Check lists every fault of the tree, one line each, in a fixed order.
-func (t *Tree) Check() []string {
-	var faults []string
-	for path, node := range t.Nodes {
-		parts := strings.Split(string(path), "/")
-		if len(parts) > 4 || strings.Contains("/"+string(path)+"/", "//") {
-			faults = append(faults, fmt.Sprintf("path %q: want deployment[/dataCentre[/service[/queryKind]]]", path))
-		}
-		for key, value := range node {
-			if fault := checkValue(key, value); fault != "" {
-				faults = append(faults, fmt.Sprintf("path %q: key %q: %s", path, key, fault))
-			}
-		}
-	}
-	sort.Strings(faults)
-	return faults
-}
-
 // Place is where a query stands in the tree.
 type Place struct {
 	Deployment zlunit.Deployment
--- a/io/process/zldaemon/admin.go
+++ b/io/process/zldaemon/admin.go
@@ -11,6 +11,7 @@
 		_, _ = fmt.Fprintln(w, "alive")
 	})
 	mux.HandleFunc("GET /readyz", d.serveReady)
+	mux.HandleFunc("GET /status/news", d.serveStatus)
 	mux.HandleFunc("GET /cost", d.serveCost)
 	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
 		_ = d.metrics.WriteText(w)
--- a/io/process/zldaemon/zldaemon.go
+++ b/io/process/zldaemon/zldaemon.go
@@ -26,6 +26,7 @@
 	"zinnialock/io/process/zlplatform"
 	"zinnialock/io/request/zlfront"
 	"zinnialock/io/request/zlupcall"
+	"zinnialock/io/version/zlgossip"
 	"zinnialock/io/version/zlsync"
 
 	"github.com/phuslu/log"
@@ -71,6 +72,7 @@
 	metrics    *zlmetric.Metrics
 	platform   *zlplatform.Client
 	follower   *zlsync.Follower
+	gossip     *zlgossip.Gossip
 	calls      *zlupcall.Caller
 	aggregator *zlaggr.Aggregator
 	node       *zlpeer.Node
@@ -97,9 +99,9 @@
 		d.Kill()
 		return err
 	}
+	d.runNews(ctx)
 	d.parts.Go(func() {
 		d.join(ctx)
-		d.follower.Run(ctx)
 	})
 	return nil
 }
@@ -116,14 +118,7 @@
 		HTTP:    d.meter.NewHTTP(),
 		Timeout: cfg.PlatformTimeout,
 	}
-	d.follower = &zlsync.Follower{
-		Deployment: cfg.Deployment,
-		Home:       cfg.DataCentre,
-		Platform:   d.platform,
-		Timer:      d.timer,
-		Views:      d.views,
-		Log:        d.Log,
-	}
+	d.buildNews()
 	d.calls = &zlupcall.Caller{}
 	d.aggregator = &zlaggr.Aggregator{
 		Self:    cfg.Name,
@@ -252,7 +247,10 @@
 	d.parts.Wait()
 }
 
-func (d *Daemon) asked(_ context.Context, topic string, _ []byte) ([]byte, error) {
+func (d *Daemon) asked(ctx context.Context, topic string, body []byte) ([]byte, error) {
+	if reply, ok, err := d.gossip.Answer(ctx, topic, body); ok {
+		return reply, err
+	}
 	return nil, eris.Errorf("unknown topic %q", topic)
 }
 
@@ -263,6 +261,8 @@
 		return false, string(zlquery.ReasonStopping)
 	case d.views.Load() == nil:
 		return false, "no view of the platform yet"
+	case d.markedOut():
+		return false, string(zlquery.ReasonMarkedOut)
 	default:
 		return true, "ready"
 	}
--- a/io/process/zlplatform/zlplatform.go
+++ b/io/process/zlplatform/zlplatform.go
@@ -29,6 +29,8 @@
 	KindNotFound Kind = "notFound"
 	// KindUnavailable tells that no reply came; a write may have taken effect.
 	KindUnavailable Kind = "unavailable"
+	// KindLimited tells that the platform's rates are used up; nothing changed.
+	KindLimited Kind = "limited"
 	// KindRejected tells that the platform refused the call; nothing changed.
 	KindRejected Kind = "rejected"
 	// KindDecode tells that the reply could not be read.
@@ -62,6 +64,8 @@
 	ObjectCatalog  ObjectKind = "catalog"
 	ObjectRoster   ObjectKind = "roster"
 	ObjectClaim    ObjectKind = "claim"
+	// ObjectHistory holds what the records' own histories no longer do.
+	ObjectHistory ObjectKind = "history"
 )
 
 // Object is one stored value.
@@ -207,6 +211,8 @@
 		return KindConflict
 	case http.StatusNotFound:
 		return KindNotFound
+	case http.StatusTooManyRequests:
+		return KindLimited
 	case http.StatusServiceUnavailable, http.StatusBadGateway, http.StatusGatewayTimeout:
 		return KindUnavailable
 	default:
--- /dev/null
+++ b/io/version/zlgossip/status.go
@@ -0,0 +1,157 @@
+package zlgossip
+
+import (
+	"context"
+	"slices"
+	"sort"
+	"strconv"
+	"sync"
+	"time"
+
+	"zinnialock/core/process/zlunit"
+	"zinnialock/core/version/zlnews"
+	"zinnialock/core/version/zlroster"
+)
+
+// Status is what one daemon holds. Ages are durations, since the clocks of
+// daemons are not compared.
+type Status struct {
+	VM         zlunit.VM         `json:"vm" cbor:"1,keyasint"`
+	DataCentre zlunit.DataCentre `json:"dataCentre" cbor:"2,keyasint"`
+	// Objects lists the records in force; Held counts all objects, and Digest
+	// is equal in two daemons that hold the same.
+	Objects []ObjectStatus  `json:"objects" cbor:"3,keyasint"`
+	Held    int             `json:"held" cbor:"7,keyasint"`
+	Digest  string          `json:"digest" cbor:"8,keyasint"`
+	Refused []RefusedStatus `json:"refused,omitempty" cbor:"4,keyasint,omitempty"`
+	// ViewAgeMs is the time since the view was confirmed, by the platform or
+	// through other daemons; -1 means never.
+	ViewAgeMs int64 `json:"viewAgeMs" cbor:"5,keyasint"`
+	// PlatformAgeMs is the time since the platform itself confirmed it here;
+	// -1 means never.
+	PlatformAgeMs int64 `json:"platformAgeMs" cbor:"6,keyasint"`
+	// Silent tells, in a fleet's status, that the daemon did not answer, and
+	// why.
+	Silent string `json:"silent,omitempty" cbor:"-"`
+}
+
+// ObjectStatus is an object in force at a daemon.
+type ObjectStatus struct {
+	Kind       string               `json:"kind" cbor:"1,keyasint"`
+	Name       string               `json:"name" cbor:"2,keyasint"`
+	Serial     zlunit.Serial        `json:"serial,omitempty" cbor:"3,keyasint,omitempty"`
+	Version    zlunit.ObjectVersion `json:"version" cbor:"4,keyasint"`
+	InForceMs  int64                `json:"inForceMs" cbor:"5,keyasint"`
+	SinceLocal time.Time            `json:"since" cbor:"6,keyasint"`
+}
+
+// RefusedStatus is a newer state of an object that a daemon refuses.
+type RefusedStatus struct {
+	Kind    string               `json:"kind" cbor:"1,keyasint"`
+	Name    string               `json:"name" cbor:"2,keyasint"`
+	Serial  zlunit.Serial        `json:"serial,omitempty" cbor:"3,keyasint,omitempty"`
+	Version zlunit.ObjectVersion `json:"version" cbor:"4,keyasint"`
+	Why     string               `json:"why" cbor:"5,keyasint"`
+}
+
+// Status returns what this daemon holds.
+func (g *Gossip) Status() Status {
+	now := g.Timer.Now()
+	s := Status{
+		VM:            g.Self,
+		DataCentre:    g.Home,
+		ViewAgeMs:     ageMs(now, g.Views.Heard),
+		PlatformAgeMs: ageMs(now, g.News.Confirmed),
+	}
+	store := g.News.Store()
+	ranks := store.Ranks()
+	s.Held = len(ranks)
+	s.Digest = strconv.FormatUint(store.Digest(), 16)
+	for key := range ranks {
+		if item, ok := store.Get(key); ok && slices.Contains(g.Shown, key.Kind) {
+			s.Objects = append(s.Objects, objectStatus(item, now))
+		}
+	}
+	sort.Slice(s.Objects, func(i, j int) bool {
+		a, b := s.Objects[i], s.Objects[j]
+		return a.Kind < b.Kind || a.Kind == b.Kind && a.Name < b.Name
+	})
+	for _, r := range store.Refused() {
+		s.Refused = append(s.Refused, RefusedStatus{
+			Kind:    r.Item.Key.Kind,
+			Name:    r.Item.Key.Name,
+			Serial:  r.Item.Rank.Serial,
+			Version: r.Item.Rank.Version,
+			Why:     r.Err.Error(),
+		})
+	}
+	return s
+}
+
+func objectStatus(item zlnews.Item, now time.Time) ObjectStatus {
+	return ObjectStatus{
+		Kind:       item.Key.Kind,
+		Name:       item.Key.Name,
+		Serial:     item.Rank.Serial,
+		Version:    item.Rank.Version,
+		InForceMs:  now.Sub(item.Since).Milliseconds(),
+		SinceLocal: item.Since.UTC(),
+	}
+}
+
+func ageMs(now time.Time, at func() (time.Time, bool)) int64 {
+	t, ok := at()
+	if !ok {
+		return -1
+	}
+	return now.Sub(t).Milliseconds()
+}
+
+// statusAsks bounds the questions in flight of one fleet status.
+const statusAsks = 32
+
+// FleetStatus asks every daemon of the rosters for its status, and names those
+// that do not answer. It costs nothing but while an operator asks.
+func (g *Gossip) FleetStatus(ctx context.Context) []Status {
+	var members []zlroster.Member
+	places := map[zlunit.VM]zlunit.DataCentre{}
+	if view := g.Views.Load(); view != nil {
+		for dc, r := range view.Rosters {
+			for _, m := range r.Members {
+				members = append(members, m)
+				places[m.VM] = dc
+			}
+		}
+	}
+	out := make([]Status, len(members))
+	slots := make(chan struct{}, statusAsks)
+	var wg sync.WaitGroup
+	for i, m := range members {
+		slots <- struct{}{}
+		wg.Go(func() {
+			out[i] = g.statusOf(ctx, m)
+			out[i].DataCentre = places[m.VM]
+			<-slots
+		})
+	}
+	wg.Wait()
+	sort.Slice(out, func(i, j int) bool {
+		return out[i].VM < out[j].VM
+	})
+	return out
+}
+
+func (g *Gossip) statusOf(ctx context.Context, m zlroster.Member) Status {
+	if m.VM == g.Self {
+		return g.Status()
+	}
+	var s Status
+	if err := g.question(ctx, askTimeout, m.Peer, TopicStatus, struct{}{}, &s); err != nil {
+		g.count("gossipFailed", "status")
+		return Status{
+			VM:     m.VM,
+			Silent: err.Error(),
+		}
+	}
+	return s
+}
--- /dev/null
+++ b/io/version/zlgossip/zlgossip.go
@@ -0,0 +1,228 @@
+// Package zlgossip spreads the platform's news between daemons, so that one
+// that cannot reach the platform learns from those that can, and with it the
+// age of the platform's last confirmation.
+package zlgossip
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"zinnialock/core/process/zltimer"
+	"zinnialock/core/process/zlunit"
+	"zinnialock/core/version/zlnews"
+	"zinnialock/core/version/zlview"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/phuslu/log"
+	"github.com/rotisserie/eris"
+)
+
+// Kind classifies an Error.
+type Kind string
+
+// The kinds of Error.
+const (
+	KindDecode Kind = "decode"
+	KindTopic  Kind = "topic"
+)
+
+// Error reports a message that cannot be answered.
+type Error struct {
+	Op   string
+	Kind Kind
+	Err  error
+}
+
+// Error implements error.
+func (e *Error) Error() string {
+	return fmt.Sprintf("zlgossip: %s: %s: %v", e.Op, e.Kind, e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error {
+	return e.Err
+}
+
+const (
+	// Period is the time between two rounds; each round asks one daemon of the
+	// own data centre and one of another.
+	Period = time.Second
+	// jitter lengthens each period by up to this share.
+	jitter = 0.2
+	// askTimeout bounds one question.
+	askTimeout = 700 * time.Millisecond
+	// pullTimeout bounds a question for objects, which may be large.
+	pullTimeout = 5 * time.Second
+	// eagerDelay is the longest pause before a round that fresh news starts.
+	eagerDelay = 100 * time.Millisecond
+	// ClockError bounds how much a daemon's clock runs fast or slow, as a
+	// share.
+	ClockError = 0.01
+)
+
+// The topics of questions between daemons.
+const (
+	TopicDigest = "news.digest"
+	TopicItems  = "news.items"
+	TopicStatus = "news.status"
+)
+
+// Asker sends a question to the daemon at an address.
+type Asker interface {
+	Ask(ctx context.Context, addr, topic string, body []byte) ([]byte, error)
+}
+
+// News is what the daemon holds of the platform's objects.
+type News interface {
+	Store() *zlnews.Store
+	Take(items []zlnews.Item) zlnews.Result
+	// Confirmed returns the last local time as of which the platform itself
+	// confirmed the view.
+	Confirmed() (time.Time, bool)
+}
+
+// Gossip exchanges news with a few daemons. The exported fields must be set
+// before Run.
+type Gossip struct {
+	Self  zlunit.VM
+	Home  zlunit.DataCentre
+	Seeds []string
+	Asker Asker
+	Timer *zltimer.Service
+	Views *zlview.Holder
+	News  News
+	Log   *log.Logger
+	// Shown lists the kinds of objects that a status shows one by one.
+	Shown []string
+	// Count, if set, counts failures by reason.
+	Count func(what, reason string)
+
+	once   sync.Once
+	kick   chan struct{}
+	mu     sync.Mutex
+	turns  int
+	silent map[zlunit.VM]bool
+}
+
+// digestQuestion asks whether the other daemon holds the same.
+type digestQuestion struct {
+	Digest uint64 `cbor:"1,keyasint"`
+}
+
+// digestReply carries the ranks only where the digests differ.
+type digestReply struct {
+	Same  bool        `cbor:"1,keyasint,omitempty"`
+	Ranks []rankEntry `cbor:"2,keyasint,omitempty"`
+	// Heard tells that Age, the time since the platform's confirmation as of
+	// the reply, is known.
+	Heard bool          `cbor:"3,keyasint,omitempty"`
+	Age   time.Duration `cbor:"4,keyasint,omitempty"`
+}
+
+type rankEntry struct {
+	Key  zlnews.Key  `cbor:"1,keyasint"`
+	Rank zlnews.Rank `cbor:"2,keyasint"`
+}
+
+// itemsQuestion asks for objects and hands over others.
+type itemsQuestion struct {
+	Want []zlnews.Key  `cbor:"1,keyasint,omitempty"`
+	Give []zlnews.Item `cbor:"2,keyasint,omitempty"`
+}
+
+type itemsReply struct {
+	Items []zlnews.Item `cbor:"1,keyasint,omitempty"`
+}
+
+func (g *Gossip) init() {
+	g.once.Do(func() {
+		g.kick = make(chan struct{}, 1)
+		g.silent = map[zlunit.VM]bool{}
+	})
+}
+
+// Kick starts a round with all neighbours soon; call it after fresh news.
+func (g *Gossip) Kick() {
+	g.init()
+	select {
+	case g.kick <- struct{}{}:
+	default:
+	}
+}
+
+// Answer answers a question of another daemon; ok is false for a topic that is
+// not this package's.
+func (g *Gossip) Answer(_ context.Context, topic string, body []byte) (reply []byte, ok bool, err error) {
+	g.init()
+	switch topic {
+	case TopicDigest:
+		reply, err = g.answerDigest(body)
+	case TopicItems:
+		reply, err = g.answerItems(body)
+	case TopicStatus:
+		reply, err = cbor.Marshal(g.Status())
+	default:
+		return nil, false, nil
+	}
+	return reply, true, err
+}
+
+func (g *Gossip) answerDigest(body []byte) ([]byte, error) {
+	var q digestQuestion
+	if err := decode(body, &q); err != nil {
+		return nil, err
+	}
+	// The age first: then what it confirms is surely in the ranks.
+	var r digestReply
+	if heard, ok := g.Views.Heard(); ok {
+		r.Heard = true
+		r.Age = g.Timer.Now().Sub(heard)
+	}
+	store := g.News.Store()
+	r.Same = store.Digest() == q.Digest
+	if !r.Same {
+		for key, rank := range store.Ranks() {
+			r.Ranks = append(r.Ranks, rankEntry{
+				Key:  key,
+				Rank: rank,
+			})
+		}
+	}
+	return cbor.Marshal(r)
+}
+
+func (g *Gossip) answerItems(body []byte) ([]byte, error) {
+	var q itemsQuestion
+	if err := decode(body, &q); err != nil {
+		return nil, err
+	}
+	var r itemsReply
+	for _, key := range q.Want {
+		if item, ok := g.News.Store().Get(key); ok {
+			r.Items = append(r.Items, item)
+		}
+	}
+	if len(q.Give) > 0 {
+		g.News.Take(q.Give)
+	}
+	return cbor.Marshal(r)
+}
+
+func decode(body []byte, out any) error {
+	if err := cbor.Unmarshal(body, out); err != nil {
+		return &Error{
+			Op:   "answer",
+			Kind: KindDecode,
+			Err:  eris.Wrap(err, "message"),
+		}
+	}
+	return nil
+}
+
+func (g *Gossip) count(what, reason string) {
+	if g.Count != nil {
+		g.Count(what, reason)
+	}
+}
--- /dev/null
+++ b/io/version/zlsync/edit_test.go
@@ -0,0 +1,206 @@
+package zlsync
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/smartystreets/goconvey/convey"
+
+	"zinnialock/core/process/zlunit"
+	"zinnialock/core/version/zlhistory"
+	"zinnialock/core/version/zltree"
+	"zinnialock/io/process/zlplatform"
+)
+
+func within(d time.Duration) (context.Context, context.CancelFunc) {
+	return context.WithTimeout(context.Background(), d)
+}
+
+func kindOf(err error) Kind {
+	var e *Error
+	if errors.As(err, &e) {
+		return e.Kind
+	}
+	return ""
+}
+
+func TestLostReplyIsAnAcceptedEdit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		convey.Convey("Given a platform that loses the reply of a write that took effect", t, func() {
+			p := newFake()
+			p.loseReplies = 1
+			ctx, cancel := within(time.Minute)
+			defer cancel()
+			got, err := newEditor(p).Edit(ctx, &Settings, setting("ann", "guild", "deadline", "2s"))
+			convey.So(err, convey.ShouldBeNil)
+			convey.So(got.Serial, convey.ShouldEqual, zlunit.Serial(1))
+			convey.So(got.Lost, convey.ShouldEqual, 1)
+			log, _, err := newEditor(p).History(ctx, &Settings)
+			convey.So(err, convey.ShouldBeNil)
+			convey.So(len(log), convey.ShouldEqual, 1)
+		})
+	})
+}
+
+func TestRaceOfTwoEditors(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		convey.Convey("Given two editors who read the same tree", t, func() {
+			p := newFake()
+			p.latency = 10 * time.Millisecond
+			ctx, cancel := within(time.Minute)
+			defer cancel()
+			race := func(a, b *Edit) [2]error {
+				var errs [2]error
+				var wg sync.WaitGroup
+				for i, edit := range []*Edit{a, b} {
+					wg.Go(func() {
+						_, errs[i] = newEditor(p).Edit(ctx, &Settings, edit)
+					})
+				}
+				wg.Wait()
+				return errs
+			}
+			convey.Convey("of two changes to one value one loses and is shown the difference", func() {
+				errs := race(setting("ann", "guild", "deadline", "2s"), setting("bo", "guild", "deadline", "3s"))
+				convey.So((errs[0] == nil) != (errs[1] == nil), convey.ShouldBeTrue)
+				lost, winner, wanted, set := errs[0], "bo", "2s", "3s"
+				if lost == nil {
+					lost, winner, wanted, set = errs[1], "ann", "3s", "2s"
+				}
+				convey.So(kindOf(lost), convey.ShouldEqual, KindConflict)
+				convey.So(lost.Error(), convey.ShouldContainSubstring,
+					fmt.Sprintf(`path "guild": key "deadline": was (not set), wanted %q, but %s set it to %q`, wanted, winner, set))
+			})
+			convey.Convey("changes to different values both take effect", func() {
+				errs := race(setting("ann", "guild", "deadline", "2s"), setting("bo", "guild", "viewAge", "4s"))
+				convey.So(errs, convey.ShouldEqual, [2]error{})
+				r, err := newEditor(p).Load(ctx, &Settings)
+				convey.So(err, convey.ShouldBeNil)
+				convey.So(r.(*zltree.Tree).Nodes["guild"], convey.ShouldResemble, zltree.Node{
+					"deadline": "2s",
+					"viewAge":  "4s",
+				})
+				convey.So(r.Head().Serial, convey.ShouldEqual, zlunit.Serial(2))
+			})
+		})
+	})
+}
+
+func TestBadTreeIsRefusedWhole(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		convey.Convey("A change with faults is refused, all of them named, and nothing is written", t, func() {
+			p := newFake()
+			ctx, cancel := within(time.Minute)
+			defer cancel()
+			bad := &Edit{
+				Prepare: func(zlhistory.Record) ([]zlhistory.Change, zlunit.Serial, error) {
+					return []zlhistory.Change{
+						{
+							Path: "guild",
+							Key:  "deadline",
+							New:  "2",
+						},
+						{
+							Path: "guild/a/b/c/d",
+							Key:  "colour",
+							New:  1.0,
+						},
+					}, 0, nil
+				},
+			}
+			_, err := newEditor(p).Edit(ctx, &Settings, bad)
+			convey.So(kindOf(err), convey.ShouldEqual, KindInvalid)
+			for _, want := range []string{
+				`path "guild": key "deadline": found "2", allowed is a duration from 1ms to 5m0s`,
+				`path "guild/a/b/c/d": found "guild/a/b/c/d", allowed is deployment`,
+				`key "colour": found an unknown key, allowed is one of [deadline`,
+			} {
+				convey.So(err.Error(), convey.ShouldContainSubstring, want)
+			}
+			convey.So(p.rev, convey.ShouldEqual, zlunit.ObjectVersion(0))
+		})
+	})
+}
+
+func TestOutageLeavesAnEditUnknownOnlyIfItMayBeWritten(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		convey.Convey("Given a platform that is down", t, func() {
+			p := newFake()
+			p.down = true
+			ctx, cancel := within(5 * time.Second)
+			defer cancel()
+			_, err := newEditor(p).Edit(ctx, &Settings, setting("ann", "guild", "deadline", "2s"))
+			convey.So(kindOf(err), convey.ShouldEqual, KindFailed)
+		})
+		convey.Convey("Given one that goes down after it lost a reply", t, func() {
+			p := newFake()
+			p.loseReplies = 1
+			p.latency = 10 * time.Millisecond
+			time.AfterFunc(25*time.Millisecond, func() {
+				p.setDown(true)
+			})
+			ctx, cancel := within(5 * time.Second)
+			defer cancel()
+			_, err := newEditor(p).Edit(ctx, &Settings, setting("ann", "guild", "deadline", "2s"))
+			convey.So(kindOf(err), convey.ShouldEqual, KindUnknown)
+		})
+	})
+}
+
+func TestHistoryIsBoundedAndKept(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		convey.Convey("Given three hundred edits", t, func() {
+			p := newFake()
+			ctx, cancel := within(time.Hour)
+			defer cancel()
+			e := newEditor(p)
+			largest := 0
+			for i := range 300 {
+				if i%7 == 0 {
+					p.loseReplies = 1
+				}
+				_, err := e.Edit(ctx, &Settings, setting("ann", "guild", "priority", float64(i%9)))
+				convey.So(err, convey.ShouldBeNil)
+				o, err := p.Get(ctx, Settings.Kind, Settings.Name)
+				convey.So(err, convey.ShouldBeNil)
+				largest = max(largest, len(o.Value))
+			}
+			log, dropped, err := e.History(ctx, &Settings)
+			convey.So(err, convey.ShouldBeNil)
+			convey.So(dropped, convey.ShouldEqual, 0)
+			convey.So(len(log), convey.ShouldEqual, 300)
+			for i, entry := range log {
+				convey.So(entry.Serial, convey.ShouldEqual, zlunit.Serial(i+1))
+			}
+			convey.So(largest, convey.ShouldBeLessThan, 16<<10)
+			archive, err := p.Get(ctx, zlplatform.ObjectHistory, string(Settings.Kind))
+			convey.So(err, convey.ShouldBeNil)
+			convey.So(len(archive.Value), convey.ShouldBeLessThan, 1<<20)
+		})
+		convey.Convey("An archive drops its oldest entries and counts them", t, func() {
+			a := &Archive{}
+			long := strings.Repeat("a long reason ", 400)
+			for i := range 200 {
+				a.add(zlhistory.Log{
+					{
+						Serial: zlunit.Serial(i + 1),
+						Nonce:  zlhistory.Nonce(fmt.Sprint(i)),
+						Reason: long,
+					},
+				})
+			}
+			data, err := json.Marshal(a)
+			convey.So(err, convey.ShouldBeNil)
+			convey.So(len(data), convey.ShouldBeLessThan, 1<<20)
+			convey.So(a.Dropped+len(a.Entries), convey.ShouldEqual, 200)
+			convey.So(a.Dropped, convey.ShouldBeGreaterThan, 0)
+		})
+	})
+}
--- a/io/version/zlsync/zlsync.go
+++ b/io/version/zlsync/zlsync.go
@@ -1,19 +1,17 @@
-// Package zlsync follows the platform's objects and keeps the daemon's view of
-// them current. Versions only grow in it.
+// Package zlsync follows the platform's objects, keeps the daemon's view of
+// them current, and changes the records that operators edit. Versions only grow
+// in it.
 package zlsync
 
 import (
 	"context"
-	"encoding/json"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"zinnialock/core/process/zltimer"
 	"zinnialock/core/process/zlunit"
-	"zinnialock/core/version/zlcatalog"
-	"zinnialock/core/version/zlmark"
-	"zinnialock/core/version/zlroster"
-	"zinnialock/core/version/zltree"
+	"zinnialock/core/version/zlnews"
 	"zinnialock/core/version/zlview"
 	"zinnialock/io/process/zlplatform"
 
@@ -21,10 +19,6 @@
 )
 
 const (
-	// watchWait is how long the platform holds a watch when nothing changes.
-	watchWait = time.Second
-	// retryPause is the pause after a failed call, lengthened at random.
-	retryPause = 200 * time.Millisecond
 	// MarksName is the name of the marks object, the only one of its kind.
 	MarksName = "all"
 	// TreeName is the name of the settings tree's object, the only one.
@@ -39,152 +33,136 @@
 	zlplatform.ObjectRoster,
 }
 
-type objectKey struct {
-	kind zlplatform.ObjectKind
-	name string
-}
-
-// Follower watches the platform. The exported fields must be set before Run.
+// Follower watches the platform, takes news from other daemons, and keeps the
+// view. The exported fields must be set before Run.
 type Follower struct {
 	Deployment zlunit.Deployment
 	Home       zlunit.DataCentre
-	Platform   *zlplatform.Client
+	Platform   Platform
 	Timer      *zltimer.Service
 	Views      *zlview.Holder
 	Log        *log.Logger
+	// Count, if set, counts what was refused, repaired and failed, by reason.
+	Count func(what, reason string)
+	// Taken, if set, is called after news came into force.
+	Taken func()
 
-	mu       sync.Mutex
-	revision zlunit.ObjectVersion
-	versions map[objectKey]zlunit.ObjectVersion
-	view     zlview.View
+	once      sync.Once
+	store     *zlnews.Store
+	mu        sync.Mutex
+	revision  zlunit.ObjectVersion
+	view      zlview.View
+	confirmed atomic.Pointer[time.Time]
+	// woken tells that the last watch brought something.
+	woken     atomic.Bool
+	repairing atomic.Bool
+	repairs   sync.WaitGroup
 }
 
-// Run follows the platform until ctx ends.
-func (f *Follower) Run(ctx context.Context) {
-	for ctx.Err() == nil {
-		if err := f.Poll(ctx, watchWait); err != nil {
-			f.Log.Warn().Err(err).Msg("sync: watch failed")
-			if !f.Timer.Sleep(ctx.Done(), retryPause) {
-				return
-			}
+func (f *Follower) init() {
+	f.once.Do(func() {
+		f.store = &zlnews.Store{
+			Decode: decode,
 		}
+	})
+}
+
+// Store returns what the follower holds of the platform's objects.
+func (f *Follower) Store() *zlnews.Store {
+	f.init()
+	return f.store
+}
+
+// Confirmed returns the latest local time as of which the platform itself
+// confirmed that the view is current, or false if it never did. Views.Heard
+// includes what other daemons confirmed.
+func (f *Follower) Confirmed() (time.Time, bool) {
+	t := f.confirmed.Load()
+	if t == nil {
+		return time.Time{}, false
 	}
+	return *t, true
 }
 
 // Poll makes one watch call and applies what it brings.
 func (f *Follower) Poll(ctx context.Context, wait time.Duration) error {
+	f.init()
 	f.mu.Lock()
 	after := f.revision
 	f.mu.Unlock()
 	started := f.Timer.Now()
 	listing, err := f.Platform.Watch(ctx, Kinds, after, wait)
 	if err != nil {
+		if zlplatform.Is(err, zlplatform.KindRejected) {
+			f.startOver("watch was rejected")
+		}
 		return err
 	}
-	f.apply(listing)
+	if listing.Revision < after {
+		f.startOver("the platform's revision went back")
+		return nil
+	}
+	f.applyListing(ctx, listing)
 	f.Views.Confirm(started)
+	f.confirmed.Store(&started)
 	return nil
 }
 
-func (f *Follower) apply(l *zlplatform.Listing) {
+// startOver makes the next watch list everything.
+func (f *Follower) startOver(why string) {
 	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.versions == nil {
-		f.versions = map[objectKey]zlunit.ObjectVersion{}
-	}
-	changed := f.Views.Load() == nil
-	next := f.copyView()
+	f.revision = 0
+	f.mu.Unlock()
+	f.count("startOver", why)
+	f.Log.Warn().Str("why", why).Msg("sync: listing everything anew")
+}
+
+func (f *Follower) applyListing(ctx context.Context, l *zlplatform.Listing) {
+	items := make([]zlnews.Item, 0, len(l.Objects))
 	for _, o := range l.Objects {
-		key := objectKey{
-			kind: o.Kind,
-			name: o.Name,
-		}
-		if o.Version <= f.versions[key] {
-			continue
-		}
-		if err := applyObject(&next, o); err != nil {
-			f.Log.Error().Err(err).Str("kind", string(o.Kind)).Str("name", o.Name).Msg("sync: object refused")
-			continue
-		}
-		f.versions[key] = o.Version
-		changed = true
+		items = append(items, itemOf(o))
 	}
+	f.woken.Store(len(items) > 0)
+	result := f.Take(items)
+	f.mu.Lock()
 	f.revision = max(f.revision, l.Revision)
-	if !changed {
-		return
-	}
-	f.view = next
-	built := next
-	f.Views.Store(built.Build())
+	f.mu.Unlock()
+	f.checkPlatform(ctx, &result)
 }
 
-// copyView copies the view with maps of its own.
-func (f *Follower) copyView() zlview.View {
-	next := zlview.View{
-		Deployment: f.Deployment,
-		Home:       f.Home,
-		Catalogs:   make(map[zlunit.Service]*zlcatalog.Catalog, len(f.view.Catalogs)),
-		Tree:       f.view.Tree,
-		Marks:      f.view.Marks,
-		Rosters:    make(map[zlunit.DataCentre]zlroster.Roster, len(f.view.Rosters)),
-	}
-	for k, v := range f.view.Catalogs {
-		next.Catalogs[k] = v
-	}
-	for k, v := range f.view.Rosters {
-		next.Rosters[k] = v
+func itemOf(o zlplatform.Object) zlnews.Item {
+	return zlnews.Item{
+		Key: zlnews.Key{
+			Kind: string(o.Kind),
+			Name: o.Name,
+		},
+		Rank:    zlnews.RankOf(o.Version, o.Value),
+		Value:   o.Value,
+		Deleted: o.Deleted,
 	}
-	return next
 }
 
-func applyObject(v *zlview.View, o zlplatform.Object) error {
-	switch o.Kind {
-	case zlplatform.ObjectSettings:
-		tree, err := zltree.Decode(o.Value)
-		if err != nil {
-			return err
-		}
-		v.Tree = tree
-	case zlplatform.ObjectMarks:
-		var marks zlmark.Marks
-		if err := json.Unmarshal(o.Value, &marks); err != nil {
-			return err
-		}
-		v.Marks = &marks
-	case zlplatform.ObjectCatalog:
-		return applyCatalog(v, o)
-	case zlplatform.ObjectRoster:
-		return applyRoster(v, o)
-	default:
-		// Daemons follow no other kind.
+// Take brings into force those items that are newer than what is held.
+func (f *Follower) Take(items []zlnews.Item) zlnews.Result {
+	f.init()
+	f.mu.Lock()
+	result := f.store.Offer(items, f.Timer.Now())
+	if len(result.Taken) > 0 || f.Views.Load() == nil {
+		f.rebuild(result.Taken)
 	}
-	return nil
-}
-
-func applyCatalog(v *zlview.View, o zlplatform.Object) error {
-	if o.Deleted {
-		delete(v.Catalogs, zlunit.Service(o.Name))
-		return nil
+	f.mu.Unlock()
+	for _, r := range result.Refused {
+		f.count("refusedNews", r.Item.Key.Kind)
+		f.Log.Error().Err(r.Err).Str("kind", r.Item.Key.Kind).Str("name", r.Item.Key.Name).Msg("sync: object refused, the old one stays in force")
 	}
-	c, err := zlcatalog.Decode(o.Value)
-	if err != nil {
-		return err
+	if len(result.Taken) > 0 && f.Taken != nil {
+		f.Taken()
 	}
-	v.Catalogs[c.Service] = c
-	return nil
+	return result
 }
 
-func applyRoster(v *zlview.View, o zlplatform.Object) error {
-	dc := zlunit.DataCentre(o.Name)
-	if o.Deleted {
-		delete(v.Rosters, dc)
-		return nil
-	}
-	var r zlroster.Roster
-	if err := json.Unmarshal(o.Value, &r); err != nil {
-		return err
+func (f *Follower) count(what, reason string) {
+	if f.Count != nil {
+		f.Count(what, reason)
 	}
-	r.Epoch = o.Version
-	v.Rosters[dc] = r
-	return nil
 }
