--- /dev/null
+++ b/core/request/zlclaim/record.go
@@ -0,0 +1,201 @@
+package zlclaim
+
+import (
+	"crypto/sha256"
+	"encoding/base64"
+	"encoding/json"
+	"strconv"
+	"strings"
+	"time"
+
+	"zinnialock/core/process/zlunit"
+
+	"github.com/google/uuid"
+	"github.com/rotisserie/eris"
+)
+
+// millis is a time in milliseconds since the Unix epoch, as ids carry it.
+type millis int64
+
+func millisOf(t time.Time) millis {
+	return millis(t.UnixMilli())
+}
+
+// timed reports whether the id behind k carries its own time, so that a late
+// repetition cannot pass for a new request. Other ids are remembered from the
+// time of their claim on, for Window at least.
+func timed(k key) bool {
+	return k.Version() == timedVersion
+}
+
+const (
+	// timedVersion is the version of UUIDs that carry their time.
+	timedVersion = 7
+	// hashedVersion is the version of UUIDs that hold what their maker likes.
+	hashedVersion = 8
+)
+
+// keyOf returns the key of an id: a version 7 UUID itself, or else a hash.
+func keyOf(id zlunit.RequestID) key {
+	u, err := uuid.Parse(string(id))
+	if err == nil && u.Version() == timedVersion && u.String() == string(id) {
+		return u
+	}
+	sum := sha256.Sum256([]byte(id))
+	copy(u[:], sum[:])
+	u[6] = u[6]&0x0f | hashedVersion<<4
+	u[8] = u[8]&0x3f | 0x80
+	return u
+}
+
+// timeOf returns the time that decides how long a key claimed at now is
+// remembered.
+func timeOf(k key, now time.Time) millis {
+	if timed(k) {
+		return timeIn(k)
+	}
+	return millisOf(now)
+}
+
+// timeIn reads the leading 48 bits.
+func timeIn(u uuid.UUID) millis {
+	var n millis
+	for _, b := range u[:6] {
+		n = n<<8 | millis(b)
+	}
+	return n
+}
+
+// NewID returns a request id that carries the time t.
+func NewID(t time.Time) zlunit.RequestID {
+	u := uuid.New()
+	n := uint64(t.UnixMilli())
+	for i := 5; i >= 0; i-- {
+		u[i] = byte(n)
+		n >>= 8
+	}
+	u[6] = u[6]&0x0f | 0x70
+	return zlunit.RequestID(u.String())
+}
+
+// key is a request id as the log keeps it.
+type key = uuid.UUID
+
+// op is one record of the log; a later one of the same key takes its place.
+type op struct {
+	key key
+	// at decides how long the record is kept.
+	at     millis
+	nonce  Nonce
+	holder zlunit.VM
+	state  State
+}
+
+// MarshalJSON implements json.Marshaler; the short form keeps writes small.
+func (o op) MarshalJSON() ([]byte, error) {
+	return json.Marshal([5]string{
+		base64.RawURLEncoding.EncodeToString(o.key[:]),
+		strconv.FormatUint(uint64(o.nonce), 36),
+		string(o.holder),
+		strconv.Itoa(int(o.state)),
+		o.timeText(),
+	})
+}
+
+// timeText is empty where the key tells the time.
+func (o op) timeText() string {
+	if timed(o.key) {
+		return ""
+	}
+	return strconv.FormatInt(int64(o.at), 36)
+}
+
+// readTime sets the time from text as timeText made it.
+func (o *op) readTime(text string) error {
+	if timed(o.key) {
+		o.at = timeIn(o.key)
+		return nil
+	}
+	at, err := strconv.ParseInt(text, 36, 64)
+	if err != nil {
+		return eris.Errorf("record: bad time %q", text)
+	}
+	o.at = millis(at)
+	return nil
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (o *op) UnmarshalJSON(data []byte) error {
+	var fields [5]string
+	if err := json.Unmarshal(data, &fields); err != nil {
+		return err
+	}
+	raw, err := base64.RawURLEncoding.DecodeString(fields[0])
+	if err != nil || len(raw) != len(o.key) {
+		return eris.Errorf("record: bad id %q", fields[0])
+	}
+	nonce, err := strconv.ParseUint(fields[1], 36, 64)
+	if err != nil {
+		return eris.Errorf("record: bad nonce %q", fields[1])
+	}
+	state, err := strconv.Atoi(fields[3])
+	if err != nil || State(state) < StateClaimed || State(state) > StateNotRun {
+		return eris.Errorf("record: bad state %q", fields[3])
+	}
+	*o = op{
+		key:    key(raw),
+		nonce:  Nonce(nonce),
+		holder: zlunit.VM(fields[2]),
+		state:  State(state),
+	}
+	return o.readTime(fields[4])
+}
+
+// headName is the name of a segment's head object; it is never deleted.
+const headName = "head"
+
+// archiveRef names an archive and the largest time among its ids.
+type archiveRef struct {
+	Name   string `json:"name"`
+	Newest millis `json:"newest"`
+}
+
+// head is the value of a segment's head object.
+type head struct {
+	// Floor is the time up to which ids are refused, since they may have been
+	// forgotten.
+	Floor    millis       `json:"floor"`
+	Archives []archiveRef `json:"archives,omitempty"`
+	Ops      []op         `json:"ops,omitempty"`
+}
+
+// archive is the value of an archive object.
+type archive struct {
+	Ops []op `json:"ops"`
+}
+
+// archiveName makes a name that carries the largest time of the archive's ids.
+func archiveName(newest millis) string {
+	return strconv.FormatInt(int64(newest), 10) + "-" + uuid.NewString()[:8]
+}
+
+// newestOf reads the time out of an archive's name.
+func newestOf(name string) (millis, bool) {
+	text, _, ok := strings.Cut(name, "-")
+	if !ok {
+		return 0, false
+	}
+	n, err := strconv.ParseInt(text, 10, 64)
+	return millis(n), err == nil
+}
+
+func decodeObject(o Object, into any) error {
+	if err := json.Unmarshal(o.Value, into); err != nil {
+		return &Error{
+			Op:   "decode",
+			Kind: KindDecode,
+			Err:  eris.Wrapf(err, "object %q", o.Name),
+		}
+	}
+	return nil
+}
--- a/io/process/zldaemon/zldaemon.go
+++ b/io/process/zldaemon/zldaemon.go
@@ -77,6 +77,7 @@
 	aggregator *zlaggr.Aggregator
 	node       *zlpeer.Node
 	coord      *zlcoord.Coordinator
+	claims     claims
 	caller     *http.Server
 	admin      *http.Server
 	cancel     context.CancelFunc
@@ -91,6 +92,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	d.cancel = cancel
 	d.build()
+	d.claims.run()
 	if err := d.node.Run(); err != nil {
 		cancel()
 		return err
@@ -125,6 +127,7 @@
 		Timer:   d.timer,
 		Views:   d.views,
 		Fetcher: d.calls,
+		Counter: d.metrics,
 	}
 	d.node = &zlpeer.Node{
 		Self:       cfg.Name,
@@ -135,18 +138,20 @@
 		Asked:      d.asked,
 	}
 	d.coord = &zlcoord.Coordinator{
+		Self:       cfg.Name,
 		Timer:      d.timer,
 		Views:      d.views,
 		Router:     &zlroute.Router{},
 		Dispatcher: d.node,
 		Counter:    d.metrics,
 	}
+	d.buildClaims()
 }
 
 func (d *Daemon) listen() error {
 	callers := http.NewServeMux()
 	callers.Handle("POST "+zlfront.Path, d.counted(&zlfront.Front{
-		Answerer: d.coord,
+		Answerer: d.claims.guard,
 		Timer:    d.timer,
 	}))
 	var err error
@@ -220,6 +225,7 @@
 	}
 	d.timer.Sleep(ctx.Done(), d.Config.StopGrace)
 	err = d.caller.Shutdown(ctx)
+	d.claims.finish(ctx)
 	cut := d.inFlight.Load()
 	d.Kill()
 	if err != nil {
@@ -241,14 +247,19 @@
 	if d.admin != nil {
 		_ = d.admin.Close()
 	}
+	d.claims.close()
 	d.node.Close()
 	d.calls.Close()
+	d.aggregator.Wait()
 	d.platform.HTTP.CloseIdleConnections()
 	d.parts.Wait()
 }
 
 func (d *Daemon) asked(ctx context.Context, topic string, body []byte) ([]byte, error) {
-	if reply, ok, err := d.gossip.Answer(ctx, topic, body); ok {
+	if reply, handled, err := d.claims.router.Asked(ctx, topic, body); handled {
+		return reply, err
+	}
+	if reply, handled, err := d.gossip.Answer(ctx, topic, body); handled {
 		return reply, err
 	}
 	return nil, eris.Errorf("unknown topic %q", topic)
--- a/io/version/zlgossip/zlgossip.go
+++ b/io/version/zlgossip/zlgossip.go
@@ -152,9 +152,9 @@
 	}
 }
 
-// Answer answers a question of another daemon; ok is false for a topic that is
+// Answer answers a question of another daemon; handled is false for a topic that is
 // not this package's.
-func (g *Gossip) Answer(_ context.Context, topic string, body []byte) (reply []byte, ok bool, err error) {
+func (g *Gossip) Answer(_ context.Context, topic string, body []byte) (reply []byte, handled bool, err error) {
 	g.init()
 	switch topic {
 	case TopicDigest:
--- a/io/version/zlsync/model_test.go
+++ b/io/version/zlsync/model_test.go
@@ -89,7 +89,9 @@
 func (m *fleetModel) Race(t *rapid.T) {
 	var mu sync.Mutex
 	var wg sync.WaitGroup
-	m.p.latency = 5 * time.Millisecond
+	m.p.set(func() {
+		m.p.latency = 5 * time.Millisecond
+	})
 	for _, p := range []zlhistory.Place{m.place(t), m.place(t)} {
 		m.seq++
 		seq := m.seq
@@ -98,16 +100,22 @@
 		})
 	}
 	wg.Wait()
-	m.p.latency = 0
+	m.p.set(func() {
+		m.p.latency = 0
+	})
 }
 
 // Outage makes an edit during which the platform goes down for a while.
 func (m *fleetModel) Outage(t *rapid.T) {
-	m.p.latency = 5 * time.Millisecond
+	m.p.set(func() {
+		m.p.latency = 5 * time.Millisecond
+	})
 	at := rapid.IntRange(0, 20).Draw(t, "at")
 	long := rapid.IntRange(1, 5000).Draw(t, "long")
 	lost := rapid.IntRange(0, 1).Draw(t, "lost")
-	m.p.loseReplies = lost
+	m.p.set(func() {
+		m.p.loseReplies = lost
+	})
 	time.AfterFunc(time.Duration(at)*time.Millisecond, func() {
 		m.p.setDown(true)
 	})
@@ -118,8 +126,10 @@
 	m.seq++
 	m.edit(t, m.place(t), m.seq, &mu)
 	time.Sleep(6 * time.Second)
-	m.p.latency = 0
-	m.p.loseReplies = 0
+	m.p.set(func() {
+		m.p.latency = 0
+		m.p.loseReplies = 0
+	})
 }
 
 func (m *fleetModel) daemon(t *rapid.T) int {
@@ -213,7 +223,9 @@
 	}
 	// Versions are given anew after a restore. A read from before it would
 	// match a write after it, which no conditional write can tell apart.
-	m.p.stale = nil
+	m.p.set(func() {
+		m.p.stale = nil
+	})
 	m.p.restore(m.backups[rapid.IntRange(0, len(m.backups)-1).Draw(t, "backup")])
 }
 
