--- a/io/process/zldaemon/admin.go
+++ b/io/process/zldaemon/admin.go
@@ -11,6 +11,7 @@
 		_, _ = fmt.Fprintln(w, "alive")
 	})
 	mux.HandleFunc("GET /readyz", d.serveReady)
+	mux.HandleFunc("GET /status/news", d.serveNews)
 	mux.HandleFunc("GET /cost", d.serveCost)
 	mux.HandleFunc("GET /status", d.serveStatus)
 	mux.HandleFunc("GET /events", d.serveEvents)
--- a/io/process/zldaemon/zldaemon.go
+++ b/io/process/zldaemon/zldaemon.go
@@ -26,6 +26,7 @@
 	"zinnialock/io/process/zlplatform"
 	"zinnialock/io/request/zlfront"
 	"zinnialock/io/request/zlupcall"
+	"zinnialock/io/version/zlgossip"
 	"zinnialock/io/version/zlsync"
 
 	"github.com/phuslu/log"
@@ -73,6 +74,7 @@
 	metrics    *zlmetric.Metrics
 	platform   *zlplatform.Client
 	follower   *zlsync.Follower
+	gossip     *zlgossip.Gossip
 	calls      *zlupcall.Caller
 	aggregator *zlaggr.Aggregator
 	node       *zlpeer.Node
@@ -107,9 +109,7 @@
 		d.Kill()
 		return err
 	}
-	d.parts.Go(func() {
-		d.follower.Run(ctx)
-	})
+	d.runNews(ctx)
 	d.parts.Go(func() {
 		d.fleet.Run(ctx)
 	})
@@ -132,14 +132,7 @@
 		HTTP:    d.meter.NewHTTP(),
 		Timeout: cfg.PlatformTimeout,
 	}
-	d.follower = &zlsync.Follower{
-		Deployment: cfg.Deployment,
-		Home:       cfg.DataCentre,
-		Platform:   d.platform,
-		Timer:      d.timer,
-		Views:      d.views,
-		Log:        d.Log,
-	}
+	d.buildNews()
 	d.calls = &zlupcall.Caller{}
 	d.aggregator = &zlaggr.Aggregator{
 		Self:    cfg.Name,
@@ -275,6 +268,9 @@
 	if topic == topicBeat {
 		return d.answerBeat(body)
 	}
+	if reply, handled, err := d.gossip.Answer(ctx, topic, body); handled {
+		return reply, err
+	}
 	return nil, eris.Errorf("unknown topic %q", topic)
 }
 
@@ -289,6 +285,8 @@
 		return false, string(zlquery.ReasonStopping)
 	case d.views.Load() == nil:
 		return false, "no view of the platform yet"
+	case d.markedOut():
+		return false, string(zlquery.ReasonMarkedOut)
 	case d.settled.Load():
 		return true, "ready"
 	case d.timer.Now().Sub(d.started) < settleLimit && !d.fleet.Settled():
--- a/io/version/zlsync/roster.go
+++ b/io/version/zlsync/roster.go
@@ -18,9 +18,9 @@
 const (
 	// editTries bounds the tries of a conditional write that others race with.
 	editTries = 40
-	// editPause bounds the first pause after a conflict, for each member of the
+	// rosterPause bounds the first pause after a conflict, for each member of the
 	// roster, since all of them may be writing.
-	editPause = 10 * time.Millisecond
+	rosterPause = 10 * time.Millisecond
 	// editDoublings is how often the bound doubles.
 	editDoublings = 3
 )
@@ -83,7 +83,7 @@
 // EditPause draws the pause after the conflict of a try, from 0, on a roster of
 // the given size.
 func EditPause(try, members int) time.Duration {
-	bound := editPause * time.Duration(members+1) << min(try, editDoublings)
+	bound := rosterPause * time.Duration(members+1) << min(try, editDoublings)
 	return time.Duration(rand.Float64() * float64(bound))
 }
 
