--- a/core/request/zlclaim/record.go
+++ b/core/request/zlclaim/record.go
@@ -71,41 +71,73 @@
 	state  State
 }
 
-// MarshalJSON implements json.Marshaler; the short form keeps writes small.
-func (o op) MarshalJSON() ([]byte, error) {
-	return json.Marshal([4]string{
-		base64.RawURLEncoding.EncodeToString(o.key[:]),
-		strconv.FormatUint(uint64(o.nonce), 36),
-		string(o.holder),
-		strconv.Itoa(int(o.state)),
-	})
+// opList is records in the order of the log. In JSON it is one string with a
+// line for each record: id, nonce, state and holder, with a space between.
+type opList []op
+
+const (
+	// opFields is how many fields a record's line has.
+	opFields = 4
+	// opSize is about the length of a line, in bytes.
+	opSize = 56
+)
+
+// MarshalJSON implements json.Marshaler.
+func (l opList) MarshalJSON() ([]byte, error) {
+	text := make([]byte, 0, opSize*len(l))
+	for _, o := range l {
+		text = base64.RawURLEncoding.AppendEncode(text, o.key[:])
+		text = append(text, ' ')
+		text = strconv.AppendUint(text, uint64(o.nonce), 36)
+		text = append(text, ' ')
+		text = strconv.AppendInt(text, int64(o.state), 10)
+		text = append(text, ' ')
+		text = append(text, strings.ReplaceAll(string(o.holder), "\n", " ")...)
+		text = append(text, '\n')
+	}
+	return json.Marshal(string(text))
 }
 
 // UnmarshalJSON implements json.Unmarshaler.
-func (o *op) UnmarshalJSON(data []byte) error {
-	var fields [4]string
-	if err := json.Unmarshal(data, &fields); err != nil {
+func (l *opList) UnmarshalJSON(data []byte) error {
+	var text string
+	if err := json.Unmarshal(data, &text); err != nil {
 		return err
 	}
+	*l = make(opList, 0, len(text)/opSize+1)
+	for line := range strings.Lines(text) {
+		o, err := parseOp(strings.TrimSuffix(line, "\n"))
+		if err != nil {
+			return err
+		}
+		*l = append(*l, o)
+	}
+	return nil
+}
+
+func parseOp(line string) (op, error) {
+	fields := strings.SplitN(line, " ", opFields)
+	if len(fields) < opFields {
+		return op{}, eris.Errorf("record: bad line %q", line)
+	}
 	raw, err := base64.RawURLEncoding.DecodeString(fields[0])
-	if err != nil || len(raw) != len(o.key) {
-		return eris.Errorf("record: bad id %q", fields[0])
+	if err != nil || len(raw) != len(key{}) {
+		return op{}, eris.Errorf("record: bad id %q", fields[0])
 	}
 	nonce, err := strconv.ParseUint(fields[1], 36, 64)
 	if err != nil {
-		return eris.Errorf("record: bad nonce %q", fields[1])
+		return op{}, eris.Errorf("record: bad nonce %q", fields[1])
 	}
-	state, err := strconv.Atoi(fields[3])
+	state, err := strconv.Atoi(fields[2])
 	if err != nil || State(state) < StateClaimed || State(state) > StateNotRun {
-		return eris.Errorf("record: bad state %q", fields[3])
+		return op{}, eris.Errorf("record: bad state %q", fields[2])
 	}
-	*o = op{
+	return op{
 		key:    key(raw),
 		nonce:  Nonce(nonce),
-		holder: zlunit.VM(fields[2]),
+		holder: zlunit.VM(fields[3]),
 		state:  State(state),
-	}
-	return nil
+	}, nil
 }
 
 // headName is the name of a segment's head object; it is never deleted.
@@ -123,12 +155,12 @@
 	// forgotten.
 	Floor    millis       `json:"floor"`
 	Archives []archiveRef `json:"archives,omitempty"`
-	Ops      []op         `json:"ops,omitempty"`
+	Ops      opList       `json:"ops,omitempty"`
 }
 
 // archive is the value of an archive object.
 type archive struct {
-	Ops []op `json:"ops"`
+	Ops opList `json:"ops"`
 }
 
 // archiveName makes a name that carries the largest time of the archive's ids.
--- a/core/request/zlclaim/writer.go
+++ b/core/request/zlclaim/writer.go
@@ -21,9 +21,11 @@
 	storeWait = 500 * time.Millisecond
 	// retryPause is the pause after a failed call to the store.
 	retryPause = 50 * time.Millisecond
-	// archiveSize is the size of a head, in bytes, from which its records move
-	// to an archive.
+	// archiveSize is the least size of a head's records, in bytes, from which
+	// they move to an archive.
 	archiveSize = 32 << 10
+	// refSize is about the size of an archive's name in a head, in bytes.
+	refSize = 64
 	// maxPending bounds what waits for one segment.
 	maxPending = 4096
 	// outcomeLife bounds how long an outcome is tried.
@@ -263,7 +265,7 @@
 // head moves its records to an archive first.
 func (w *writer) write(ctx context.Context, ops []op) error {
 	next, raised := w.segment.head.expired(w.timer.Now())
-	if w.segment.headSize >= archiveSize {
+	if w.full() {
 		ref, err := w.archive(ctx)
 		if err != nil {
 			return err
@@ -291,6 +293,14 @@
 	return nil
 }
 
+// full reports whether the head's records have to move to an archive. The
+// names of archives weigh in each write as the records do, so the more there
+// are the larger the next one gets.
+func (w *writer) full() bool {
+	names := refSize * len(w.segment.head.Archives)
+	return w.segment.headSize-names >= max(archiveSize, names)
+}
+
 func (w *writer) put(ctx context.Context, name string, ifVersion zlunit.ObjectVersion, value []byte) (zlunit.ObjectVersion, error) {
 	ctx, cancel := context.WithTimeout(ctx, storeWait)
 	defer cancel()
