--- a/core/request/zlcoord/take.go
+++ b/core/request/zlcoord/take.go
@@ -15,19 +15,22 @@
 		return
 	}
 	sub := &r.subs[reply.Sub]
+	if !peerLost(reply.Result) {
+		r.coordinator.Router.Heard(sub.to.Peer, now)
+	}
 	if sub.ended() {
 		r.drop(zlquery.ReasonCancelled)
 		return
 	}
 	switch result := reply.Result.(type) {
 	case zlquery.Done:
-		r.takeDone(sub, &result, now)
+		r.takeDone(reply.Sub, &result, now)
 	case zlquery.NotRun:
 		r.takeNotRun(sub, result, now)
 	case zlquery.Unknown:
-		r.takeUnknown(sub, result.Reason, now)
+		r.takeUnknown(reply.Sub, result.Reason, now)
 	default:
-		r.takeUnknown(sub, zlquery.ReasonBadReply, now)
+		r.takeUnknown(reply.Sub, zlquery.ReasonBadReply, now)
 	}
 }
 
@@ -39,23 +42,24 @@
 func (r *run) end(sub *subState, end zltrace.End, reason zlquery.Reason, now time.Time) {
 	sub.end = end
 	sub.reason = reason
-	sub.took = now.Sub(sub.sent)
+	sub.took = r.at(now) - sub.sent
 	r.shards[sub.shard].open--
 }
 
 // takeDone merges a part. One that is not the answer to this very sub-request
 // is not used; whether the sub-request itself ran is then unknown.
-func (r *run) takeDone(sub *subState, done *zlquery.Done, now time.Time) {
+func (r *run) takeDone(id zlunit.SubID, done *zlquery.Done, now time.Time) {
+	sub := &r.subs[id]
 	part := &done.Part
 	st := &r.shards[sub.shard]
 	if part.Shard != sub.shard || part.Upstream != sub.to.Upstream || part.Version != sub.version || !r.merge.Add(*part) {
 		r.drop(zlquery.ReasonBadReply)
-		r.takeUnknown(sub, zlquery.ReasonBadReply, now)
+		r.takeUnknown(id, zlquery.ReasonBadReply, now)
 		return
 	}
 	r.end(sub, zltrace.EndDone, zlquery.ReasonNone, now)
 	sub.to.Record.Done(now, sub.took)
-	r.profile.latency.Observe(now, sub.took)
+	r.took = append(r.took, sub.took)
 	st.ran = true
 	r.settle(st)
 	if st.open > 0 {
@@ -68,7 +72,7 @@
 		st.settled = true
 		r.pending--
 	}
-	st.againAt = time.Time{}
+	st.againAt = 0
 }
 
 // cancelLosers gives up the other sub-requests of the shard of winner.
@@ -82,7 +86,7 @@
 			continue
 		}
 		r.end(loser, zltrace.EndCancelled, zlquery.ReasonNone, now)
-		r.giveBack(loser, now, loser.sent.Before(winner.sent))
+		r.giveBack(loser, now, loser.sent < winner.sent)
 		loser.call.Cancel(zlunit.SubID(i))
 	}
 }
@@ -96,7 +100,7 @@
 	}
 	sub.to.Record.Cancelled(now, sub.took, late)
 	if late {
-		r.profile.latency.Observe(now, sub.took)
+		r.took = append(r.took, sub.took)
 	}
 }
 
@@ -110,7 +114,11 @@
 	r.failed(sub.shard, result.Reason, now)
 }
 
-func (r *run) takeUnknown(sub *subState, reason zlquery.Reason, now time.Time) {
+// takeUnknown ends a sub-request that may have run and may still be running,
+// which is why it is cancelled as well.
+func (r *run) takeUnknown(id zlunit.SubID, reason zlquery.Reason, now time.Time) {
+	sub := &r.subs[id]
+	sub.call.Cancel(id)
 	r.end(sub, zltrace.EndUnknown, reason, now)
 	r.shards[sub.shard].ran = true
 	switch reason {
