explain, and a table of bad uses; a repeated request finds its answer at once

Cause: nobody could see why an answer took long or lacks shards; bad flags ran into odd errors; a request repeated within 0.5 s of its end was told unknown, since its outcome was not yet in the log. Change: explain REQUEST-ID reads a daemon's traces and tells them; claims leave traces; every flag is checked and named with what is allowed; the guard looks for the answer in its own memory and at the holder before it says unknown; a writer of claims that does not reply is left out longer each time.

--- a/cmd/cmd.go
+++ b/cmd/cmd.go
@@ -47,6 +47,11 @@
 			summary: "send one query and show its answer",
 			run:     runQuery,
 		},
+		{
+			name:    "explain",
+			summary: "tell what a daemon decided for a recent request, and why",
+			run:     runExplain,
+		},
 		{
 			name:    "load",
 			summary: "send queries at a rate and check each answer",
@@ -77,45 +82,55 @@
 		stderr: stderr,
 	}
 	if len(args) == 0 {
-		usage(stderr)
+		usageOf(stderr, "", commands())
 		return exitUsage
 	}
-	if args[0] == "-h" || args[0] == "--help" || args[0] == "help" {
-		usage(stdout)
+	if isHelp(args[0]) {
+		usageOf(stdout, "", commands())
 		return exitDone
 	}
-	for _, c := range commands() {
+	return dispatch(e, "", commands(), args)
+}
+
+func isHelp(arg string) bool {
+	return arg == "-h" || arg == "-help" || arg == "--help" || arg == "help"
+}
+
+// dispatch runs the command of list that args name; parent is what stands
+// before it, with a space.
+func dispatch(e *env, parent string, list []command, args []string) int {
+	for _, c := range list {
 		if c.name == args[0] {
 			return c.run(e, args[1:])
 		}
 	}
-	_, _ = fmt.Fprintf(stderr, "zinnialock: unknown subcommand %q%s\n", args[0], hint(args[0]))
+	_, _ = fmt.Fprintf(e.stderr, "zinnialock: unknown subcommand %q%s\n", parent+args[0], hint(parent, list, args[0]))
 	return exitUsage
 }
 
-func usage(w io.Writer) {
-	_, _ = fmt.Fprintln(w, "Usage: zinnialock SUBCOMMAND [flags]")
-	for _, c := range commands() {
+func usageOf(w io.Writer, parent string, list []command) {
+	_, _ = fmt.Fprintf(w, "Usage: zinnialock %sSUBCOMMAND [flags]\n", parent)
+	for _, c := range list {
 		_, _ = fmt.Fprintf(w, "  %-9s %s\n", c.name, c.summary)
 	}
-	_, _ = fmt.Fprintln(w, "`zinnialock SUBCOMMAND -h` lists the flags of one.")
+	_, _ = fmt.Fprintf(w, "`zinnialock %sSUBCOMMAND -h` lists the flags of one.\n", parent)
 }
 
 // hintDistance is how many edits away a subcommand is still suggested.
 const hintDistance = 3
 
-func hint(typed string) string {
+func hint(parent string, list []command, typed string) string {
 	best := ""
 	least := hintDistance + 1
-	for _, c := range commands() {
+	for _, c := range list {
 		if d := distance(typed, c.name); d < least {
 			best, least = c.name, d
 		}
 	}
 	if best == "" {
-		return "; `zinnialock help` lists them"
+		return fmt.Sprintf("; `zinnialock %shelp` lists them", parent)
 	}
-	return fmt.Sprintf("; did you mean %q?", best)
+	return fmt.Sprintf("; did you mean %q?", parent+best)
 }
 
 // distance is the number of single-letter edits between two words.
--- a/cmd/demo.go
+++ b/cmd/demo.go
@@ -69,7 +69,7 @@
 		checkFormat(o.format),
 		checkRate("rate", o.rate),
 		checkDuration("time", o.duration, leastDemo, mostDemo),
-		checkNumber("once", o.once, 0, 1),
+		checkNumber("once", o.once, 1),
 	)
 }
 
--- /dev/null
+++ b/cmd/explain_test.go
@@ -0,0 +1,114 @@
+package cmd
+
+import (
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"zinnialock/core/process/zlunit"
+	"zinnialock/core/request/zlquery"
+	"zinnialock/core/request/zltrace"
+)
+
+func try(shard zlunit.Shard, cause zltrace.Cause, end zltrace.End) zltrace.Try {
+	return zltrace.Try{
+		Shard:    shard,
+		Upstream: "u",
+		VM:       "nashua-1",
+		Cause:    cause,
+		Sent:     time.Millisecond,
+		Ended:    4 * time.Millisecond,
+		End:      end,
+	}
+}
+
+func testTrace() *zltrace.Trace {
+	hedge := try(1, zltrace.CauseHedge, zltrace.EndDone)
+	hedge.Why = zlquery.ReasonDeadline
+	failed := try(2, zltrace.CauseFirst, zltrace.EndUnknown)
+	failed.Reason = zlquery.ReasonConnectionReset
+	return &zltrace.Trace{
+		Request:  "r",
+		Service:  "s",
+		Took:     20 * time.Millisecond,
+		Allowed:  time.Second,
+		Outcome:  zlquery.OutcomeDone,
+		Version:  4,
+		Coverage: 0.75,
+		Decisions: []zltrace.Decision{
+			{
+				What:    zltrace.WhatPlan,
+				Version: 4,
+				Shards:  4,
+			},
+			{
+				What:   zltrace.WhatNoRetry,
+				Shard:  2,
+				Reason: zlquery.ReasonConnectionReset,
+			},
+		},
+		Tries: []zltrace.Try{
+			try(0, zltrace.CauseFirst, zltrace.EndDone),
+			try(1, zltrace.CauseFirst, zltrace.EndCancelled),
+			hedge,
+			failed,
+			try(3, zltrace.CauseFirst, zltrace.EndDone),
+		},
+		Missing: []zlquery.Missing{
+			{
+				Shard:  2,
+				Reason: zlquery.ReasonConnectionReset,
+			},
+		},
+	}
+}
+
+func TestExplainTextTellsWhatAndWhy(t *testing.T) {
+	text := explainText(testTrace())
+	for _, want := range []string{
+		"not idempotent",
+		"took 20.0 ms of 1000.0 ms allowed",
+		"version   4, coverage 0.7500, complete false",
+		"5 sub-requests: 1 hedge, 4 first",
+		"planned at version 4 with 4 shards",
+		"shard 2: not asked again for connectionReset",
+		"shard 1: first to u through nashua-1: cancelled after 3.0 ms",
+		"shard 1: hedge to u through nashua-1, for deadline: answered",
+		"shard 2: first to u through nashua-1: failed, may have run (connectionReset)",
+		"2 more shards were answered by their first sub-request",
+		"missing   shard 2: connectionReset",
+	} {
+		if !strings.Contains(text, want) {
+			t.Errorf("want %q in:\n%s", want, text)
+		}
+	}
+	if strings.Contains(text, "shard 0:") {
+		t.Errorf("a plain shard has a line of its own:\n%s", text)
+	}
+}
+
+func TestExplainAsksTheDaemon(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Query().Get("request") != "r" {
+			http.Error(w, "knows nothing", http.StatusNotFound)
+			return
+		}
+		_ = json.NewEncoder(w).Encode([]*zltrace.Trace{testTrace()})
+	}))
+	defer server.Close()
+	admin := strings.TrimPrefix(server.URL, "http://")
+	if code, stdout, _ := run("explain", "r", "-admin", admin); code != exitDone || !strings.Contains(stdout, "coverage 0.7500") {
+		t.Errorf("text: code %d, %q", code, stdout)
+	}
+	code, stdout, _ := run("explain", "r", "-admin", admin, "-format", "json")
+	var traces []*zltrace.Trace
+	if err := json.Unmarshal([]byte(stdout), &traces); code != exitDone || err != nil || len(traces[0].Tries) != 5 {
+		t.Errorf("json: code %d, %v, %q", code, err, stdout)
+	}
+	if code, _, stderr := run("explain", "other", "-admin", admin); code != exitFailed || !strings.Contains(stderr, "knows nothing") {
+		t.Errorf("unknown id: code %d, %q", code, stderr)
+	}
+}
--- a/cmd/flags.go
+++ b/cmd/flags.go
@@ -35,10 +35,10 @@
 	return list, errors.Join(faults...)
 }
 
-// checkNumber refuses what lies outside low to high, and what is no number.
-func checkNumber(name string, value, low, high float64) error {
-	if !(value >= low && value <= high) {
-		return fmt.Errorf("flag -%s: found %v, allowed is %v to %v", name, value, low, high)
+// checkNumber refuses what lies outside 0 to high, and what is no number.
+func checkNumber(name string, value, high float64) error {
+	if !(value >= 0 && value <= high) {
+		return fmt.Errorf("flag -%s: found %v, allowed is 0 to %v", name, value, high)
 	}
 	return nil
 }
--- a/cmd/load.go
+++ b/cmd/load.go
@@ -61,7 +61,7 @@
 		checkRate("rate", o.rate),
 		checkDuration("time", o.duration, time.Millisecond, maxDuration),
 		checkDuration("deadline", o.deadline, time.Millisecond, maxDeadline),
-		checkNumber("once", o.once, 0, 1),
+		checkNumber("once", o.once, 1),
 		checkText("kind", o.kind, "the name of a query kind"),
 	)
 }
--- a/cmd/query.go
+++ b/cmd/query.go
@@ -2,12 +2,13 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net/http"
 	"time"
 
 	"zinnialock/core/process/zlunit"
-	"zinnialock/core/request/zlquery"
+	"zinnialock/core/request/zlclaim"
 	"zinnialock/io/process/zlload"
 	"zinnialock/io/request/zlfront"
 )
@@ -19,7 +20,8 @@
 	kind := fs.String("kind", "", "query kind")
 	text := fs.String("text", "", "what to look for")
 	id := fs.String("id", "", "request id; made up when empty")
-	once := fs.Bool("once", false, "the request is not idempotent")
+	once := fs.Bool("once", false, "the request is not idempotent; its id is a version 7 UUID")
+	retry := fs.Bool("retry", false, "the id may have been sent before")
 	least := fs.Float64("least", 0, "least coverage wanted, 0 to 1")
 	deadline := fs.Duration("deadline", 2*time.Second, "time allowed")
 	verbose := fs.Bool("v", false, "show every shard")
@@ -27,9 +29,20 @@
 	if code, ok := parse(e, fs, args); !ok {
 		return code
 	}
-	if err := checkFormat(*format); err != nil {
+	err := errors.Join(
+		checkFormat(*format),
+		checkAddress("target", *target),
+		checkText("service", *service, "the name of a service"),
+		checkNumber("least", *least, 1),
+		checkDuration("deadline", *deadline, time.Millisecond, maxDeadline),
+		checkID(*id, *once, *retry),
+	)
+	if err != nil {
 		return e.fail(exitUsage, err)
 	}
+	if *id == "" && *once {
+		*id = string(zlclaim.NewID(time.Now()))
+	}
 	idempotent := !*once
 	req := &zlfront.Request{
 		RequestID:     zlunit.RequestID(*id),
@@ -39,27 +52,48 @@
 		DeadlineMs:    deadline.Milliseconds(),
 		Idempotent:    &idempotent,
 		LeastCoverage: zlunit.Coverage(*least),
+		Retry:         *retry,
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), *deadline+time.Second)
 	defer cancel()
-	a, err := zlload.Post(ctx, http.DefaultClient, *target, req)
+	answer, err := zlload.Post(ctx, http.DefaultClient, *target, req)
 	if err != nil {
 		return e.fail(exitFailed, fmt.Errorf("query: %w", err))
 	}
 	if *format == "json" {
-		e.json(a)
+		e.json(answer)
 	} else {
-		showAnswer(e, a, *verbose)
+		showAnswer(e, answer, *verbose)
 	}
-	if a.Outcome != zlquery.OutcomeDone {
+	if answer.Refusal != nil {
 		return exitFailed
 	}
 	return exitDone
 }
 
+// checkID refuses an id that the daemon would refuse.
+func checkID(id string, once, retry bool) error {
+	if id == "" {
+		if retry {
+			return errors.New("flag -id: found nothing, a retry needs the id of the first attempt")
+		}
+		return nil
+	}
+	if !once {
+		return nil
+	}
+	if fault := zlclaim.CheckID(zlunit.RequestID(id)); fault != "" {
+		return fmt.Errorf("flag -id: %s", fault)
+	}
+	return nil
+}
+
 func showAnswer(e *env, a *zlfront.Answer, verbose bool) {
 	if a.Refusal != nil {
 		e.printf("request  %s\nrefused  %s %s\nran      %s\n", a.RequestID, a.Refusal.Reason, a.Refusal.Detail, a.Refusal.Ran)
+		if a.Refusal.RetryAfterMs > 0 {
+			e.printf("retry    in %d ms\n", a.Refusal.RetryAfterMs)
+		}
 		return
 	}
 	e.printf("request  %s\nversion  %d\ncoverage %.4f, complete %v\ntime     %.1f ms\n", a.RequestID, a.Version, a.Coverage, a.Complete, a.ElapsedMs)
--- a/cmd/standin.go
+++ b/cmd/standin.go
@@ -1,6 +1,7 @@
 package cmd
 
 import (
+	"bytes"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -17,21 +18,36 @@
 	"zinnialock/io/standin/zlfakeupstream"
 )
 
+func standins() []command {
+	return []command{
+		{
+			name:    "platform",
+			summary: "the platform's object API and list of VMs",
+			run:     runStandinPlatform,
+		},
+		{
+			name:    "upstream",
+			summary: "one upstream",
+			run:     runStandinUpstream,
+		},
+		{
+			name:    "keys",
+			summary: "self-made keys for daemons of a test",
+			run:     runStandinKeys,
+		},
+	}
+}
+
 func runStandin(e *env, args []string) int {
-	if len(args) > 0 {
-		switch args[0] {
-		case "platform":
-			return runStandinPlatform(e, args[1:])
-		case "upstream":
-			return runStandinUpstream(e, args[1:])
-		case "keys":
-			return runStandinKeys(e, args[1:])
-		case "-h", "-help", "--help":
-			e.printf("Usage: zinnialock standin platform|upstream|keys [flags]\n")
-			return exitDone
-		}
+	if len(args) == 0 {
+		usageOf(e.stderr, "standin ", standins())
+		return exitUsage
+	}
+	if isHelp(args[0]) {
+		usageOf(e.stdout, "standin ", standins())
+		return exitDone
 	}
-	return e.fail(exitUsage, errors.New("zinnialock standin: want platform, upstream or keys"))
+	return dispatch(e, "standin ", standins(), args)
 }
 
 func runStandinPlatform(e *env, args []string) int {
@@ -43,7 +59,13 @@
 	if code, ok := parse(e, fs, args); !ok {
 		return code
 	}
-	if err := checkAddress("listen", *listen); err != nil {
+	err := errors.Join(
+		checkAddress("listen", *listen),
+		checkNumber("reads", *reads, maxRate),
+		checkNumber("writes", *writes, maxRate),
+		checkDuration("vm-lag", *lag, 0, maxDuration),
+	)
+	if err != nil {
 		return e.fail(exitUsage, err)
 	}
 	listener, err := net.Listen("tcp", *listen)
@@ -76,20 +98,25 @@
 	if code, ok := parse(e, fs, args); !ok {
 		return code
 	}
-	if err := checkAddress("listen", *listen); err != nil {
+	if err := errors.Join(checkAddress("listen", *listen), checkText("settings", *path, "a file")); err != nil {
 		return e.fail(exitUsage, err)
 	}
 	data, err := os.ReadFile(*path)
 	if err != nil {
-		return e.fail(exitUsage, err)
+		return e.fail(exitUsage, fmt.Errorf("flag -settings: %w", err))
 	}
 	u := &zlfakeupstream.Upstream{
 		Address: *listen,
 		Seed:    *seed,
 	}
-	if err := json.Unmarshal(data, &u.Settings); err != nil {
+	decoder := json.NewDecoder(bytes.NewReader(data))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&u.Settings); err != nil {
 		return e.fail(exitUsage, fmt.Errorf("%s: %w", *path, err))
 	}
+	if err := checkUpstream(*path, &u.Settings); err != nil {
+		return e.fail(exitUsage, err)
+	}
 	if err := u.Run(); err != nil {
 		return e.fail(exitFailed, err)
 	}
@@ -99,6 +126,33 @@
 	return exitDone
 }
 
+// checkUpstream names every key of an upstream's settings that is wrong.
+func checkUpstream(file string, s *zlfakeupstream.Settings) error {
+	var faults []error
+	say := func(key string, found any, allowed string) {
+		faults = append(faults, fmt.Errorf("%s: key %q: found %v, allowed is %s", file, key, found, allowed))
+	}
+	if s.Name == "" {
+		say("name", "nothing", "the name of an upstream")
+	}
+	if s.Service == "" {
+		say("service", "nothing", "the name of a service")
+	}
+	for key, n := range map[string]int{
+		"slots":       int(s.Slots),
+		"connections": int(s.Connections),
+		"coldLimit":   int(s.ColdLimit),
+	} {
+		if n < 1 {
+			say(key, n, "1 or more")
+		}
+	}
+	if s.ServiceMs < 0 || s.ConnectMs < 0 {
+		say("serviceMs or connectMs", min(s.ServiceMs, s.ConnectMs), "0 or more")
+	}
+	return errors.Join(faults...)
+}
+
 func runStandinKeys(e *env, args []string) int {
 	fs := newFlags(e, "standin keys", "Write self-made keys for daemons of a test.")
 	dir := fs.String("dir", ".", "`FOLDER` to write to")
@@ -106,6 +160,9 @@
 	if code, ok := parse(e, fs, args); !ok {
 		return code
 	}
+	if err := checkText("names", *names, "names with commas between"); err != nil {
+		return e.fail(exitUsage, err)
+	}
 	authority, err := zlkeys.NewAuthority()
 	if err != nil {
 		return e.fail(exitFailed, err)
--- a/core/request/zlclaim/guard.go
+++ b/core/request/zlclaim/guard.go
@@ -9,6 +9,7 @@
 	"zinnialock/core/process/zltimer"
 	"zinnialock/core/process/zlunit"
 	"zinnialock/core/request/zlquery"
+	"zinnialock/core/request/zltrace"
 )
 
 // Answerer runs a request.
@@ -29,7 +30,7 @@
 
 const (
 	// recallWait bounds the wait for an earlier attempt's answer.
-	recallWait = 200 * time.Millisecond
+	recallWait = 100 * time.Millisecond
 	// storeRetryAfter tells a caller when to come back after the store failed.
 	storeRetryAfter = time.Second
 	// heldRetryAfter tells a caller when to ask for the outcome of an attempt
@@ -48,6 +49,8 @@
 	Counter  Counter
 	// Answers keeps what this daemon answered.
 	Answers *Answers
+	// Traces, if set, gets a trace of each claim.
+	Traces zltrace.Sink
 
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -78,13 +81,25 @@
 	if req.Idempotent {
 		return g.owned(req, g.Next.Answer(ctx, req))
 	}
+	if a := g.Answers.Find(req.ID); a != nil {
+		return a
+	}
 	ask := Ask{
 		ID:     req.ID,
 		Nonce:  Nonce(rand.Uint64()),
 		Holder: g.Self,
 	}
-	valid := g.Timer.Now().Add(g.life(req))
+	start := g.Timer.Now()
+	valid := start.Add(g.life(req))
 	reply, err := g.claim(ctx, ask, valid)
+	took := g.Timer.Now().Sub(start)
+	a := g.act(ctx, req, ask, valid, reply, err)
+	g.trace(req, a, start, took)
+	return a
+}
+
+// act does what the reply to the ask allows.
+func (g *Guard) act(ctx context.Context, req *zlquery.Request, ask Ask, valid time.Time, reply Reply, err error) *zlquery.Answer {
 	if err != nil {
 		g.record(ask, StateNotRun)
 		return g.owned(req, g.refuse(req, zlquery.OutcomeNotRun, zlquery.ReasonClaimStore, storeRetryAfter))
@@ -93,12 +108,19 @@
 	case VerdictFresh:
 		return g.run(ctx, req, ask, valid)
 	case VerdictDone:
-		return g.recall(ctx, req, reply.Holder)
+		if a := g.recall(ctx, req, reply.Holder); a != nil {
+			return a
+		}
+		return g.refuse(req, zlquery.OutcomeDone, zlquery.ReasonClaimed, 0)
 	case VerdictTooOld:
 		return g.refuse(req, zlquery.OutcomeUnknown, zlquery.ReasonClaimTooOld, 0)
 	case VerdictAhead:
 		return g.owned(req, g.refuse(req, zlquery.OutcomeNotRun, zlquery.ReasonClaimAhead, 0))
 	default:
+		// It may have ended since, its outcome not yet in the log.
+		if a := g.recall(ctx, req, reply.Holder); a != nil {
+			return a
+		}
 		return g.refuse(req, zlquery.OutcomeUnknown, zlquery.ReasonClaimed, heldRetryAfter)
 	}
 }
@@ -160,19 +182,18 @@
 	})
 }
 
-// recall answers a request that an earlier attempt ran.
+// recall returns the answer of the attempt of another daemon, or nil.
 func (g *Guard) recall(ctx context.Context, req *zlquery.Request, holder zlunit.VM) *zlquery.Answer {
-	if a := g.Answers.Find(req.ID); a != nil {
-		return a
+	if holder == g.Self {
+		return g.Answers.Find(req.ID)
 	}
-	if holder != g.Self {
-		ctx, cancel := context.WithTimeout(ctx, recallWait)
-		defer cancel()
-		if a := g.Recaller.Recall(ctx, holder, req.ID); a != nil && a.ID == req.ID {
-			return a
-		}
+	ctx, cancel := context.WithTimeout(ctx, recallWait)
+	defer cancel()
+	a := g.Recaller.Recall(ctx, holder, req.ID)
+	if a == nil || a.ID != req.ID {
+		return nil
 	}
-	return g.refuse(req, zlquery.OutcomeDone, zlquery.ReasonClaimed, 0)
+	return a
 }
 
 // owned makes a proof of "not run" fit what the caller knows: it speaks of
@@ -185,6 +206,33 @@
 	return a
 }
 
+// trace records the claim: how long it took and, if it ended the request, why.
+func (g *Guard) trace(req *zlquery.Request, a *zlquery.Answer, start time.Time, took time.Duration) {
+	if g.Traces == nil {
+		return
+	}
+	g.Traces.Keep(&zltrace.Trace{
+		Request: req.ID,
+		Service: req.Service,
+		Kind:    req.Kind,
+		Start:   start,
+		Took:    g.Timer.Now().Sub(start),
+		Decisions: []zltrace.Decision{
+			{
+				At:     took,
+				What:   zltrace.WhatClaim,
+				Reason: a.Reason,
+				For:    took,
+			},
+		},
+		Outcome:  a.Outcome,
+		Reason:   a.Reason,
+		Version:  a.Version,
+		Coverage: a.Coverage,
+		Complete: a.Complete,
+	})
+}
+
 func (g *Guard) refuse(req *zlquery.Request, outcome zlquery.Outcome, reason zlquery.Reason, after time.Duration) *zlquery.Answer {
 	g.Counter.Count("refusal", reason)
 	return &zlquery.Answer{
--- a/core/request/zlclaim/once_test.go
+++ b/core/request/zlclaim/once_test.go
@@ -24,12 +24,19 @@
 // attempt is what a caller saw of one attempt.
 type attempt struct {
 	outcome zlquery.Outcome
-	// ran tells that this very attempt's answer is that of a run.
-	ran bool
+	// run tells which run an answer is of, or 0 if there is no answer.
+	run int
 }
 
-// onceModel is the promise on one id: its state is whether it ran. An unknown
-// attempt may have run or not; all else is exact.
+// The states of the model that are not the number of a run.
+const (
+	notRunYet = 0
+	ranUnseen = -1
+)
+
+// onceModel is the promise on one id: its state is which run, if any, it had.
+// An unknown attempt may have run or not; all else is exact, and all answers
+// are of the same run.
 var onceModel = porcupine.NondeterministicModel{
 	Partition: func(history []porcupine.Operation) [][]porcupine.Operation {
 		byID := map[zlunit.RequestID][]porcupine.Operation{}
@@ -43,19 +50,21 @@
 		}
 		return out
 	},
-	Init: func() []any { return []any{false} },
+	Init: func() []any { return []any{notRunYet} },
 	Step: func(state, _, output any) []any {
-		ran := state.(bool)
+		ran := state.(int)
 		a := output.(attempt)
 		switch {
-		case a.outcome == zlquery.OutcomeUnknown && ran:
-			return []any{true}
+		case a.outcome == zlquery.OutcomeUnknown && ran == notRunYet:
+			return []any{notRunYet, ranUnseen}
 		case a.outcome == zlquery.OutcomeUnknown:
-			return []any{false, true}
-		case a.outcome == zlquery.OutcomeNotRun && !ran:
-			return []any{false}
-		case a.outcome == zlquery.OutcomeDone && a.ran != ran:
-			return []any{true}
+			return []any{ran}
+		case a.outcome == zlquery.OutcomeNotRun && ran == notRunYet:
+			return []any{notRunYet}
+		case a.outcome == zlquery.OutcomeDone && a.run == 0 && ran != notRunYet:
+			return []any{ran}
+		case a.outcome == zlquery.OutcomeDone && a.run != 0 && (ran == notRunYet || ran == ranUnseen || ran == a.run):
+			return []any{a.run}
 		default:
 			return nil
 		}
@@ -70,6 +79,7 @@
 	writers [3]*Writers
 	guards  [3]*Guard
 	runs    map[zlunit.RequestID]int
+	allRuns int
 	ops     []porcupine.Operation
 	wg      sync.WaitGroup
 }
@@ -100,12 +110,25 @@
 	return reply, err
 }
 
+// Recall implements Recaller; a daemon that was killed remembers nothing.
+func (h *history) Recall(_ context.Context, holder zlunit.VM, id zlunit.RequestID) *zlquery.Answer {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, g := range h.guards {
+		if g.Self == holder {
+			return g.Answers.Find(id)
+		}
+	}
+	return nil
+}
+
 func (h *history) start(i int) {
 	h.writers[i] = newWriters(h.store)
 	h.guards[i] = newGuard(zlunit.VM(fmt.Sprint("vm", i)), &pausing{
 		Claimer: h.writers[i],
 		h:       h,
 	}, runner(h.run))
+	h.guards[i].Recaller = h
 }
 
 // run is the part behind the guard: it sends, or proves that it did not.
@@ -121,6 +144,8 @@
 	time.Sleep(time.Duration(h.intN(200)) * time.Millisecond)
 	h.mu.Lock()
 	h.runs[req.ID]++
+	h.allRuns++
+	a.Version = zlunit.IndexVersion(h.allRuns)
 	h.mu.Unlock()
 	a.Outcome = zlquery.OutcomeDone
 	a.Reason = zlquery.ReasonNone
@@ -145,6 +170,12 @@
 			Deadline: time.Now().Add(2 * time.Second),
 		})
 		end := time.Now().UnixNano()
+		if h.float() < 0.3 {
+			// The answer is lost on its way to the caller.
+			a = &zlquery.Answer{
+				Outcome: zlquery.OutcomeUnknown,
+			}
+		}
 		if a.Outcome == zlquery.OutcomeUnknown {
 			// It may take effect at any time after.
 			end = time.Now().Add(time.Hour).UnixNano() + int64(n*maxAttempts+try)
@@ -156,7 +187,7 @@
 			Call:     call,
 			Output: attempt{
 				outcome: a.Outcome,
-				ran:     a.Outcome == zlquery.OutcomeDone && a.Reason == zlquery.ReasonNone,
+				run:     int(a.Version),
 			},
 			Return: end,
 		})
@@ -225,6 +256,7 @@
 func TestHistoriesRunOnce(t *testing.T) {
 	model := onceModel.ToModel()
 	seen := map[zlquery.Outcome]int{}
+	claimed := 0
 	for seed := uint64(1); seed <= historySeeds; seed++ {
 		h := playHistory(t, seed)
 		for id, n := range h.runs {
@@ -233,6 +265,9 @@
 			}
 		}
 		for _, o := range h.ops {
+			if a := o.Output.(attempt); a.outcome == zlquery.OutcomeDone && a.run == 0 {
+				claimed++
+			}
 			seen[o.Output.(attempt).outcome]++
 		}
 		if !porcupine.CheckOperations(model, h.ops) {
@@ -244,19 +279,26 @@
 			t.Errorf("only %d attempts were %s; the histories say too little", seen[o], o)
 		}
 	}
-	t.Logf("outcomes over %d seeds: %v", historySeeds, seen)
+	t.Logf("outcomes over %d seeds: %v, %d of them done by an attempt whose answer is gone", historySeeds, seen, claimed)
 }
 
 // TestModelRefusesWrongHistories makes sure that the check can fail.
 func TestModelRefusesWrongHistories(t *testing.T) {
-	done := attempt{
+	first := attempt{
 		outcome: zlquery.OutcomeDone,
-		ran:     true,
+		run:     1,
+	}
+	second := attempt{
+		outcome: zlquery.OutcomeDone,
+		run:     2,
 	}
 	notRun := attempt{
 		outcome: zlquery.OutcomeNotRun,
 	}
-	for _, wrong := range [][]attempt{{done, done}, {done, notRun}} {
+	claimed := attempt{
+		outcome: zlquery.OutcomeDone,
+	}
+	for _, wrong := range [][]attempt{{first, second}, {first, notRun}, {notRun, claimed}} {
 		var ops []porcupine.Operation
 		for i, a := range wrong {
 			ops = append(ops, porcupine.Operation{
--- a/io/process/zldaemon/admin.go
+++ b/io/process/zldaemon/admin.go
@@ -12,6 +12,7 @@
 	})
 	mux.HandleFunc("GET /readyz", d.serveReady)
 	mux.HandleFunc("GET /cost", d.serveCost)
+	mux.HandleFunc("GET "+ExplainPath, d.serveExplain)
 	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
 		_ = d.metrics.WriteText(w)
 	})
--- a/io/process/zldaemon/claims.go
+++ b/io/process/zldaemon/claims.go
@@ -38,6 +38,7 @@
 		Timer:    d.timer,
 		Counter:  d.metrics,
 		Answers:  answers,
+		Traces:   d.traces,
 	}
 }
 
--- a/io/process/zldaemon/zldaemon.go
+++ b/io/process/zldaemon/zldaemon.go
@@ -17,6 +17,7 @@
 	"zinnialock/core/request/zlaggr"
 	"zinnialock/core/request/zlcoord"
 	"zinnialock/core/request/zlquery"
+	"zinnialock/core/request/zltrace"
 	"zinnialock/core/version/zlroster"
 	"zinnialock/core/version/zlview"
 	"zinnialock/io/connection/zlpeer"
@@ -76,6 +77,7 @@
 	node       *zlpeer.Node
 	coord      *zlcoord.Coordinator
 	claims     claims
+	traces     *zltrace.Store
 	caller     *http.Server
 	admin      *http.Server
 	cancel     context.CancelFunc
@@ -142,6 +144,7 @@
 		Aggregator: d.aggregator,
 		Asked:      d.asked,
 	}
+	d.traces = &zltrace.Store{}
 	d.coord = &zlcoord.Coordinator{
 		Self:       cfg.Name,
 		Timer:      d.timer,
@@ -149,6 +152,7 @@
 		Router:     &zlroute.Router{},
 		Dispatcher: d.node,
 		Counter:    d.metrics,
+		Traces:     d.traces,
 	}
 	d.buildClaims()
 }
--- a/io/request/zlclaimstore/router.go
+++ b/io/request/zlclaimstore/router.go
@@ -38,8 +38,10 @@
 	// at the writer for a claim to share its write.
 	claimWait   = 400 * time.Millisecond
 	outcomeWait = 3 * time.Second
-	// avoidFor is how long a writer that did not reply is left out.
+	// avoidFor is how long a writer that did not reply is left out, twice as
+	// long after each further time, up to maxAvoid.
 	avoidFor = 2 * time.Second
+	maxAvoid = 32 * time.Second
 )
 
 // Router is a zlclaim.Claimer that sends each claim to the daemon that writes
@@ -57,7 +59,7 @@
 	mu    sync.Mutex
 	view  *zlview.View
 	order [zlclaim.Segments][]zlunit.VM
-	avoid map[zlunit.VM]time.Time
+	avoid map[zlunit.VM]avoidance
 }
 
 var (
@@ -65,6 +67,12 @@
 	_ zlclaim.Recaller = (*Router)(nil)
 )
 
+// avoidance tells until when a daemon is left out, and how long that is.
+type avoidance struct {
+	until  time.Time
+	length time.Duration
+}
+
 // claimReply is a writer's reply; Fault tells that the store failed it.
 type claimReply struct {
 	Reply zlclaim.Reply `json:"reply"`
@@ -109,6 +117,7 @@
 				Err:  eris.New(reply.Fault),
 			}
 		default:
+			r.trust(vm)
 			return reply.Reply, nil
 		}
 		if ctx.Err() != nil {
@@ -147,9 +156,25 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.avoid == nil {
-		r.avoid = map[zlunit.VM]time.Time{}
+		r.avoid = map[zlunit.VM]avoidance{}
+	}
+	now := r.Timer.Now()
+	last := r.avoid[vm]
+	if now.Before(last.until) {
+		return
+	}
+	length := min(max(avoidFor, 2*last.length), maxAvoid)
+	r.avoid[vm] = avoidance{
+		until:  now.Add(length),
+		length: length,
 	}
-	r.avoid[vm] = r.Timer.Now().Add(avoidFor)
+}
+
+// trust ends the avoidance of a daemon that replied.
+func (r *Router) trust(vm zlunit.VM) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.avoid, vm)
 }
 
 // writers returns the daemons to ask for a segment, best first: the two of the
@@ -167,7 +192,7 @@
 	now := r.Timer.Now()
 	out := make([]zlunit.VM, 0, writersPerSegment)
 	for _, vm := range r.order[s] {
-		if now.Before(r.avoid[vm]) {
+		if now.Before(r.avoid[vm].until) {
 			continue
 		}
 		out = append(out, vm)
@@ -189,7 +214,6 @@
 // rank orders the daemons in service for every segment; mu is held.
 func (r *Router) rank(view *zlview.View) {
 	r.view = view
-	clear(r.avoid)
 	for s := range r.order {
 		var all []ranked
 		for dc, roster := range view.Rosters {
