--- a/core/request/zlclaim/record.go
+++ b/core/request/zlclaim/record.go
@@ -1,6 +1,7 @@
 package zlclaim
 
 import (
+	"crypto/sha256"
 	"encoding/base64"
 	"encoding/json"
 	"strconv"
@@ -20,23 +21,40 @@
 	return millis(t.UnixMilli())
 }
 
-// CheckID returns what is wrong with the id of a non-idempotent request, or
-// nothing. Such an id must be a version 7 UUID in its canonical form: its time
-// is part of it, so that a late repetition cannot pass for a new request.
-func CheckID(id zlunit.RequestID) string {
-	if _, ok := timeOf(id); ok {
-		return ""
-	}
-	return "found " + strconv.Quote(string(id)) + ", a request that is not idempotent needs a version 7 UUID in lower case"
+// timed reports whether the id behind k carries its own time, so that a late
+// repetition cannot pass for a new request. Other ids are remembered from the
+// time of their claim on, for Window at least.
+func timed(k key) bool {
+	return k.Version() == timedVersion
 }
 
-// timeOf returns the time that an id carries.
-func timeOf(id zlunit.RequestID) (millis, bool) {
+const (
+	// timedVersion is the version of UUIDs that carry their time.
+	timedVersion = 7
+	// hashedVersion is the version of UUIDs that hold what their maker likes.
+	hashedVersion = 8
+)
+
+// keyOf returns the key of an id: a version 7 UUID itself, or else a hash.
+func keyOf(id zlunit.RequestID) key {
 	u, err := uuid.Parse(string(id))
-	if err != nil || u.Version() != 7 || u.String() != string(id) {
-		return 0, false
+	if err == nil && u.Version() == timedVersion && u.String() == string(id) {
+		return u
 	}
-	return timeIn(u), true
+	sum := sha256.Sum256([]byte(id))
+	copy(u[:], sum[:])
+	u[6] = u[6]&0x0f | hashedVersion<<4
+	u[8] = u[8]&0x3f | 0x80
+	return u
+}
+
+// timeOf returns the time that decides how long a key claimed at now is
+// remembered.
+func timeOf(k key, now time.Time) millis {
+	if timed(k) {
+		return timeIn(k)
+	}
+	return millisOf(now)
 }
 
 // timeIn reads the leading 48 bits.
@@ -65,7 +83,9 @@
 
 // op is one record of the log; a later one of the same key takes its place.
 type op struct {
-	key    key
+	key key
+	// at decides how long the record is kept.
+	at     millis
 	nonce  Nonce
 	holder zlunit.VM
 	state  State
@@ -77,9 +97,9 @@
 
 const (
 	// opFields is how many fields a record's line has.
-	opFields = 4
+	opFields = 5
 	// opSize is about the length of a line, in bytes.
-	opSize = 56
+	opSize = 58
 )
 
 // MarshalJSON implements json.Marshaler.
@@ -92,12 +112,38 @@
 		text = append(text, ' ')
 		text = strconv.AppendInt(text, int64(o.state), 10)
 		text = append(text, ' ')
+		text = o.appendTime(text)
+		text = append(text, ' ')
 		text = append(text, strings.ReplaceAll(string(o.holder), "\n", " ")...)
 		text = append(text, '\n')
 	}
 	return json.Marshal(string(text))
 }
 
+// noTime stands where the id tells the time.
+const noTime = "-"
+
+func (o *op) appendTime(text []byte) []byte {
+	if timed(o.key) {
+		return append(text, noTime...)
+	}
+	return strconv.AppendInt(text, int64(o.at), 36)
+}
+
+// readTime sets the time from text as appendTime made it.
+func (o *op) readTime(text string) error {
+	if timed(o.key) && text == noTime {
+		o.at = timeIn(o.key)
+		return nil
+	}
+	at, err := strconv.ParseInt(text, 36, 64)
+	if err != nil || timed(o.key) {
+		return eris.Errorf("record: bad time %q", text)
+	}
+	o.at = millis(at)
+	return nil
+}
+
 // UnmarshalJSON implements json.Unmarshaler.
 func (l *opList) UnmarshalJSON(data []byte) error {
 	var text string
@@ -132,12 +178,13 @@
 	if err != nil || State(state) < StateClaimed || State(state) > StateNotRun {
 		return op{}, eris.Errorf("record: bad state %q", fields[2])
 	}
-	return op{
+	o := op{
 		key:    key(raw),
 		nonce:  Nonce(nonce),
-		holder: zlunit.VM(fields[3]),
+		holder: zlunit.VM(fields[4]),
 		state:  State(state),
-	}, nil
+	}
+	return o, o.readTime(fields[3])
 }
 
 // headName is the name of a segment's head object; it is never deleted.
