Platform stand-in: watches break when it goes down; processes.sh checks and exits

Cause: a waiting watch did not notice an outage, faults were not checked, and the script with separate processes only looked at two figures. The script runs loads with requests that are not idempotent, prints a table and exits 1 on any violation, cut or failed request, or exit code.

--- a/contrib/processes.sh
+++ b/contrib/processes.sh
@@ -74,23 +74,63 @@
 sleep 1.5
 "$z" query -target "${targets[0]}" -service finder -text "maker mark" -v
 
-echo "-- load on the first daemon; the third is ended by SIGKILL, the second is stopped by SIGTERM"
-"$z" load -targets "${targets[0]}" -platform "127.0.0.1:$base" -rate 100 -time 12s -format json >"$work/load.json" &
-load=$!
-# A second load goes to the daemon that is stopped: no request may be cut.
-"$z" load -targets "${targets[1]}" -platform "127.0.0.1:$base" -rate 50 -time 7s -seed 2 -format json >"$work/load2.json" &
-load2=$!
-sleep 2
+# value FILE KEY prints a number of a load's JSON.
+value() { sed -n "s/^ *\"$2\": \([-0-9.e]*\),*$/\1/p" "$1" | head -1; }
+
+# row NAME FILE prints a line of the table.
+row() {
+	printf '%-22s' "$1"
+	for key in sent once answered refused failed cut again p50Ms p99Ms coverageMin; do
+		printf ' %9s' "$(value "$2" "$key")"
+	done
+	printf ' %10s\n' "$(grep -q '"violations": \[\]' "$2" && echo none || echo SOME)"
+}
+
+# must CONDITION... notes a failed check.
+failures=()
+must() {
+	local what=$1
+	shift
+	"$@" || failures+=("$what")
+}
+
+echo "-- two loads; daemon 3 is ended by SIGKILL, daemon 2 is stopped by SIGTERM"
+"$z" load -targets "${targets[0]}" -platform "127.0.0.1:$base" -rate 100 -time 12s -once 0.1 -format json >"$work/steady.json" 2>"$work/steady.err" &
+steady=$!
+# Callers of the second load move to daemon 1 once daemon 2 takes none, as a
+# balancer makes them: no request may be cut.
+"$z" load -targets "${targets[1]},${targets[0]}" -platform "127.0.0.1:$base" -rate 50 -time 12s -seed 2 -once 0.1 -format json >"$work/stopped.json" 2>"$work/stopped.err" &
+stopping=$!
+sleep 3
 kill -9 "${daemons[2]}"
+wait "${daemons[2]}" 2>/dev/null || true
 sleep 4
 kill -TERM "${daemons[1]}"
-stopped=0
-wait "${daemons[1]}" || stopped=$?
-ok=0
-wait "$load" || ok=1
-wait "$load2" || ok=1
-cat "$work/load.json" "$work/load2.json"
-grep -q '"failed": 0' "$work/load.json" || ok=1
-grep -q '"failed": 0' "$work/load2.json" || ok=1
-echo "SIGTERM exit code $stopped, checks $([ $ok = 0 ] && echo passed || echo failed)"
-[ "$stopped" = 0 ] && [ "$ok" = 0 ]
+stopcode=0
+wait "${daemons[1]}" || stopcode=$?
+steadycode=0
+wait "$steady" || steadycode=$?
+stoppingcode=0
+wait "$stopping" || stoppingcode=$?
+
+printf '%-22s' load
+printf ' %9s' sent once answered refused failed cut again "p50 ms" "p99 ms" "cov. min"
+printf ' %10s\n' violations
+row "through daemon 1" "$work/steady.json"
+row "through daemons 2, 1" "$work/stopped.json"
+
+must "the load through daemon 1 ended with code $steadycode" [ "$steadycode" = 0 ]
+must "the load through daemons 2, 1 ended with code $stoppingcode" [ "$stoppingcode" = 0 ]
+must "SIGTERM ended daemon 2 with code $stopcode" [ "$stopcode" = 0 ]
+for load in steady stopped; do
+	must "$load: requests were cut" [ "$(value "$work/$load.json" cut)" = 0 ]
+	must "$load: requests failed" [ "$(value "$work/$load.json" failed)" = 0 ]
+	must "$load: violations" grep -q '"violations": \[\]' "$work/$load.json"
+done
+if [ ${#failures[@]} -gt 0 ]; then
+	printf 'FAILED: %s\n' "${failures[@]}"
+	cat "$work/steady.err" "$work/stopped.err"
+	sed -n '/"violations": \[$/,/\]/p' "$work/steady.json" "$work/stopped.json"
+	exit 1
+fi
+echo "all checks passed"
--- a/io/standin/zlfakeplatform/control.go
+++ b/io/standin/zlfakeplatform/control.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"time"
 )
@@ -14,7 +15,31 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
+	if fault := f.check(); fault != "" {
+		http.Error(w, fault, http.StatusBadRequest)
+		return
+	}
 	p.SetFaults(f)
+	reply(w, f)
+}
+
+func (p *Platform) getFaults(w http.ResponseWriter, _ *http.Request) {
+	reply(w, p.Faults())
+}
+
+// maxSlow bounds SlowMs.
+const maxSlow = 600_000
+
+// check names the first key that is wrong.
+func (f *Faults) check() string {
+	switch {
+	case f.SlowMs < 0 || f.SlowMs > maxSlow:
+		return fmt.Sprintf("key \"slowMs\": found %d, allowed is 0 to %d", f.SlowMs, maxSlow)
+	case !(f.LoseReplies >= 0 && f.LoseReplies <= 1):
+		return fmt.Sprintf("key \"loseReplies\": found %v, allowed is 0 to 1", f.LoseReplies)
+	default:
+		return ""
+	}
 }
 
 func (p *Platform) getCounts(w http.ResponseWriter, _ *http.Request) {
--- a/io/standin/zlfakeplatform/zlfakeplatform.go
+++ b/io/standin/zlfakeplatform/zlfakeplatform.go
@@ -109,6 +109,7 @@
 	mux.HandleFunc("GET /watch", p.read(p.watch))
 	mux.HandleFunc("GET /vms", p.read(p.listVMs))
 	mux.HandleFunc("PUT /control/faults", p.setFaults)
+	mux.HandleFunc("GET /control/faults", p.getFaults)
 	mux.HandleFunc("PUT /control/vms", p.setVMs)
 	mux.HandleFunc("GET /control/counts", p.getCounts)
 	return mux
@@ -120,6 +121,16 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.faults = f
+	// Waiting watches look at the faults again.
+	close(p.changed)
+	p.changed = make(chan struct{})
+}
+
+// Faults returns what the platform suffers now.
+func (p *Platform) Faults() Faults {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.faults
 }
 
 // Counts returns what the platform saw so far.
@@ -143,18 +154,15 @@
 
 // suffer applies the faults and rates, and reports whether the call ended.
 func (p *Platform) suffer(w http.ResponseWriter, r *http.Request, l *rate.Limiter) bool {
-	p.mu.Lock()
-	f := p.faults
-	p.mu.Unlock()
-	if f.SlowMs > 0 {
+	if slow := p.Faults().SlowMs; slow > 0 {
 		select {
-		case <-time.After(time.Duration(f.SlowMs) * time.Millisecond):
+		case <-time.After(time.Duration(slow) * time.Millisecond):
 		case <-r.Context().Done():
 			return true
 		}
 	}
-	if f.Down {
-		http.Error(w, "platform is down", http.StatusServiceUnavailable)
+	if p.Faults().Down {
+		refuseDown(w)
 		return true
 	}
 	if !l.Allow() {
@@ -167,6 +175,10 @@
 	return false
 }
 
+func refuseDown(w http.ResponseWriter) {
+	http.Error(w, "platform is down", http.StatusServiceUnavailable)
+}
+
 func (p *Platform) write(next http.HandlerFunc) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		if p.suffer(w, r, p.writes) {
@@ -258,7 +270,12 @@
 	for {
 		p.mu.Lock()
 		changed := p.changed
+		down := p.faults.Down
 		p.mu.Unlock()
+		if down {
+			refuseDown(w)
+			return
+		}
 		l := p.after(zlunit.ObjectVersion(rev), q["kind"])
 		if len(l.Objects) > 0 || rev == 0 {
 			reply(w, l)
--- a/io/standin/zlscene/zlscene.go
+++ b/io/standin/zlscene/zlscene.go
@@ -25,6 +25,14 @@
 // FirstVersion is the index version that a scene starts with.
 const FirstVersion zlunit.IndexVersion = 1
 
+// What the platform stand-in allows, in calls per second, and how old its list
+// of VMs is.
+const (
+	platformReads  = 2000
+	platformWrites = 300
+	platformLag    = 5 * time.Second
+)
+
 // Scene is a running deployment. Plan, Seed and Log must be set before Run.
 type Scene struct {
 	Plan UserPlan
@@ -73,7 +81,11 @@
 	if err != nil {
 		return eris.Wrap(err, "platform stand-in")
 	}
-	s.Platform = &zlfakeplatform.Platform{}
+	s.Platform = &zlfakeplatform.Platform{
+		ReadsPerSecond:  platformReads,
+		WritesPerSecond: platformWrites,
+		VMLag:           platformLag,
+	}
 	s.server = &http.Server{
 		Handler:           s.Platform.Handler(),
 		ReadHeaderTimeout: time.Minute,
