--- a/core/request/zlclaim/guard_test.go
+++ b/core/request/zlclaim/guard_test.go
@@ -115,6 +115,17 @@
 		convey.So(s.runs, convey.ShouldEqual, 0)
 		s.store.set(func() { s.store.down = false })
 	})
+	inScene(t, "a store that stays down refuses at once, and serves once it is back", func(s *scene) {
+		s.store.set(func() { s.store.down = true })
+		id := sameSegment(3)
+		s.ask(0, id, false)
+		time.Sleep(claimLife)
+		start := time.Now()
+		convey.So(s.ask(0, sameSegment(3), false).Reason, convey.ShouldEqual, zlquery.ReasonClaimStore)
+		convey.So(time.Since(start), convey.ShouldBeLessThan, 2*retryPause+writeGap)
+		s.store.set(func() { s.store.down = false })
+		convey.So(s.ask(0, id, false).Outcome, convey.ShouldEqual, zlquery.OutcomeDone)
+	})
 	inScene(t, "a claim whose reply is lost is read back and runs once", func(s *scene) {
 		id := NewID(time.Now())
 		s.store.set(func() { s.store.lose = 1 })
--- a/core/request/zlclaim/writer.go
+++ b/core/request/zlclaim/writer.go
@@ -63,6 +63,8 @@
 	store   Store
 	timer   *zltimer.Service
 	jobs    chan *job
+	// failingSince is when the store began to fail, or zero.
+	failingSince time.Time
 }
 
 // run serves jobs until ctx ends.
@@ -165,22 +167,30 @@
 	defer cancel()
 	err := w.tryFlush(ctx, &jobs)
 	if err == nil {
+		w.failingSince = time.Time{}
 		return nil
 	}
 	w.segment.synced = false
 	var e *Error
-	if !errors.As(err, &e) || e.Kind != KindConflict {
-		w.timer.Sleep(ctx.Done(), retryPause)
+	if errors.As(err, &e) && e.Kind == KindConflict {
+		return w.expire(jobs, err)
 	}
-	return w.expire(jobs, err)
+	if w.failingSince.IsZero() {
+		w.failingSince = w.timer.Now()
+	}
+	left := w.expire(jobs, err)
+	w.timer.Sleep(ctx.Done(), retryPause)
+	return left
 }
 
-// expire fails the jobs whose time is over.
+// expire fails the jobs whose time is over. While the store has been failing for
+// as long as an ask may wait, each ask gets one try.
 func (w *writer) expire(jobs []*job, err error) []*job {
 	now := w.timer.Now()
+	down := !w.failingSince.IsZero() && now.Sub(w.failingSince) >= claimLife
 	var left []*job
 	for _, j := range jobs {
-		if now.Before(j.expires) {
+		if now.Before(j.expires) && (!down || j.ask == nil) {
 			left = append(left, j)
 			continue
 		}
