--- a/io/standin/zlscene/zlscene.go
+++ b/io/standin/zlscene/zlscene.go
@@ -282,7 +282,7 @@
 	return ""
 }
 
-// Close ends everything at once.
+// Close ends everything at once, also after a Run that failed.
 func (s *Scene) Close() {
 	for n, e := range s.entries {
 		if !s.killed[n] {
@@ -292,6 +292,8 @@
 	for _, u := range s.Upstreams {
 		u.Close()
 	}
-	s.Client.HTTP.CloseIdleConnections()
-	_ = s.server.Close()
+	if s.server != nil {
+		s.Client.HTTP.CloseIdleConnections()
+		_ = s.server.Close()
+	}
 }
