claims: an id used for another request does not get its answer

Cause: the answer kept for an id was returned to any request with that id, also to one that asked something else; a write that dropped many archives made its claims wait for all removals. Change: kept answers are found by id and what was asked; a write removes at most two archives. Conclusion: own answer holds for reused ids.

--- a/core/request/zlclaim/guard.go
+++ b/core/request/zlclaim/guard.go
@@ -20,7 +20,7 @@
 // Recaller fetches the answer that a daemon gave to an earlier attempt, or nil
 // if that daemon cannot be reached or no longer has it.
 type Recaller interface {
-	Recall(ctx context.Context, holder zlunit.VM, id zlunit.RequestID) *zlquery.Answer
+	Recall(ctx context.Context, holder zlunit.VM, ref Ref) *zlquery.Answer
 }
 
 // Counter counts refusals and verdicts by reason.
@@ -81,7 +81,7 @@
 	if req.Idempotent {
 		return g.owned(req, g.Next.Answer(ctx, req))
 	}
-	if a := g.Answers.Find(req.ID); a != nil {
+	if a := g.Answers.Find(RefOf(req)); a != nil {
 		return a
 	}
 	ask := Ask{
@@ -149,7 +149,7 @@
 	a := g.Next.Answer(ctx, req)
 	switch a.Outcome {
 	case zlquery.OutcomeDone:
-		g.Answers.Keep(a)
+		g.Answers.Keep(RefOf(req), a)
 		g.record(ask, StateDone)
 	case zlquery.OutcomeNotRun:
 		g.record(ask, StateNotRun)
@@ -185,11 +185,11 @@
 // recall returns the answer of the attempt of another daemon, or nil.
 func (g *Guard) recall(ctx context.Context, req *zlquery.Request, holder zlunit.VM) *zlquery.Answer {
 	if holder == g.Self {
-		return g.Answers.Find(req.ID)
+		return g.Answers.Find(RefOf(req))
 	}
 	ctx, cancel := context.WithTimeout(ctx, recallWait)
 	defer cancel()
-	a := g.Recaller.Recall(ctx, holder, req.ID)
+	a := g.Recaller.Recall(ctx, holder, RefOf(req))
 	if a == nil || a.ID != req.ID {
 		return nil
 	}
--- a/core/request/zlclaim/writer.go
+++ b/core/request/zlclaim/writer.go
@@ -26,6 +26,9 @@
 	archiveSize = 32 << 10
 	// refSize is about the size of an archive's name in a head, in bytes.
 	refSize = 64
+	// maxRemovals bounds the archives removed after one write, since claims
+	// wait for it.
+	maxRemovals = 2
 	// maxPending bounds what waits for one segment.
 	maxPending = 4096
 	// outcomeLife bounds how long an outcome is tried.
@@ -300,8 +303,8 @@
 	w.segment.apply(ops)
 	if raised {
 		w.segment.forget(next.Floor)
-		w.remove(ctx, next.Floor)
 	}
+	w.remove(ctx, next.Floor)
 	return nil
 }
 
@@ -343,13 +346,18 @@
 
 // remove deletes the archives that no head needs any more: those with no id
 // above the floor. One that a writer left without a head that names it goes the
-// same way. A failure leaves it for the next time.
+// same way. What fails, or is more than a few, is left for the next time.
 func (w *writer) remove(ctx context.Context, floor millis) {
+	left := maxRemovals
 	for name, version := range w.segment.archives {
 		newest, ok := newestOf(name)
 		if !ok || newest > floor {
 			continue
 		}
+		if left == 0 {
+			return
+		}
+		left--
 		if err := w.store.Delete(ctx, w.segment.number, name, version); err == nil {
 			delete(w.segment.archives, name)
 		}
--- a/io/request/zlclaimstore/router.go
+++ b/io/request/zlclaimstore/router.go
@@ -240,12 +240,16 @@
 }
 
 // Recall implements zlclaim.Recaller.
-func (r *Router) Recall(ctx context.Context, holder zlunit.VM, id zlunit.RequestID) *zlquery.Answer {
+func (r *Router) Recall(ctx context.Context, holder zlunit.VM, ref zlclaim.Ref) *zlquery.Answer {
 	member, ok := r.Views.Load().Peer(holder)
 	if !ok {
 		return nil
 	}
-	data, err := r.Peers.Ask(ctx, member.Peer, TopicAnswer, []byte(id))
+	body, err := json.Marshal(ref)
+	if err != nil {
+		return nil
+	}
+	data, err := r.Peers.Ask(ctx, member.Peer, TopicAnswer, body)
 	if err != nil || len(data) == 0 {
 		return nil
 	}
@@ -277,7 +281,11 @@
 			return zlclaim.Reply{}, r.Local.Record(ctx, outcome)
 		})
 	case TopicAnswer:
-		if a := r.Answers.Find(zlunit.RequestID(body)); a != nil {
+		var ref zlclaim.Ref
+		if err := json.Unmarshal(body, &ref); err != nil {
+			return nil, true, eris.Wrap(err, topic)
+		}
+		if a := r.Answers.Find(ref); a != nil {
 			reply, err = json.Marshal(a)
 		}
 	default:
