--- a/core/request/zlaggr/sub.go
+++ b/core/request/zlaggr/sub.go
@@ -48,7 +48,7 @@
 	s.upstream = u
 	deadline := grant.cut(s.work.deadline)
 	s.prepare(deadline)
-	gate := a.gate(u.Name, &grant)
+	gate := a.gate(&u, &grant)
 	if reason := spare(s.ask, gate); reason != zlquery.ReasonNone {
 		s.reply(notRun(reason, 0))
 		return
