State machine: nothing may go to what is marked out

Cause: the machine marked data centres out but did not check what they got. Change: each sub-request is checked against the marks at its sending.

--- a/core/request/zlcoord/chaos_test.go
+++ b/core/request/zlcoord/chaos_test.go
@@ -66,7 +66,9 @@
 	kinds []fault
 	dead  map[zlunit.VM]bool
 	gone  map[zlunit.IndexVersion]bool
-	subs  map[zlunit.RequestID][]*chaosSub
+	// out are the upstreams that are marked out.
+	out  map[zlunit.Upstream]bool
+	subs map[zlunit.RequestID][]*chaosSub
 	// broken lists what the coordinator did wrong in sending.
 	broken []string
 }
@@ -117,9 +119,10 @@
 
 // checkSend checks a sub-request against what was sent before for the request.
 func (c *chaos) checkSend(batch *zlquery.Batch, s *chaosSub) {
-	newest := zlunit.IndexVersion(0)
+	if c.out[s.sub.Upstream] {
+		c.broken = append(c.broken, fmt.Sprintf("%s is marked out and gets new work", s.sub.Upstream))
+	}
 	for _, before := range c.subs[batch.Request] {
-		newest = max(newest, before.sub.Version)
 		if before.sub.ID == s.sub.ID {
 			c.broken = append(c.broken, fmt.Sprintf("sub-request id %d is used twice", s.sub.ID))
 		}
--- a/core/request/zlcoord/machine_test.go
+++ b/core/request/zlcoord/machine_test.go
@@ -117,7 +117,14 @@
 }
 
 func (m *machine) show() {
-	m.c.Views.Store(chaosView(m.first, m.last, m.marks))
+	view := chaosView(m.first, m.last, m.marks)
+	m.c.Views.Store(view)
+	m.locked(func() {
+		m.chaos.out = map[zlunit.Upstream]bool{}
+		for name, u := range view.Upstreams() {
+			m.chaos.out[name] = m.marks.UpstreamOut(name, u.DataCentre)
+		}
+	})
 	m.c.Views.Confirm(time.Now())
 }
 
