Fleet: the write that joins the roster confirms it

Cause: a daemon that had just joined held no lease until its first periodic confirmation, and called itself ready, since it held nothing yet. In between it took itself for stranded, with no share of any cold limit, and refused with coldBudget.

Change: a successful edit of the roster confirms its epoch as of before the edit began. A daemon is settled only with a lease.

Conclusion: readiness and lease agree at start.

--- a/io/process/zlfleet/grant.go
+++ b/io/process/zlfleet/grant.go
@@ -162,10 +162,10 @@
 	return h
 }
 
-// Settled reports whether this daemon is in the roster and may use all that it
-// holds.
+// Settled reports whether this daemon is in the roster, has its lease and may
+// use all that it holds.
 func (f *Fleet) Settled() bool {
-	if !f.Member() {
+	if !f.Member() || f.tenure.Left(f.Timer.Now()) <= 0 {
 		return false
 	}
 	for _, h := range f.Status().Held {
--- a/io/process/zlfleet/roster.go
+++ b/io/process/zlfleet/roster.go
@@ -30,6 +30,8 @@
 		return err
 	}
 	f.adopt(r, f.Timer.Now())
+	// The platform held this epoch after asked, by a write or a read.
+	f.tenure.Confirm(r.Epoch, asked)
 	return nil
 }
 
