--- a/core/process/zlroute/record.go
+++ b/core/process/zlroute/record.go
@@ -41,6 +41,7 @@
 	// mean holds the running mean of the service time in nanoseconds, as the
 	// bits of a float64.
 	mean atomic.Uint64
+	// last is about when it was last observed, in ticks.
 	last atomic.Int64
 	// spared is the time in ticks until which it gets no hedges.
 	spared atomic.Int64
@@ -190,7 +191,9 @@
 }
 
 func (r *Record) observe(now time.Time, d time.Duration) {
-	r.last.Store(ticks(now))
+	if at := ticks(now); at-r.last.Load() > int64(idle)/100 {
+		r.last.Store(at)
+	}
 	for {
 		old := r.mean.Load()
 		mean := math.Float64frombits(old)
--- a/core/request/zlcoord/run.go
+++ b/core/request/zlcoord/run.go
@@ -54,6 +54,7 @@
 	call  Call
 	sent  time.Duration
 	took  time.Duration
+	open  bool
 	cause zltrace.Cause
 	// why is the reason of a hedge or retry.
 	why    zlquery.Reason
@@ -64,7 +65,7 @@
 }
 
 func (s *subState) ended() bool {
-	return s.end != zltrace.EndOpen
+	return !s.open
 }
 
 // run is the state of one query. Only its own goroutine touches it, but for
@@ -126,7 +127,8 @@
 	r.abandon()
 	now := r.coordinator.Timer.Now()
 	r.profile.latency.Observe(now, r.took...)
-	r.coordinator.latency.Observe(now, r.took...)
+	// A few of each query are enough to tell of all kinds together.
+	r.coordinator.latency.Observe(now, r.took[:min(len(r.took), sampled)]...)
 	return r.finish()
 }
 
@@ -159,6 +161,8 @@
 	defaultLate = 8
 	// unknownLate is when it is late while nothing was measured yet.
 	unknownLate = 100 * time.Millisecond
+	// sampled is how many latencies of a query count for all kinds.
+	sampled = 4
 	// surelyTimes is how many times fewer sub-requests are late while the
 	// budget of hedges is short.
 	surelyTimes = 3
--- a/core/request/zlcoord/send.go
+++ b/core/request/zlcoord/send.go
@@ -17,6 +17,8 @@
 	counts := make([]int, len(r.plan.Groups))
 	from := len(r.subs)
 	care := r.firstCare()
+	cause := r.firstCause()
+	at := r.at(now)
 	for s := range r.shards {
 		choice, ok := r.coordinator.Router.Pick(now, r.plan.Shards[s], nil, care)
 		if !ok {
@@ -25,7 +27,7 @@
 		}
 		c := &r.plan.Shards[s][choice.Index]
 		counts[c.Group]++
-		r.record(zlunit.Shard(s), c, now, r.firstCause(), zlquery.ReasonNone)
+		r.record(zlunit.Shard(s), c, at, cause, zlquery.ReasonNone)
 	}
 	sent := r.subs[from:]
 	r.profile.hedges.Earn(len(sent), r.policy.HedgeShare)
@@ -72,7 +74,7 @@
 
 // record enters a sub-request that is about to be sent. The room beyond the
 // entries is all zero.
-func (r *run) record(shard zlunit.Shard, c *zlroute.Candidate, now time.Time, cause zltrace.Cause, why zlquery.Reason) zlunit.SubID {
+func (r *run) record(shard zlunit.Shard, c *zlroute.Candidate, at time.Duration, cause zltrace.Cause, why zlquery.Reason) zlunit.SubID {
 	st := &r.shards[shard]
 	id := zlunit.SubID(len(r.subs))
 	if int(id) == cap(r.subs) {
@@ -84,10 +86,11 @@
 	s.prev = st.last
 	s.round = st.round
 	s.to = c
-	s.sent = r.at(now)
+	s.sent = at
 	s.cause = cause
 	s.why = why
 	s.end = zltrace.EndOpen
+	s.open = true
 	s.version = r.plan.Version
 	st.last = int(id)
 	st.open++
@@ -153,7 +156,7 @@
 
 // sendOne sends one more sub-request for a shard.
 func (r *run) sendOne(shard zlunit.Shard, c *zlroute.Candidate, cause zltrace.Cause, why zlquery.Reason) {
-	id := r.record(shard, c, r.coordinator.Timer.Now(), cause, why)
+	id := r.record(shard, c, r.at(r.coordinator.Timer.Now()), cause, why)
 	sub := r.subOf(id, &r.subs[id])
 	r.dispatch(c.Peer, []zlquery.Sub{sub})
 }
--- a/core/request/zlcoord/take.go
+++ b/core/request/zlcoord/take.go
@@ -41,6 +41,7 @@
 // end closes a sub-request. The caller tells the upstream's record.
 func (r *run) end(sub *subState, end zltrace.End, reason zlquery.Reason, now time.Time) {
 	sub.end = end
+	sub.open = false
 	sub.reason = reason
 	sub.took = r.at(now) - sub.sent
 	r.shards[sub.shard].open--
