capacity: control cost is fitted against connections; daemons rest before

Cause: two seconds after a start handshakes and takeovers still run, and were taken for what recurs: 12.8 KB/s at 16 daemons. Ports were given out twice.

Change: 12 s of rest before the idle window; all ports of a stage are taken at once; bytes, messages and processor time are fitted against the connections to other daemons, which the mechanism bounds at 18, not against daemons.

--- a/contrib/capacity.sh
+++ b/contrib/capacity.sh
@@ -40,7 +40,7 @@
 
 mkdir -p docs/capacity
 if wanted daemons; then
-	for n in 4 8 16 32; do stage "$n" 96 24 8 2 10; point daemons "$n" fleet -pid "$last"; done
+	for n in 8 16 24 32 48; do stage "$n" 96 24 8 2 10; point daemons "$n" fleet -pid "$last"; done
 fi
 if wanted upstreams; then
 	for n in 100 200 400 800; do stage 4 "$n" 25 8 2 10; point upstreams "$n" idle; done
--- a/io/process/zlcapacity/measure.go
+++ b/io/process/zlcapacity/measure.go
@@ -29,6 +29,7 @@
 	QuantityCPU           Quantity = "controlCpuShare"
 	QuantityBytes         Quantity = "controlBytesPerSecond"
 	QuantityMessages      Quantity = "controlMessagesPerSecond"
+	QuantityConnections   Quantity = "peerConnections"
 	QuantityHeap          Quantity = "heapBytes"
 	QuantityPeak          Quantity = "peakBytes"
 	QuantityPlatformCalls Quantity = "platformCallsPerSecond"
@@ -61,8 +62,11 @@
 }
 
 const (
-	readyWait   = 30 * time.Second
-	changeWait  = 60 * time.Second
+	readyWait  = 30 * time.Second
+	changeWait = 60 * time.Second
+	// restTime is how long after the start the daemons are left alone, so that
+	// only what recurs is measured.
+	restTime    = 12 * time.Second
 	settleTime  = 2 * time.Second
 	idleTime    = 6 * time.Second
 	pollPause   = 5 * time.Millisecond
@@ -135,7 +139,7 @@
 
 // Idle measures control traffic, processor time and memory without queries.
 func (m *Meter) Idle(ctx context.Context) (map[Quantity]float64, error) {
-	time.Sleep(settleTime)
+	time.Sleep(restTime)
 	before, err := m.costs(ctx, m.Stage.Places, true)
 	if err != nil {
 		return nil, err
@@ -155,6 +159,7 @@
 		values[QuantityBytes] += d.bytes / elapsed / n
 		values[QuantityMessages] += d.messages / elapsed / n
 		values[QuantityPlatformCalls] += d.calls / elapsed
+		values[QuantityConnections] += float64(after[i].Peers.Connections) / n
 		values[QuantityHeap] += float64(before[i].HeapBytes) / n
 		values[QuantityPeak] += float64(after[i].PeakBytes) / n
 	}
--- a/io/process/zlcapacity/points.go
+++ b/io/process/zlcapacity/points.go
@@ -57,17 +57,23 @@
 	return os.WriteFile(path, append(data, '\n'), 0o600)
 }
 
-// Select returns the points of one quantity in one series.
-func Select(points []Point, s Series, q Quantity) []zlfit.Point {
+// Select returns the points of one quantity in one series, against what was
+// varied or, if it is not empty, against another quantity.
+func Select(points []Point, s Series, against, q Quantity) []zlfit.Point {
 	var out []zlfit.Point
 	for _, p := range points {
 		y, ok := p.Values[q]
-		if p.Series == s && ok {
-			out = append(out, zlfit.Point{
-				X: p.X,
-				Y: y,
-			})
+		if p.Series != s || !ok {
+			continue
 		}
+		x := p.X
+		if against != "" {
+			x = p.Values[against]
+		}
+		out = append(out, zlfit.Point{
+			X: x,
+			Y: y,
+		})
 	}
 	return out
 }
--- a/io/process/zlcapacity/report.go
+++ b/io/process/zlcapacity/report.go
@@ -42,7 +42,7 @@
 	for _, s := range slopes {
 		f := &fitted{
 			Slope:  s,
-			points: Select(points, s.Series, s.Quantity),
+			points: Select(points, s.Series, s.Against, s.Quantity),
 		}
 		if f.line, err = zlfit.Fit(f.points); err != nil {
 			failed = append(failed, fmt.Sprintf("%s: %v", s.Title, err))
--- a/io/process/zlcapacity/stage.go
+++ b/io/process/zlcapacity/stage.go
@@ -235,25 +235,28 @@
 	if err != nil {
 		return err
 	}
+	ports, err := freePorts(portsPerDaemon * s.Daemons)
+	if err != nil {
+		return err
+	}
 	for i := range s.Daemons {
-		if err := s.writeDaemon(authority, i); err != nil {
+		if err := s.writeDaemon(authority, i, ports[portsPerDaemon*i:]); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
-func (s *Stage) writeDaemon(authority *zlkeys.Authority, i int) error {
+// portsPerDaemon counts the listeners of a daemon.
+const portsPerDaemon = 3
+
+func (s *Stage) writeDaemon(authority *zlkeys.Authority, i int, ports []string) error {
 	dc := DataCentres[i%len(DataCentres)]
 	name := fmt.Sprintf("%s-%d", dc, i/len(DataCentres)+1)
 	files, err := authority.WriteFiles(s.Dir, name)
 	if err != nil {
 		return err
 	}
-	ports, err := freePorts(3)
-	if err != nil {
-		return err
-	}
 	place := DaemonPlace{
 		Name:   zlunit.VM(name),
 		Config: filepath.Join(s.Dir, name+".toml"),
--- a/io/process/zlcapacity/target.go
+++ b/io/process/zlcapacity/target.go
@@ -14,6 +14,9 @@
 	targetControlHeap  = 64.0 * mebibyte
 	targetControlBytes = 6.0 * kibibyte
 	targetP99          = 0.180
+	// targetConnections is 3 vouchers, 3 neighbours for news in the own data
+	// centre and 1 in each other, and on average as many towards a daemon.
+	targetConnections = 2 * (3.0 + 3.0 + 3.0)
 
 	// platformReads and platformWrites are what the platform takes a second.
 	platformReads  = 2000.0
@@ -28,7 +31,9 @@
 type Slope struct {
 	Series   Series
 	Quantity Quantity
-	Unit     string
+	// Against, if set, is the quantity that the line is fitted against.
+	Against Quantity
+	Unit    string
 	// Scale turns the measured unit into Unit.
 	Scale float64
 	// Target is the place that the page works out.
@@ -41,26 +46,37 @@
 	{
 		Series:   SeriesDaemons,
 		Quantity: QuantityCPU,
+		Against:  QuantityConnections,
 		Unit:     "% of a core",
 		Scale:    100,
-		Target:   targetDaemons,
-		Title:    "control processor time per daemon against daemons",
+		Target:   targetConnections,
+		Title:    "control processor time per daemon against connections to other daemons",
 	},
 	{
 		Series:   SeriesDaemons,
 		Quantity: QuantityBytes,
+		Against:  QuantityConnections,
 		Unit:     "KB/s",
 		Scale:    1.0 / kibibyte,
-		Target:   targetDaemons,
-		Title:    "control bytes per daemon, both ways, against daemons",
+		Target:   targetConnections,
+		Title:    "control bytes per daemon, both ways, against connections to other daemons",
 	},
 	{
 		Series:   SeriesDaemons,
 		Quantity: QuantityMessages,
+		Against:  QuantityConnections,
 		Unit:     "messages/s",
 		Scale:    1,
+		Target:   targetConnections,
+		Title:    "control messages per daemon against connections to other daemons",
+	},
+	{
+		Series:   SeriesDaemons,
+		Quantity: QuantityConnections,
+		Unit:     "connections",
+		Scale:    1,
 		Target:   targetDaemons,
-		Title:    "control messages per daemon against daemons",
+		Title:    "connections to other daemons against daemons (bounded by 18; the line only shows the growth)",
 	},
 	{
 		Series:   SeriesDaemons,
--- a/io/process/zldaemon/cost.go
+++ b/io/process/zldaemon/cost.go
@@ -26,7 +26,7 @@
 	Peers      zlpeer.Traffic         `json:"peers"`
 	Daemons    int                    `json:"daemons"`
 	Upstreams  int                    `json:"upstreams"`
-	// Held counts the upstreams whose holder is this daemon.
+	// Held counts the upstreams that this daemon may send to.
 	Held int `json:"held"`
 	// Nodes counts the nodes of the settings tree in force.
 	Nodes    int   `json:"nodes"`
@@ -63,8 +63,8 @@
 	}
 	c.Upstreams = len(view.Upstreams())
 	c.Nodes = len(view.Tree.Nodes)
-	for name := range view.Upstreams() {
-		if holders := view.Holders(name); len(holders) > 0 && holders[0] == d.Config.Name {
+	for _, h := range d.fleet.Status().Held {
+		if h.Usable {
 			c.Held++
 		}
 	}
