--- a/io/request/zlupcall/proof_test.go
+++ b/io/request/zlupcall/proof_test.go
@@ -268,3 +268,31 @@
 	c := u.Counts()
 	b.ReportMetric(float64(c.Connects)/float64(b.N), "connects/op")
 }
+
+// BenchmarkAsk asks a warm upstream that takes no time, one after the other;
+// the upstream's own cost is in it.
+func BenchmarkAsk(b *testing.B) {
+	u := &zlfakeupstream.Upstream{
+		Address: "127.0.0.1:0",
+		Settings: zlfakeupstream.Settings{
+			Name:        "u",
+			Slots:       3,
+			Connections: 30,
+			ColdLimit:   1,
+			QueueLimit:  64,
+			Shards: map[zlunit.IndexVersion][]zlunit.Shard{
+				1: {0},
+			},
+		},
+	}
+	if err := u.Run(); err != nil {
+		b.Fatal(err)
+	}
+	defer u.Close()
+	a, stop := aggregatorOf(u)
+	defer stop()
+	b.ReportAllocs()
+	for b.Loop() {
+		ask(a, true, time.Second, 0)
+	}
+}
