--- a/cmd/cmd.go
+++ b/cmd/cmd.go
@@ -52,6 +52,16 @@
 			summary: "send queries at a rate and check each answer",
 			run:     runLoad,
 		},
+		{
+			name:    "status",
+			summary: "show each daemon's view of the fleet",
+			run:     runStatus,
+		},
+		{
+			name:    "events",
+			summary: "show what daemons repaired, and why",
+			run:     runEvents,
+		},
 		{
 			name:    "standin",
 			summary: "run a small stand-in for the platform or an upstream",
@@ -67,6 +77,11 @@
 			summary: "measure what the tier costs as it grows",
 			run:     runCapacity,
 		},
+		{
+			name:    "experiment",
+			summary: "measure the tier beside the naive version",
+			run:     runExperiment,
+		},
 	}
 }
 
@@ -96,7 +111,7 @@
 func usage(w io.Writer) {
 	_, _ = fmt.Fprintln(w, "Usage: zinnialock SUBCOMMAND [flags]")
 	for _, c := range commands() {
-		_, _ = fmt.Fprintf(w, "  %-9s %s\n", c.name, c.summary)
+		_, _ = fmt.Fprintf(w, "  %-10s %s\n", c.name, c.summary)
 	}
 	_, _ = fmt.Fprintln(w, "`zinnialock SUBCOMMAND -h` lists the flags of one.")
 }
