--- a/core/request/zlcoord/hedge_test.go
+++ b/core/request/zlcoord/hedge_test.go
@@ -75,7 +75,7 @@
 			})
 
 			convey.Convey("stragglers beyond the budget are left to themselves", func() {
-				hedges, _ := hedgesOf(zltree.Node{}, 300, func(query int, sub zlquery.Sub) time.Duration {
+				hedges, _ := hedgesOf(zltree.Node{}, 300, func(_ int, sub zlquery.Sub) time.Duration {
 					if sub.ID < 2 {
 						return 100 * time.Millisecond
 					}
