zlworker: a pool of goroutines for zlaggr and zlpeer; readers kept

Cause: a fifth of the cost of a batch was the growing of new stacks, and each stream set aside buffers of its own. Change: the pool of zlaggr is a package with a type parameter, zlpeer uses it too; frame readers are kept for reuse.

--- a/core/request/zlaggr/sub.go
+++ b/core/request/zlaggr/sub.go
@@ -136,7 +136,7 @@
 
 // Granted implements zlgate.Entrant.
 func (s *sub) Granted() {
-	s.work.aggregator.workers.run(s)
+	s.work.aggregator.workers.Run(s)
 }
 
 // Refused implements zlgate.Entrant.
--- a/core/request/zlaggr/zlaggr.go
+++ b/core/request/zlaggr/zlaggr.go
@@ -12,6 +12,7 @@
 	"zinnialock/core/connection/zlgate"
 	"zinnialock/core/process/zltimer"
 	"zinnialock/core/process/zlunit"
+	"zinnialock/core/process/zlworker"
 	"zinnialock/core/request/zlquery"
 	"zinnialock/core/version/zlcatalog"
 	"zinnialock/core/version/zlview"
@@ -42,7 +43,8 @@
 	Changed func(zlgate.Change)
 
 	shards  [tableShards]tableShard
-	workers workers
+	once    sync.Once
+	workers zlworker.Pool[*sub]
 	batches atomic.Int64
 }
 
@@ -55,12 +57,15 @@
 // Wait returns once no call to an upstream is left, and ends the goroutines
 // that were kept for more.
 func (a *Aggregator) Wait() {
-	a.workers.wait()
+	a.workers.Wait()
 }
 
 // Serve starts the sub-requests of batch; sink gets one reply for each, on any
 // goroutine. Ctx ends them all.
 func (a *Aggregator) Serve(ctx context.Context, batch *zlquery.Batch, sink func(zlquery.Reply)) *Work {
+	a.once.Do(func() {
+		a.workers.Do = (*sub).run
+	})
 	a.batches.Add(1)
 	w := newWork(a, batch, sink)
 	w.start(ctx)
--- a/io/connection/zlpeer/call.go
+++ b/io/connection/zlpeer/call.go
@@ -91,6 +91,7 @@
 	}
 	c.started(stream)
 	reader := newFrameReader(stream, maxReplyFrame, c.node.countUnknown)
+	defer reader.release()
 	for c.left() > 0 {
 		kind, data, err := reader.next()
 		if err != nil {
--- a/io/connection/zlpeer/frame.go
+++ b/io/connection/zlpeer/frame.go
@@ -90,11 +90,30 @@
 	body    bytes.Buffer
 }
 
+var readers = sync.Pool{
+	New: func() any {
+		return &frameReader{
+			reader: bufio.NewReaderSize(nil, readBuffer),
+		}
+	},
+}
+
 func newFrameReader(r io.Reader, most uint32, dropped func()) *frameReader {
-	return &frameReader{
-		reader:  bufio.NewReaderSize(r, readBuffer),
-		most:    most,
-		dropped: dropped,
+	f := readers.Get().(*frameReader)
+	f.reader.Reset(r)
+	f.most = most
+	f.unknown = 0
+	f.dropped = dropped
+	return f
+}
+
+// release gives the reader back for reuse; nothing that it returned may be
+// looked at any more.
+func (f *frameReader) release() {
+	f.reader.Reset(nil)
+	f.dropped = nil
+	if f.body.Cap() <= keptBuffer {
+		readers.Put(f)
 	}
 }
 
--- a/io/connection/zlpeer/serve.go
+++ b/io/connection/zlpeer/serve.go
@@ -19,7 +19,7 @@
 			return
 		}
 		n.meter.watch(conn)
-		n.wg.Go(func() {
+		n.spawn(func() {
 			n.serveConn(conn)
 		})
 	}
@@ -31,7 +31,7 @@
 		if err != nil {
 			return
 		}
-		n.wg.Go(func() {
+		n.spawn(func() {
 			n.serveStream(stream)
 		})
 	}
@@ -44,23 +44,23 @@
 	}()
 	reader := newFrameReader(stream, maxBatchFrame, n.countUnknown)
 	kind, data, err := reader.next()
-	if err != nil {
+	switch {
+	case err != nil:
 		var fault *Error
 		if errors.As(err, &fault) {
 			n.drop(zlquery.ReasonBadRequest)
 		}
 		n.refuse(stream)
-		return
-	}
-	switch kind {
-	case frameBatch:
+	case kind == frameBatch:
 		n.serveBatch(stream, reader, data)
-	case frameQuestion:
+		return
+	case kind == frameQuestion:
 		n.serveQuestion(stream, data)
 	default:
 		n.countUnknown()
 		n.refuse(stream)
 	}
+	reader.release()
 }
 
 // refuse ends a stream that cannot be served.
@@ -69,11 +69,13 @@
 	stream.CancelWrite(1)
 }
 
+// serveBatch takes reader over.
 func (n *Node) serveBatch(stream *quic.Stream, reader *frameReader, data []byte) {
 	batch, err := decodeBatch(data)
 	if err != nil {
 		n.drop(zlquery.ReasonBadRequest)
 		n.refuse(stream)
+		reader.release()
 		return
 	}
 	out := &replyWriter{
@@ -83,7 +85,7 @@
 	ctx, cancel := context.WithCancel(stream.Context())
 	defer cancel()
 	work := n.Aggregator.Serve(ctx, batch, out.put)
-	n.wg.Go(func() {
+	n.spawn(func() {
 		n.readCancels(reader, work)
 	})
 	out.run(stream)
@@ -91,6 +93,7 @@
 }
 
 func (n *Node) readCancels(reader *frameReader, work *zlaggr.Work) {
+	defer reader.release()
 	for {
 		kind, data, err := reader.next()
 		if err != nil {
--- a/io/connection/zlpeer/zlpeer.go
+++ b/io/connection/zlpeer/zlpeer.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"zinnialock/core/process/zlunit"
+	"zinnialock/core/process/zlworker"
 	"zinnialock/core/request/zlaggr"
 	"zinnialock/core/request/zlcoord"
 	"zinnialock/core/request/zlquery"
@@ -104,7 +105,7 @@
 	listener  *quic.Listener
 	mu        sync.Mutex
 	links     map[string]*link
-	wg        sync.WaitGroup
+	workers   zlworker.Pool[func()]
 	meter     trafficMeter
 }
 
@@ -124,6 +125,9 @@
 		Conn: conn,
 	}
 	n.ctx, n.cancel = context.WithCancel(context.Background())
+	n.workers.Do = func(f func()) {
+		f()
+	}
 	n.links = map[string]*link{}
 	n.listener, err = n.transport.Listen(n.TLS, quicConfig())
 	if err != nil {
@@ -134,7 +138,7 @@
 			Err:  eris.Wrap(err, n.Address),
 		}
 	}
-	n.wg.Go(n.accept)
+	n.spawn(n.accept)
 	return nil
 }
 
@@ -148,7 +152,7 @@
 	}
 	_ = n.transport.Close()
 	_ = n.transport.Conn.Close()
-	n.wg.Wait()
+	n.workers.Wait()
 }
 
 // Dispatch implements zlcoord.Dispatcher; a batch to this very daemon is
@@ -196,7 +200,9 @@
 }
 
 func (n *Node) readAnswer(stream *quic.Stream) ([]byte, error) {
-	kind, data, err := newFrameReader(stream, maxReplyFrame, n.countUnknown).next()
+	reader := newFrameReader(stream, maxReplyFrame, n.countUnknown)
+	defer reader.release()
+	kind, data, err := reader.next()
 	if err != nil {
 		return nil, unreachable("ask", err)
 	}
@@ -261,7 +267,7 @@
 
 // spawn runs f on a goroutine that Close waits for.
 func (n *Node) spawn(f func()) {
-	n.wg.Go(f)
+	n.workers.Run(f)
 }
 
 // drop counts a message that cannot be used.
