--- a/core/request/zlclaim/writer.go
+++ b/core/request/zlclaim/writer.go
@@ -21,9 +21,14 @@
 	storeWait = 500 * time.Millisecond
 	// retryPause is the pause after a failed call to the store.
 	retryPause = 50 * time.Millisecond
-	// archiveSize is the size of a head, in bytes, from which its records move
-	// to an archive.
+	// archiveSize is the least size of a head's records, in bytes, from which
+	// they move to an archive.
 	archiveSize = 32 << 10
+	// refSize is about the size of an archive's name in a head, in bytes.
+	refSize = 64
+	// maxRemovals bounds the archives removed after one write, since claims
+	// wait for it.
+	maxRemovals = 2
 	// maxPending bounds what waits for one segment.
 	maxPending = 4096
 	// outcomeLife bounds how long an outcome is tried.
@@ -61,6 +66,8 @@
 	store   Store
 	timer   *zltimer.Service
 	jobs    chan *job
+	// failingSince is when the store began to fail, or zero.
+	failingSince time.Time
 }
 
 // run serves jobs until ctx ends.
@@ -163,22 +170,30 @@
 	defer cancel()
 	err := w.tryFlush(ctx, &jobs)
 	if err == nil {
+		w.failingSince = time.Time{}
 		return nil
 	}
 	w.segment.synced = false
 	var e *Error
-	if !errors.As(err, &e) || e.Kind != KindConflict {
-		w.timer.Sleep(ctx.Done(), retryPause)
+	if errors.As(err, &e) && e.Kind == KindConflict {
+		return w.expire(jobs, err)
 	}
-	return w.expire(jobs, err)
+	if w.failingSince.IsZero() {
+		w.failingSince = w.timer.Now()
+	}
+	left := w.expire(jobs, err)
+	w.timer.Sleep(ctx.Done(), retryPause)
+	return left
 }
 
-// expire fails the jobs whose time is over.
+// expire fails the jobs whose time is over. While the store has been failing for
+// as long as an ask may wait, each ask gets one try.
 func (w *writer) expire(jobs []*job, err error) []*job {
 	now := w.timer.Now()
+	down := !w.failingSince.IsZero() && now.Sub(w.failingSince) >= claimLife
 	var left []*job
 	for _, j := range jobs {
-		if now.Before(j.expires) {
+		if now.Before(j.expires) && (!down || j.ask == nil) {
 			left = append(left, j)
 			continue
 		}
@@ -265,7 +280,7 @@
 // head moves its records to an archive first.
 func (w *writer) write(ctx context.Context, ops []op) error {
 	next, raised := w.segment.head.expired(w.timer.Now())
-	if w.segment.headSize >= archiveSize {
+	if w.full() {
 		ref, err := w.archive(ctx)
 		if err != nil {
 			return err
@@ -288,11 +303,19 @@
 	w.segment.apply(ops)
 	if raised {
 		w.segment.forget(next.Floor)
-		w.remove(ctx, next.Floor)
 	}
+	w.remove(ctx, next.Floor)
 	return nil
 }
 
+// full reports whether the head's records have to move to an archive. The
+// names of archives weigh in each write as the records do, so the more there
+// are the larger the next one gets.
+func (w *writer) full() bool {
+	names := refSize * len(w.segment.head.Archives)
+	return w.segment.headSize-names >= max(archiveSize, names)
+}
+
 func (w *writer) put(ctx context.Context, name string, ifVersion zlunit.ObjectVersion, value []byte) (zlunit.ObjectVersion, error) {
 	ctx, cancel := context.WithTimeout(ctx, storeWait)
 	defer cancel()
@@ -323,13 +346,18 @@
 
 // remove deletes the archives that no head needs any more: those with no id
 // above the floor. One that a writer left without a head that names it goes the
-// same way. A failure leaves it for the next time.
+// same way. What fails, or is more than a few, is left for the next time.
 func (w *writer) remove(ctx context.Context, floor millis) {
+	left := maxRemovals
 	for name, version := range w.segment.archives {
 		newest, ok := newestOf(name)
 		if !ok || newest > floor {
 			continue
 		}
+		if left == 0 {
+			return
+		}
+		left--
 		if err := w.store.Delete(ctx, w.segment.number, name, version); err == nil {
 			delete(w.segment.archives, name)
 		}
--- a/io/process/zldaemon/admin.go
+++ b/io/process/zldaemon/admin.go
@@ -11,9 +11,11 @@
 		_, _ = fmt.Fprintln(w, "alive")
 	})
 	mux.HandleFunc("GET /readyz", d.serveReady)
+	mux.HandleFunc("GET /status/news", d.serveNews)
 	mux.HandleFunc("GET /cost", d.serveCost)
 	mux.HandleFunc("GET /status", d.serveStatus)
 	mux.HandleFunc("GET /events", d.serveEvents)
+	mux.HandleFunc("GET "+ExplainPath, d.serveExplain)
 	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
 		d.updateGauges()
 		_ = d.metrics.WriteText(w)
--- a/io/process/zldaemon/zldaemon.go
+++ b/io/process/zldaemon/zldaemon.go
@@ -17,6 +17,7 @@
 	"zinnialock/core/request/zlaggr"
 	"zinnialock/core/request/zlcoord"
 	"zinnialock/core/request/zlquery"
+	"zinnialock/core/request/zltrace"
 	"zinnialock/core/version/zlview"
 	"zinnialock/io/connection/zlpeer"
 	"zinnialock/io/process/zlconfig"
@@ -26,6 +27,7 @@
 	"zinnialock/io/process/zlplatform"
 	"zinnialock/io/request/zlfront"
 	"zinnialock/io/request/zlupcall"
+	"zinnialock/io/version/zlgossip"
 	"zinnialock/io/version/zlsync"
 
 	"github.com/phuslu/log"
@@ -73,6 +75,7 @@
 	metrics    *zlmetric.Metrics
 	platform   *zlplatform.Client
 	follower   *zlsync.Follower
+	gossip     *zlgossip.Gossip
 	calls      *zlupcall.Caller
 	aggregator *zlaggr.Aggregator
 	node       *zlpeer.Node
@@ -80,6 +83,7 @@
 	claims     claims
 	fleet      *zlfleet.Fleet
 	events     *zlevent.Ring
+	traces     *zltrace.Store
 	caller     *http.Server
 	admin      *http.Server
 	cancel     context.CancelFunc
@@ -107,9 +111,7 @@
 		d.Kill()
 		return err
 	}
-	d.parts.Go(func() {
-		d.follower.Run(ctx)
-	})
+	d.runNews(ctx)
 	d.parts.Go(func() {
 		d.fleet.Run(ctx)
 	})
@@ -132,14 +134,7 @@
 		HTTP:    d.meter.NewHTTP(),
 		Timeout: cfg.PlatformTimeout,
 	}
-	d.follower = &zlsync.Follower{
-		Deployment: cfg.Deployment,
-		Home:       cfg.DataCentre,
-		Platform:   d.platform,
-		Timer:      d.timer,
-		Views:      d.views,
-		Log:        d.Log,
-	}
+	d.buildNews()
 	d.calls = &zlupcall.Caller{}
 	d.aggregator = &zlaggr.Aggregator{
 		Self:    cfg.Name,
@@ -157,6 +152,7 @@
 		Counter:    d.metrics,
 		Asked:      d.asked,
 	}
+	d.traces = &zltrace.Store{}
 	d.coord = &zlcoord.Coordinator{
 		Self:  cfg.Name,
 		Timer: d.timer,
@@ -167,6 +163,7 @@
 		Dispatcher: d.node,
 		Counter:    d.metrics,
 		Without:    d.Without,
+		Traces:     d.traces,
 	}
 	d.buildClaims()
 	d.buildFleet()
@@ -275,6 +272,9 @@
 	if topic == topicBeat {
 		return d.answerBeat(body)
 	}
+	if reply, handled, err := d.gossip.Answer(ctx, topic, body); handled {
+		return reply, err
+	}
 	return nil, eris.Errorf("unknown topic %q", topic)
 }
 
@@ -289,6 +289,8 @@
 		return false, string(zlquery.ReasonStopping)
 	case d.views.Load() == nil:
 		return false, "no view of the platform yet"
+	case d.markedOut():
+		return false, string(zlquery.ReasonMarkedOut)
 	case d.settled.Load():
 		return true, "ready"
 	case d.timer.Now().Sub(d.started) < settleLimit && !d.fleet.Settled():
