--- a/core/connection/zlgate/conn.go
+++ b/core/connection/zlgate/conn.go
@@ -58,6 +58,10 @@
 	}
 	g := c.gate
 	g.mu.Lock()
+	if c.phase != connDialing {
+		g.mu.Unlock()
+		return
+	}
 	c.phase = connOpen
 	c.idle = g.Timer.Now()
 	g.live++
--- a/core/request/zlaggr/zlaggr.go
+++ b/core/request/zlaggr/zlaggr.go
@@ -113,14 +113,20 @@
 }
 
 // Snapshot returns the status of every upstream that this daemon has spoken
-// to, by name.
+// to and that is still in a catalogue, by name.
 func (a *Aggregator) Snapshot() []zlgate.Status {
 	var out []zlgate.Status
+	view := a.Views.Load()
+	if view == nil {
+		return out
+	}
 	for i := range a.shards {
 		s := &a.shards[i]
 		s.mu.Lock()
-		for _, g := range s.gates {
-			out = append(out, g.Snapshot())
+		for name, g := range s.gates {
+			if _, ok := view.Upstream(name); ok {
+				out = append(out, g.Snapshot())
+			}
 		}
 		s.mu.Unlock()
 	}
--- a/io/request/zlupcall/conn.go
+++ b/io/request/zlupcall/conn.go
@@ -49,12 +49,14 @@
 // opened takes the raw connection over, unless the pool was closed meanwhile.
 func (c *conn) opened(raw net.Conn) (net.Conn, error) {
 	c.mu.Lock()
-	defer c.mu.Unlock()
 	if c.isClosed {
+		c.mu.Unlock()
 		_ = raw.Close()
 		return nil, net.ErrClosed
 	}
 	c.Conn = raw
+	c.mu.Unlock()
+	// The gate may call back, so no lock is held.
 	c.mark.Opened()
 	return c, nil
 }
