zlscene: restarts of many upstreams under load keep within the cold limit

Change: a test of a whole scene, one to three restarts each 100 ms of 89 upstreams for 4 s under 60 queries/s of 10 and 15 shards, read off the upstreams' own counts. Conclusion: the limit holds with holders, leases and routing in place.

--- /dev/null
+++ b/io/standin/zlscene/restarts_test.go
@@ -0,0 +1,96 @@
+package zlscene
+
+import (
+	"context"
+	"io"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"zinnialock/core/process/zlunit"
+	"zinnialock/io/process/zlload"
+
+	"github.com/phuslu/log"
+)
+
+// TestRestartsOfManyUpstreamsUnderLoad restarts upstreams, often several at
+// once, under the load of a whole scene, and reads the upstreams' own counts.
+func TestRestartsOfManyUpstreamsUnderLoad(t *testing.T) {
+	ctx := context.Background()
+	scene := &Scene{
+		Plan: Guild(),
+		Seed: 1,
+		Log: &log.Logger{
+			Writer: &log.IOWriter{
+				Writer: io.Discard,
+			},
+		},
+	}
+	if err := scene.Run(ctx); err != nil {
+		t.Fatal(err)
+	}
+	defer scene.Close()
+	catalogs := &zlload.Catalogs{
+		Client: scene.Client,
+	}
+	if err := catalogs.Read(ctx); err != nil {
+		t.Fatal(err)
+	}
+	names := make([]zlunit.Upstream, 0, len(scene.Upstreams))
+	for name := range scene.Upstreams {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	loaded := make(chan zlload.Summary, 1)
+	go func() {
+		summary, _, err := (&zlload.Load{
+			Targets:  scene.Targets(),
+			Rate:     60,
+			Duration: 4 * time.Second,
+			Seed:     1,
+			Mix: []zlload.Shape{
+				{
+					Service:  "bench-desk",
+					Kind:     "finder",
+					Weight:   1,
+					Deadline: time.Second,
+				},
+				{
+					Service:  "bore-library",
+					Kind:     "finder",
+					Weight:   1,
+					Deadline: time.Second,
+				},
+			},
+			Checker: &zlload.Checker{
+				Shards: catalogs.Shards,
+			},
+		}).Run(ctx)
+		if err != nil {
+			t.Error(err)
+		}
+		loaded <- summary
+	}()
+	random := rand.New(rand.NewPCG(1, 1))
+	var summary zlload.Summary
+	for running := true; running; {
+		select {
+		case summary = <-loaded:
+			running = false
+		case <-time.After(100 * time.Millisecond):
+			for range 1 + random.IntN(3) {
+				scene.Upstreams[names[random.IntN(len(names))]].GoCold(true)
+			}
+		}
+	}
+	t.Logf("%d sent, %d answered, %d refused, coverage %.4f, p99 %.0f ms", summary.Sent, summary.Answered, summary.Refused, summary.CoverageMean, summary.P99Ms)
+	for name, u := range scene.Upstreams {
+		if c := u.Counts(); c.ColdPeak > int(c.ColdLimit) || c.RefusedConns > 0 {
+			t.Errorf("upstream %s: %d in flight while cold, limit %d; %d connections refused", name, c.ColdPeak, c.ColdLimit, c.RefusedConns)
+		}
+	}
+	if len(summary.Violations) > 0 {
+		t.Errorf("%v", summary.Violations)
+	}
+}
