A planned stop retries to say leaving and lets last replies through

Cause: a platform that failed once left a stopping daemon in the roster as ready; the last replies to other daemons raced the end of their connection; the last write could outlast the stop limit by 20 s.

--- a/io/process/zldaemon/zldaemon.go
+++ b/io/process/zldaemon/zldaemon.go
@@ -209,6 +209,10 @@
 	})
 }
 
+// flushTime is kept between the last reply to another daemon and the end of
+// its connection, so that the reply gets through.
+const flushTime = 100 * time.Millisecond
+
 // Stop says that the daemon is leaving, goes on serving for the grace, lets
 // running queries finish, hands its upstreams over and ends. The error, if
 // any, says how many queries were cut.
@@ -226,6 +230,7 @@
 	if !d.fleet.Release(ctx) {
 		d.Log.Warn().Msg("daemon: left without a full release, others wait for its lease")
 	}
+	d.timer.Sleep(ctx.Done(), flushTime)
 	d.Kill()
 	if err != nil {
 		return &Error{
--- a/io/process/zlfleet/roster.go
+++ b/io/process/zlfleet/roster.go
@@ -112,6 +112,10 @@
 		Kind:    zlevent.KindLeaving,
 		Subject: string(f.Self.VM),
 	})
+	return f.sayLeaving(ctx)
+}
+
+func (f *Fleet) sayLeaving(ctx context.Context) error {
 	self := f.Self
 	self.State = zlroster.StateLeaving
 	return f.edit(ctx, func(r zlroster.Roster) zlroster.Roster {
@@ -122,9 +126,28 @@
 	})
 }
 
+// leave says again that this daemon is leaving if the roster lacks that.
+func (f *Fleet) leave(ctx context.Context, now time.Time) {
+	if !f.leaving.Load() {
+		return
+	}
+	f.mu.Lock()
+	m, ok := f.roster.Member(f.Self.VM)
+	f.mu.Unlock()
+	if !ok || m.Incarnation != f.Self.Incarnation || m.State == zlroster.StateLeaving || !f.due("leave", writePeriod, now) {
+		return
+	}
+	f.spawn("leave", func() {
+		_ = f.sayLeaving(ctx)
+	})
+}
+
 // drainPoll is the time between two looks at what is still in flight.
 const drainPoll = 20 * time.Millisecond
 
+// lastWrite bounds the write that records the release.
+const lastWrite = 3 * time.Second
+
 // Release gives up everything, waits until nothing is in flight at any
 // upstream and writes this daemon out of the roster. It reports false if ctx
 // ended before that.
@@ -141,7 +164,9 @@
 	if !drained {
 		how = zlroster.ExitSilent
 	}
-	err := f.edit(context.WithoutCancel(ctx), func(r zlroster.Roster) zlroster.Roster {
+	last, cancel := context.WithTimeout(context.WithoutCancel(ctx), lastWrite)
+	defer cancel()
+	err := f.edit(last, func(r zlroster.Roster) zlroster.Roster {
 		return r.Without([]zlroster.Departure{{
 			Member: f.Self,
 			How:    how,
--- a/io/process/zlfleet/zlfleet.go
+++ b/io/process/zlfleet/zlfleet.go
@@ -132,6 +132,7 @@
 	f.doubt(ctx, now)
 	f.confirm(ctx, now)
 	f.join(ctx, now)
+	f.leave(ctx, now)
 	f.writeOut(ctx, now)
 	f.noteShares(now)
 }
