--- a/io/process/zldaemon/admin.go
+++ b/io/process/zldaemon/admin.go
@@ -15,6 +15,7 @@
 	mux.HandleFunc("GET /cost", d.serveCost)
 	mux.HandleFunc("GET /status", d.serveStatus)
 	mux.HandleFunc("GET /events", d.serveEvents)
+	mux.HandleFunc("GET "+ExplainPath, d.serveExplain)
 	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
 		d.updateGauges()
 		_ = d.metrics.WriteText(w)
--- a/io/process/zldaemon/zldaemon.go
+++ b/io/process/zldaemon/zldaemon.go
@@ -17,6 +17,7 @@
 	"zinnialock/core/request/zlaggr"
 	"zinnialock/core/request/zlcoord"
 	"zinnialock/core/request/zlquery"
+	"zinnialock/core/request/zltrace"
 	"zinnialock/core/version/zlview"
 	"zinnialock/io/connection/zlpeer"
 	"zinnialock/io/process/zlconfig"
@@ -82,6 +83,7 @@
 	claims     claims
 	fleet      *zlfleet.Fleet
 	events     *zlevent.Ring
+	traces     *zltrace.Store
 	caller     *http.Server
 	admin      *http.Server
 	cancel     context.CancelFunc
@@ -150,6 +152,7 @@
 		Counter:    d.metrics,
 		Asked:      d.asked,
 	}
+	d.traces = &zltrace.Store{}
 	d.coord = &zlcoord.Coordinator{
 		Self:  cfg.Name,
 		Timer: d.timer,
@@ -160,6 +163,7 @@
 		Dispatcher: d.node,
 		Counter:    d.metrics,
 		Without:    d.Without,
+		Traces:     d.traces,
 	}
 	d.buildClaims()
 	d.buildFleet()
--- a/io/process/zlload/zlload.go
+++ b/io/process/zlload/zlload.go
@@ -160,8 +160,10 @@
 	return l.Mix[0]
 }
 
+// id makes a request id. Of the requests that are not idempotent every other
+// one has an id that carries its time, the rest ids of the caller's own form.
 func (c *caller) id() zlunit.RequestID {
-	if c.once {
+	if c.once && c.number%2 == 0 {
 		return zlclaim.NewID(time.Now())
 	}
 	return zlunit.RequestID(fmt.Sprintf("load-%d-%d-%d", c.load.Seed, c.tally.start.UnixNano(), c.number))
--- a/io/standin/zlscene/zlscene.go
+++ b/io/standin/zlscene/zlscene.go
@@ -27,6 +27,14 @@
 // FirstVersion is the index version that a scene starts with.
 const FirstVersion zlunit.IndexVersion = 1
 
+// What the platform stand-in allows, in calls per second, and how old its list
+// of VMs is.
+const (
+	platformReads  = 2000
+	platformWrites = 300
+	platformLag    = 5 * time.Second
+)
+
 // Scene is a running deployment. Plan, Seed and Log must be set before Run.
 type Scene struct {
 	Plan UserPlan
@@ -79,7 +87,11 @@
 	if err != nil {
 		return eris.Wrap(err, "platform stand-in")
 	}
-	s.Platform = &zlfakeplatform.Platform{}
+	s.Platform = &zlfakeplatform.Platform{
+		ReadsPerSecond:  platformReads,
+		WritesPerSecond: platformWrites,
+		VMLag:           platformLag,
+	}
 	s.server = &http.Server{
 		Handler:           s.Platform.Handler(),
 		ReadHeaderTimeout: time.Minute,
@@ -292,7 +304,7 @@
 	return ""
 }
 
-// Close ends everything at once.
+// Close ends everything at once, also after a Run that failed.
 func (s *Scene) Close() {
 	for n, e := range s.entries {
 		if !s.killed[n] {
@@ -302,6 +314,8 @@
 	for _, u := range s.Upstreams {
 		u.Close()
 	}
-	s.Client.HTTP.CloseIdleConnections()
-	_ = s.server.Close()
+	if s.server != nil {
+		s.Client.HTTP.CloseIdleConnections()
+		_ = s.server.Close()
+	}
 }
