--- a/core/process/zltenure/grant.go
+++ b/core/process/zltenure/grant.go
@@ -77,8 +77,9 @@
 
 // stranded is the share of a holder whose lease ended without news of a later
 // epoch: what every later holder leaves free until this one is accounted for.
+// After a pause there is none, since what was known of the upstream is old.
 func (t *Tenure) stranded(u Use, h *hold, now time.Time) Share {
-	if !h.full() || t.later > t.roster.Epoch {
+	if !h.full() || t.later > t.roster.Epoch || t.woke || t.paused(now) {
 		return Share{
 			Why: WhyLeaseOver,
 		}
--- a/core/process/zltenure/zltenure.go
+++ b/core/process/zltenure/zltenure.go
@@ -23,6 +23,8 @@
 	// sendMargin is kept between a grant's end and the lease's, for the time
 	// that a cancellation takes to reach the upstream.
 	sendMargin = 50 * time.Millisecond
+	// pauseGap is the time between two ticks that tells of a pause.
+	pauseGap = time.Second
 	// keptAdoptions bounds what is remembered of one daemon's epochs.
 	keptAdoptions = 16
 )
@@ -44,6 +46,10 @@
 	confirmed time.Time
 	// platform is when any epoch was last confirmed by the platform.
 	platform time.Time
+	// ticked is the time of the last Tick; woke tells that the process was
+	// paused since its lease was last current.
+	ticked time.Time
+	woke   bool
 	// stopped tells that this daemon has given up everything for good.
 	stopped bool
 	holds   map[zlunit.Upstream]*hold
@@ -189,9 +195,22 @@
 	t.holds = map[zlunit.Upstream]*hold{}
 }
 
-// Tick takes up what the passing of time has changed.
+// Tick takes up what the passing of time has changed. It must be called several
+// times a second, since a gap is taken for a pause.
 func (t *Tenure) Tick(now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.woke = t.woke || t.paused(now)
+	if remaining(now, t.leaseEnd()) > 0 {
+		t.woke = false
+	}
+	t.ticked = now
 	t.settle(now)
 }
+
+// paused reports whether the last tick is longer ago than it can be without a
+// pause.
+func (t *Tenure) paused(now time.Time) bool {
+	gap := max(now.Sub(t.ticked), now.Round(0).Sub(t.ticked.Round(0)))
+	return !t.ticked.IsZero() && gap > pauseGap
+}
--- a/core/version/zlroster/ring.go
+++ b/core/version/zlroster/ring.go
@@ -1,9 +1,6 @@
 package zlroster
 
 import (
-	"cmp"
-	"slices"
-
 	"zinnialock/core/process/zlunit"
 
 	"github.com/cespare/xxhash/v2"
@@ -12,49 +9,59 @@
 // VouchersPerMember is how many members vouch for one, where there are so many.
 const VouchersPerMember = 3
 
-// ring returns the members in the order of a hash of their names, so that
+// place is a member's place on the ring: a hash of its name, so that
 // neighbours seldom share a rack.
-func (r Roster) ring() []Member {
-	out := slices.Clone(r.Members)
-	slices.SortFunc(out, func(a, b Member) int {
-		return cmp.Or(
-			cmp.Compare(xxhash.Sum64String(string(a.VM)), xxhash.Sum64String(string(b.VM))),
-			cmp.Compare(a.VM, b.VM),
-		)
-	})
-	return out
+func place(vm zlunit.VM) uint64 {
+	return xxhash.Sum64String(string(vm))
 }
 
 // Vouchers returns the members that vouch for vm: the next ones on the ring.
 func (r Roster) Vouchers(vm zlunit.VM) []Member {
-	ring := r.ring()
-	i := indexOf(ring, vm)
-	if i < 0 {
-		return nil
-	}
-	out := make([]Member, 0, VouchersPerMember)
-	for step := 1; step < len(ring) && len(out) < VouchersPerMember; step++ {
-		out = append(out, ring[(i+step)%len(ring)])
-	}
-	return out
+	self := place(vm)
+	return r.nearest(vm, func(other zlunit.VM) uint64 {
+		return place(other) - self
+	})
 }
 
 // Vouched returns the members that vm vouches for, nearest first.
 func (r Roster) Vouched(vm zlunit.VM) []Member {
-	ring := r.ring()
-	i := indexOf(ring, vm)
-	if i < 0 {
+	self := place(vm)
+	return r.nearest(vm, func(other zlunit.VM) uint64 {
+		return self - place(other)
+	})
+}
+
+// nearest returns the members other than vm with the least distances, or none
+// if vm is not a member.
+func (r Roster) nearest(vm zlunit.VM, distance func(zlunit.VM) uint64) []Member {
+	var best [VouchersPerMember]int
+	var far [VouchersPerMember]uint64
+	n := 0
+	member := false
+	for i, m := range r.Members {
+		if m.VM == vm {
+			member = true
+			continue
+		}
+		at, d := i, distance(m.VM)
+		for j := range best {
+			if j >= n {
+				best[j], far[j] = at, d
+				n++
+				break
+			}
+			if d < far[j] {
+				best[j], at = at, best[j]
+				far[j], d = d, far[j]
+			}
+		}
+	}
+	if !member {
 		return nil
 	}
-	out := make([]Member, 0, VouchersPerMember)
-	for step := 1; step < len(ring) && len(out) < VouchersPerMember; step++ {
-		out = append(out, ring[(i-step+len(ring))%len(ring)])
+	out := make([]Member, 0, n)
+	for _, i := range best[:n] {
+		out = append(out, r.Members[i])
 	}
 	return out
 }
-
-func indexOf(ring []Member, vm zlunit.VM) int {
-	return slices.IndexFunc(ring, func(m Member) bool {
-		return m.VM == vm
-	})
-}
--- a/core/version/zlroster/zlroster.go
+++ b/core/version/zlroster/zlroster.go
@@ -97,13 +97,13 @@
 	return r.Member(holders[0])
 }
 
-func score(vm zlunit.VM, u zlunit.Upstream) uint64 {
-	var d xxhash.Digest
-	d.Reset()
-	_, _ = d.WriteString(string(vm))
-	_, _ = d.WriteString("\x00")
-	_, _ = d.WriteString(string(u))
-	return d.Sum64()
+// score ranks a member for an upstream of the given hash. The last steps are
+// the finalizer of SplitMix64, which spreads a difference of one bit over all.
+func score(vm zlunit.VM, upstream uint64) uint64 {
+	x := xxhash.Sum64String(string(vm)) ^ upstream
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
 }
 
 // Holders returns the daemons that speak to u, best first, by rendezvous
@@ -115,10 +115,12 @@
 	}
 	var best [HoldersPerUpstream]ranked
 	n := 0
+	// The multiplication keeps a VM and an upstream of one name from cancelling.
+	upstream := xxhash.Sum64String(string(u)) * 0x9e3779b97f4a7c15
 	for _, m := range r.holding() {
 		c := ranked{
 			vm:    m.VM,
-			score: score(m.VM, u),
+			score: score(m.VM, upstream),
 		}
 		for i := range best {
 			if i >= n || c.score > best[i].score {
