A VM under another's address proves the old one dead; counters; stop limit test

Cause: a VM replaced under the same address but another name left the old one silent until the platform's list proved it gone (4 min); what the tenure refused was not counted by reason; the stop limit had no test. Change: an answer by a younger process of another VM is proof of death; counters tenureRefusal, beatFailed, rosterWrite; a test that the stop limit names what it cut.

--- a/io/process/zldaemon/fleet.go
+++ b/io/process/zldaemon/fleet.go
@@ -10,6 +10,7 @@
 	"zinnialock/core/process/zlevent"
 	"zinnialock/core/process/zltenure"
 	"zinnialock/core/process/zlunit"
+	"zinnialock/core/request/zlquery"
 	"zinnialock/core/version/zlroster"
 	"zinnialock/io/connection/zlpeer"
 	"zinnialock/io/process/zlfleet"
@@ -44,6 +45,9 @@
 		Events:  d.events,
 		Log:     d.Log,
 		Drained: d.drained,
+		Count: func(what, reason string) {
+			d.metrics.Count(what, zlquery.Reason(reason))
+		},
 	}
 	d.fleet.Init()
 	d.aggregator.Tenure = d.fleet
--- a/io/process/zlfleet/ask.go
+++ b/io/process/zlfleet/ask.go
@@ -58,11 +58,16 @@
 		}
 		e, err := f.Peers.Beat(ctx, to.Peer, &b)
 		if err != nil {
+			f.Count(CountBeat, name)
 			f.suspect(ctx, to)
 			return
 		}
 		now := f.Timer.Now()
 		f.tenure.Heard(to.Key(), b.Epoch, asked, e, now)
+		if e.VM != to.VM && e.Incarnation > to.Incarnation {
+			f.detector.Refused(to.Key())
+			f.dead(to, "its address is now that of "+string(e.VM))
+		}
 		f.detector.Heard(zlroster.Key{
 			VM:          e.VM,
 			Incarnation: e.Incarnation,
--- a/io/process/zlfleet/fake_test.go
+++ b/io/process/zlfleet/fake_test.go
@@ -99,6 +99,10 @@
 }
 
 func (s *scene) start(vm string) *fakeDaemon {
+	return s.startAt(vm, vm)
+}
+
+func (s *scene) startAt(vm, address string) *fakeDaemon {
 	d := &fakeDaemon{
 		scene: s,
 		done:  make(chan struct{}),
@@ -107,7 +111,7 @@
 		Self: zlroster.Member{
 			VM:          zlunit.VM(vm),
 			Incarnation: zlunit.Incarnation(time.Now().UnixNano()),
-			Peer:        vm,
+			Peer:        address,
 		},
 		Home:   testHome,
 		Timer:  &zltimer.Service{},
@@ -121,10 +125,11 @@
 		Drained: func(zlunit.Upstream) bool {
 			return true
 		},
+		Count: func(string, string) {},
 	}
 	d.fleet.Init()
 	s.mu.Lock()
-	s.members[vm] = d
+	s.members[address] = d
 	s.vms[zlunit.VM(vm)] = true
 	s.mu.Unlock()
 	ctx, cancel := context.WithCancel(context.Background())
--- a/io/process/zlfleet/grant.go
+++ b/io/process/zlfleet/grant.go
@@ -27,6 +27,7 @@
 func (f *Fleet) Grant(u zlcatalog.Upstream) zlaggr.Grant {
 	s := f.tenure.May(use(u), f.Timer.Now())
 	if !s.OK {
+		f.Count(CountRefusal, string(s.Why))
 		return zlaggr.Grant{
 			Refusal: zlquery.ReasonNotHolder,
 		}
--- a/io/process/zlfleet/roster.go
+++ b/io/process/zlfleet/roster.go
@@ -19,6 +19,7 @@
 	asked := f.Timer.Now()
 	r, err := f.Store.Edit(ctx, change)
 	if err != nil {
+		f.Count(CountRoster, "failed")
 		if f.due("edit failed", time.Minute, asked) {
 			f.Log.Warn().Err(err).Msg("fleet: writing the roster failed")
 			f.Events.Add(zlevent.Event{
@@ -92,6 +93,7 @@
 			return
 		}
 		for _, d := range done {
+			f.Count(CountRoster, string(d.How))
 			f.Log.Warn().Str("vm", string(d.VM)).Str("how", string(d.How)).Msg("fleet: member written out")
 			f.Events.Add(zlevent.Event{
 				At:      f.Timer.Now(),
--- a/io/process/zlfleet/zlfleet.go
+++ b/io/process/zlfleet/zlfleet.go
@@ -72,6 +72,8 @@
 	Events  *zlevent.Ring
 	Log     *log.Logger
 	Drained func(zlunit.Upstream) bool
+	// Count counts refusals and repairs by reason.
+	Count func(what, reason string)
 
 	tenure   *zltenure.Tenure
 	detector *zlmember.Detector
@@ -90,6 +92,16 @@
 	joined   bool
 }
 
+// The names of what Count counts.
+const (
+	// CountRefusal is a sub-request that the tenure refused.
+	CountRefusal = "tenureRefusal"
+	// CountBeat is a heartbeat or question without an answer.
+	CountBeat = "beatFailed"
+	// CountRoster is a write of the roster, by its purpose or fault.
+	CountRoster = "rosterWrite"
+)
+
 // Init prepares the parts that Grant and Answer need; Run needs it, too.
 func (f *Fleet) Init() {
 	f.tenure = &zltenure.Tenure{
--- a/io/process/zlfleet/zlfleet_test.go
+++ b/io/process/zlfleet/zlfleet_test.go
@@ -83,6 +83,18 @@
 	})
 }
 
+func TestVMReplacedUnderTheSameAddress(t *testing.T) {
+	inScene(t, "Whoever answers at an address shows that the one before is dead", 3, func(s *scene) {
+		s.members["vm0"].kill()
+		s.startAt("other", "vm0")
+		s.mustHeal(t, "a VM replaced under its address", takeoverTarget)
+		time.Sleep(takeoverTarget)
+		convey.So(s.has("vm0"), convey.ShouldBeFalse)
+		convey.So(s.has("other"), convey.ShouldBeTrue)
+		convey.So(s.full(), convey.ShouldEqual, len(s.upstreams))
+	})
+}
+
 func TestPausedHolderKeepsItsReserve(t *testing.T) {
 	inScene(t, "Nobody takes the whole of what a silent daemon held", 3, func(s *scene) {
 		s.set(func() { s.members["vm0"].cut = true })
--- a/io/standin/zlscene/rolling_test.go
+++ b/io/standin/zlscene/rolling_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net/http"
 	"os"
@@ -12,8 +13,10 @@
 
 	"zinnialock/core/process/zlunit"
 	"zinnialock/core/request/zlquery"
+	"zinnialock/io/process/zldaemon"
 	"zinnialock/io/process/zlload"
 	"zinnialock/io/request/zlfront"
+	"zinnialock/io/standin/zlfakeupstream"
 
 	"github.com/phuslu/log"
 	"github.com/smartystreets/goconvey/convey"
@@ -168,3 +171,50 @@
 		}
 	})
 }
+
+func TestStopLimitSaysWhatItCut(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	defer http.DefaultClient.CloseIdleConnections()
+	convey.Convey("A query that outlasts the stop limit is cut and counted", t, func() {
+		s := &Scene{
+			Plan: UserPlan{
+				Deployment:  "guild",
+				DataCentres: []zlunit.DataCentre{"nashua"},
+				Daemons:     1,
+				Services:    []ServicePlan{whole("rolls", 1, 6, 100)},
+			},
+			Seed: 1,
+			Log: &log.Logger{
+				Level: log.PanicLevel,
+			},
+		}
+		convey.So(s.Run(context.Background()), convey.ShouldBeNil)
+		defer s.Close()
+		for _, u := range s.Upstreams {
+			u.Update(func(x *zlfakeupstream.Settings) {
+				x.ServiceMs = 60_000
+			})
+		}
+		d := s.entries[0].(*daemonEntry).daemon
+		d.Config.StopGrace = 0
+		d.Config.StopLimit = 200 * time.Millisecond
+		asked := make(chan error, 1)
+		go func() {
+			_, err := zlload.Post(context.Background(), http.DefaultClient, s.Targets()[0], &zlfront.Request{
+				Service:    "rolls",
+				Kind:       "lookup",
+				DeadlineMs: 60_000,
+			})
+			asked <- err
+		}()
+		for d.InFlight() == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		err := s.Stop(0)
+		var fault *zldaemon.Error
+		convey.So(errors.As(err, &fault), convey.ShouldBeTrue)
+		convey.So(fault.Kind, convey.ShouldEqual, zldaemon.KindCut)
+		convey.So(err.Error(), convey.ShouldContainSubstring, "1 queries cut")
+		<-asked
+	})
+}
