A daemon is ready only once it holds the whole of its upstreams

Cause: a lone member of a data centre counted as settled before its first confirmation, with half of the slots and nothing of the cold limit; a write of the roster was not taken for the confirmation that it is. Change: settled means held whole; a write confirms its epoch as of its asking.

--- a/contrib/fleet.sh
+++ b/contrib/fleet.sh
@@ -162,6 +162,7 @@
 	codes+="$code "
 	cut=$((cut + $(sum "$work/roll.json" failed)))
 	refusals=$((refusals + $(sum "$work/roll.json" refused)))
+	grep -A8 '"reasons": {$' "$work/roll.json" | grep -E '"[a-zA-Z]+": [0-9]+' || true
 	start "$i"; ready "$i"
 done
 row "rolling replacement: exit codes" "$codes"
--- a/io/process/zlfleet/grant.go
+++ b/io/process/zlfleet/grant.go
@@ -163,14 +163,14 @@
 	return h
 }
 
-// Settled reports whether this daemon is in the roster and may use all that it
-// holds.
+// Settled reports whether this daemon is in the roster and may use the whole of
+// all that it holds.
 func (f *Fleet) Settled() bool {
 	if !f.Member() {
 		return false
 	}
 	for _, h := range f.Status().Held {
-		if !h.Usable {
+		if h.Why != zltenure.WhyHeld {
 			return false
 		}
 	}
--- a/io/process/zlfleet/roster.go
+++ b/io/process/zlfleet/roster.go
@@ -31,6 +31,8 @@
 		return err
 	}
 	f.adopt(r, f.Timer.Now())
+	// The write, or the read that made it needless, took effect after asked.
+	f.tenure.Confirm(r.Epoch, asked)
 	return nil
 }
 
