config and mark subcommands; laggards in the news ask all their neighbours

Cause: operators had no way to change settings or marks but raw writes, and no way to see what is in force where. At 660 daemons the oldest view was 3.9 s old, past the default viewAge of 3 s, with each daemon hearing the platform every 6.6 s and asking two others a second. Change: config get, set, put, diff, history, status and bench; mark vm, dc, upstream, list, with the check for the last one repeated on each try. A round asks two near and one far daemon, all neighbours once the view is 1.5 s old; watches last 7 ms for each daemon of the fleet.

--- a/cmd/cmd.go
+++ b/cmd/cmd.go
@@ -42,6 +42,16 @@
 			summary: "validate a daemon's settings file",
 			run:     runCheck,
 		},
+		{
+			name:    "config",
+			summary: "show and change the operators' settings tree",
+			run:     runConfig,
+		},
+		{
+			name:    "mark",
+			summary: "take a VM, a data centre or an upstream out of service, or bring it back",
+			run:     runMark,
+		},
 		{
 			name:    "query",
 			summary: "send one query and show its answer",
@@ -105,9 +115,17 @@
 const hintDistance = 3
 
 func hint(typed string) string {
+	return hintAmong(commands(), typed)
+}
+
+// hintAmong suggests one of the given subcommands.
+func hintAmong(among []command, typed string) string {
 	best := ""
 	least := hintDistance + 1
-	for _, c := range commands() {
+	for _, c := range among {
+		if typed != "" && strings.HasPrefix(c.name, typed) {
+			return fmt.Sprintf("; did you mean %q?", c.name)
+		}
 		if d := distance(typed, c.name); d < least {
 			best, least = c.name, d
 		}
--- /dev/null
+++ b/cmd/config.go
@@ -0,0 +1,213 @@
+package cmd
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"net/http"
+	"os"
+	"time"
+
+	"zinnialock/core/process/zltimer"
+	"zinnialock/core/version/zlhistory"
+	"zinnialock/core/version/zlmark"
+	"zinnialock/core/version/zltree"
+	"zinnialock/io/process/zlplatform"
+	"zinnialock/io/version/zlsync"
+)
+
+// configCommands lists the subcommands of config.
+func configCommands() []command {
+	return []command{
+		{
+			name:    "get",
+			summary: "show the resolved settings of a place and where each comes from",
+			run:     runConfigGet,
+		},
+		{
+			name:    "set",
+			summary: "set or unset one value",
+			run:     runConfigSet,
+		},
+		{
+			name:    "put",
+			summary: "put a whole tree from a file",
+			run:     runConfigPut,
+		},
+		{
+			name:    "diff",
+			summary: "compare the tree with a file; exit code 1 when they differ",
+			run:     runConfigDiff,
+		},
+		{
+			name:    "history",
+			summary: "show who changed what, when and why",
+			run:     runConfigHistory,
+		},
+		{
+			name:    "status",
+			summary: "show what is in force at each daemon and since when",
+			run:     runConfigStatus,
+		},
+		{
+			name:    "bench",
+			summary: "measure the time from an accepted edit to the last daemon in force",
+			run:     runConfigBench,
+		},
+	}
+}
+
+func runConfig(e *env, args []string) int {
+	return runSub(e, "config", configCommands(), args)
+}
+
+// runSub runs one of the subcommands of a subcommand.
+func runSub(e *env, name string, subs []command, args []string) int {
+	list := func() {
+		_, _ = fmt.Fprintf(e.stderr, "Usage: zinnialock %s SUBCOMMAND [flags]\n", name)
+		for _, c := range subs {
+			_, _ = fmt.Fprintf(e.stderr, "  %-9s %s\n", c.name, c.summary)
+		}
+	}
+	if len(args) == 0 {
+		list()
+		return exitUsage
+	}
+	for _, c := range subs {
+		if c.name == args[0] {
+			return c.run(e, args[1:])
+		}
+	}
+	if args[0] == "-h" || args[0] == "--help" || args[0] == "help" {
+		list()
+		return exitDone
+	}
+	_, _ = fmt.Fprintf(e.stderr, "zinnialock %s: unknown subcommand %q%s\n", name, args[0], hintAmong(subs, args[0]))
+	return exitUsage
+}
+
+// platformFlags are the flags of every command that calls the platform.
+type platformFlags struct {
+	address string
+	wait    time.Duration
+}
+
+func (p *platformFlags) add(fs *flag.FlagSet) {
+	fs.StringVar(&p.address, "platform", "127.0.0.1:7000", "address of the platform's object API, `IP:PORT`")
+	fs.DurationVar(&p.wait, "wait", 10*time.Second, "how long to try")
+}
+
+// editor returns an editor and a context that ends after the wait.
+func (p *platformFlags) editor() (*zlsync.Editor, context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithTimeout(context.Background(), p.wait)
+	return &zlsync.Editor{
+		Platform: &zlplatform.Client{
+			Address: p.address,
+			HTTP:    http.DefaultClient,
+			Timeout: 2 * time.Second,
+		},
+		Timer: &zltimer.Service{},
+	}, ctx, cancel
+}
+
+// editFlags are the flags of every command that changes a record.
+type editFlags struct {
+	platformFlags
+	by     string
+	reason string
+}
+
+func (p *editFlags) add(fs *flag.FlagSet) {
+	p.platformFlags.add(fs)
+	fs.StringVar(&p.by, "by", os.Getenv("USER"), "who makes the change")
+	fs.StringVar(&p.reason, "reason", "", "why; kept in the history")
+}
+
+func (p *editFlags) check() error {
+	if err := checkAddress("platform", p.address); err != nil {
+		return err
+	}
+	if p.by == "" {
+		return errors.New("flag -by: found nothing, allowed is the name of who makes the change")
+	}
+	if p.reason == "" {
+		return errors.New("flag -reason: found nothing, allowed is a text that says why")
+	}
+	return nil
+}
+
+// edit makes a change and shows what became of it.
+func (p *editFlags) edit(e *env, target *zlsync.Target, format string, prepare func(ctx context.Context, ed *zlsync.Editor, edit *zlsync.Edit)) int {
+	ed, ctx, cancel := p.editor()
+	defer cancel()
+	edit := &zlsync.Edit{
+		By:     p.by,
+		Reason: p.reason,
+	}
+	prepare(ctx, ed, edit)
+	accepted, err := ed.Edit(ctx, target, edit)
+	if err != nil {
+		return e.fail(editExit(err), errors.New(plain(err)))
+	}
+	if format == "json" {
+		e.json(accepted)
+		return exitDone
+	}
+	if accepted.Unchanged {
+		e.printf("nothing to change, serial %d\n", accepted.Serial)
+		return exitDone
+	}
+	e.printf("accepted and read back, serial %d\n", accepted.Serial)
+	showChanges(e, accepted.Changes)
+	return exitDone
+}
+
+// editExit is 2 for a change that is wrong in itself, otherwise 1.
+func editExit(err error) int {
+	var syncErr *zlsync.Error
+	if errors.As(err, &syncErr) && syncErr.Kind == zlsync.KindInvalid {
+		var markErr *zlmark.Error
+		if !errors.As(err, &markErr) {
+			return exitUsage
+		}
+	}
+	var usage *usageError
+	if errors.As(err, &usage) {
+		return exitUsage
+	}
+	return exitFailed
+}
+
+// usageError is a fault of what the operator typed.
+type usageError struct {
+	text string
+}
+
+// Error implements error.
+func (u *usageError) Error() string {
+	return u.text
+}
+
+// plain returns the message of the innermost error that speaks to operators.
+func plain(err error) string {
+	var history *zlhistory.Error
+	if errors.As(err, &history) {
+		return history.Error()
+	}
+	var tree *zltree.Error
+	if errors.As(err, &tree) {
+		return tree.Error()
+	}
+	var mark *zlmark.Error
+	if errors.As(err, &mark) {
+		return fmt.Sprintf("refused, nothing was written: %v; -force does it all the same", mark.Err)
+	}
+	return err.Error()
+}
+
+func showChanges(e *env, changes []zlhistory.Change) {
+	for _, c := range changes {
+		e.printf("  %s %s: %s -> %s\n", c.Path, c.Key, zlhistory.Text(c.Old), zlhistory.Text(c.New))
+	}
+}
--- /dev/null
+++ b/cmd/config_tree.go
@@ -0,0 +1,325 @@
+package cmd
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+
+	"zinnialock/core/process/zlunit"
+	"zinnialock/core/version/zlhistory"
+	"zinnialock/core/version/zltree"
+	"zinnialock/io/version/zlsync"
+)
+
+const placeAllowed = "deployment[/dataCentre[/service[/queryKind]]]"
+
+// loadTree reads the tree from the platform.
+func (p *platformFlags) loadTree() (*zltree.Tree, error) {
+	if err := checkAddress("platform", p.address); err != nil {
+		return nil, &usageError{
+			text: err.Error(),
+		}
+	}
+	ed, ctx, cancel := p.editor()
+	defer cancel()
+	r, err := ed.Load(ctx, &zlsync.Settings)
+	if err != nil {
+		return nil, err
+	}
+	return asTree(r), nil
+}
+
+// asTree returns the tree that a record of zlsync.Settings is.
+func asTree(r zlhistory.Record) *zltree.Tree {
+	tree, ok := r.(*zltree.Tree)
+	if !ok {
+		return &zltree.Tree{}
+	}
+	return tree
+}
+
+// shownValue is one resolved setting.
+type shownValue struct {
+	Key    zltree.Key  `json:"key"`
+	Value  any         `json:"value"`
+	Origin zltree.Path `json:"origin"`
+}
+
+func runConfigGet(e *env, args []string) int {
+	fs := newFlags(e, "config get", "Show the resolved settings of a place and where each value comes from.")
+	var p platformFlags
+	p.add(fs)
+	at := fs.String("at", "", "`PLACE`: "+placeAllowed)
+	key := fs.String("key", "", "only this `KEY`")
+	raw := fs.Bool("raw", false, "print the whole tree as put takes it")
+	format := formatFlag(fs)
+	if code, ok := parse(e, fs, args); !ok {
+		return code
+	}
+	place, ok := zltree.ParsePlace(*at)
+	if err := checkFormat(*format); err != nil || !ok && !*raw {
+		return e.fail(exitUsage, errors.Join(err, fmt.Errorf("flag -at: found %q, allowed is %s", *at, placeAllowed)))
+	}
+	tree, err := p.loadTree()
+	if err != nil {
+		return e.fail(editExit(err), err)
+	}
+	if *raw {
+		e.json(treeFile(tree))
+		return exitDone
+	}
+	resolved := tree.Resolve(place)
+	var shown []shownValue
+	for _, k := range zltree.Keys() {
+		if *key == "" || string(k) == *key {
+			shown = append(shown, shownValue{
+				Key:    k,
+				Value:  resolved[k].Value,
+				Origin: resolved[k].Origin,
+			})
+		}
+	}
+	if len(shown) == 0 {
+		return e.fail(exitUsage, fmt.Errorf("flag -key: found %q, allowed is one of %v", *key, zltree.Keys()))
+	}
+	showValues(e, *format, shown)
+	return exitDone
+}
+
+func showValues(e *env, format string, shown []shownValue) {
+	if format == "json" {
+		e.json(shown)
+		return
+	}
+	for _, v := range shown {
+		origin := string(v.Origin)
+		if origin == "" {
+			origin = "built-in default"
+		}
+		e.printf("%-16s %-10v %s\n", v.Key, v.Value, origin)
+	}
+}
+
+// file is a tree as files hold it: without the history, but with the serial
+// that tells what it was made from.
+type file struct {
+	Serial zlunit.Serial               `json:"serial,omitempty"`
+	Nodes  map[zltree.Path]zltree.Node `json:"nodes"`
+}
+
+func treeFile(t *zltree.Tree) *file {
+	return &file{
+		Serial: t.Serial,
+		Nodes:  t.Nodes,
+	}
+}
+
+// readTreeFile reads and checks a file; all faults are in the error.
+func readTreeFile(path string) (*zltree.Tree, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	var f file
+	d := json.NewDecoder(bytes.NewReader(data))
+	d.DisallowUnknownFields()
+	if err := d.Decode(&f); err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	tree := &zltree.Tree{
+		Nodes: f.Nodes,
+	}
+	tree.Serial = f.Serial
+	if faults := tree.Check(); len(faults) > 0 {
+		return nil, &zltree.Error{
+			Op:     "check",
+			Kind:   zltree.KindInvalid,
+			Err:    fmt.Errorf("%s: %d faults", path, len(faults)),
+			Faults: faults,
+		}
+	}
+	return tree, nil
+}
+
+func runConfigSet(e *env, args []string) int {
+	fs := newFlags(e, "config set", "Set or unset one value at any level.")
+	var p editFlags
+	p.add(fs)
+	path := fs.String("path", "", "`PATH`: "+placeAllowed+", '*' for any data centre")
+	key := fs.String("key", "", "`KEY` of the setting")
+	value := fs.String("value", "", "the new `VALUE`")
+	unset := fs.Bool("unset", false, "remove the value, so that it is inherited")
+	was := fs.String("was", "", "fail unless the value set there now is this one; \"-\" for none")
+	format := formatFlag(fs)
+	if code, ok := parse(e, fs, args); !ok {
+		return code
+	}
+	if err := errors.Join(checkFormat(*format), p.check()); err != nil {
+		return e.fail(exitUsage, err)
+	}
+	if *unset == (*value != "") {
+		return e.fail(exitUsage, errors.New("flags -value and -unset: allowed is exactly one of them"))
+	}
+	c := zlhistory.Change{
+		Path: *path,
+		Key:  *key,
+	}
+	if !*unset {
+		c.New = zltree.Parse(zltree.Key(*key), *value)
+	}
+	return p.edit(e, &zlsync.Settings, *format, func(_ context.Context, _ *zlsync.Editor, edit *zlsync.Edit) {
+		edit.Prepare = func(r zlhistory.Record) ([]zlhistory.Change, zlunit.Serial, error) {
+			c.Old = r.Value(c.Place())
+			if err := checkWas(*was, c); err != nil {
+				return nil, 0, err
+			}
+			return []zlhistory.Change{c}, r.Head().Serial, nil
+		}
+	})
+}
+
+// checkWas fails if the value is not the one that the operator expects.
+func checkWas(was string, c zlhistory.Change) error {
+	var want any
+	switch was {
+	case "":
+		return nil
+	case "-":
+	default:
+		want = zltree.Parse(zltree.Key(c.Key), was)
+	}
+	if c.Old != want {
+		return fmt.Errorf("the change lost a race, nothing was written:\n  path %q: key %q: expected %s, found %s, wanted %s",
+			c.Path, c.Key, zlhistory.Text(want), zlhistory.Text(c.Old), zlhistory.Text(c.New))
+	}
+	return nil
+}
+
+func runConfigPut(e *env, args []string) int {
+	fs := newFlags(e, "config put", "Put a whole tree from a file made by `config get -raw`. What others changed since then stays, unless the file changes the same values.")
+	var p editFlags
+	p.add(fs)
+	path := fs.String("file", "", "`FILE` with the tree in JSON")
+	replace := fs.Bool("replace", false, "replace the tree as it is now, also where others changed it")
+	format := formatFlag(fs)
+	if code, ok := parse(e, fs, args); !ok {
+		return code
+	}
+	if err := errors.Join(checkFormat(*format), p.check()); err != nil {
+		return e.fail(exitUsage, err)
+	}
+	next, err := readTreeFile(*path)
+	if err != nil {
+		return e.fail(exitUsage, err)
+	}
+	if next.Serial == 0 && !*replace {
+		return e.fail(exitUsage, fmt.Errorf("%s: key \"serial\": found nothing, allowed is the serial of the tree that the file was made from (see `config get -raw`), or flag -replace", *path))
+	}
+	return p.edit(e, &zlsync.Settings, *format, func(ctx context.Context, ed *zlsync.Editor, edit *zlsync.Edit) {
+		edit.Prepare = func(r zlhistory.Record) ([]zlhistory.Change, zlunit.Serial, error) {
+			return preparePut(ctx, ed, r, next, *replace)
+		}
+	})
+}
+
+// preparePut returns what the file changes against the tree that it was made
+// from.
+func preparePut(ctx context.Context, ed *zlsync.Editor, r zlhistory.Record, next *zltree.Tree, replace bool) ([]zlhistory.Change, zlunit.Serial, error) {
+	if replace {
+		return asTree(r).Diff(next), r.Head().Serial, nil
+	}
+	base, err := ed.Load(ctx, &zlsync.Settings)
+	if err != nil {
+		return nil, 0, err
+	}
+	if err := zlhistory.Rewind(base, next.Serial); err != nil {
+		return nil, 0, err
+	}
+	return asTree(base).Diff(next), next.Serial, nil
+}
+
+func runConfigDiff(e *env, args []string) int {
+	fs := newFlags(e, "config diff", "Show what putting a file would change; exit code 1 when there is something.")
+	var p platformFlags
+	p.add(fs)
+	path := fs.String("file", "", "`FILE` with the tree in JSON")
+	format := formatFlag(fs)
+	if code, ok := parse(e, fs, args); !ok {
+		return code
+	}
+	if err := checkFormat(*format); err != nil {
+		return e.fail(exitUsage, err)
+	}
+	next, err := readTreeFile(*path)
+	if err != nil {
+		return e.fail(exitUsage, err)
+	}
+	tree, err := p.loadTree()
+	if err != nil {
+		return e.fail(editExit(err), err)
+	}
+	changes := tree.Diff(next)
+	if *format == "json" {
+		e.json(changes)
+	} else {
+		showChanges(e, changes)
+	}
+	if len(changes) > 0 {
+		return exitFailed
+	}
+	return exitDone
+}
+
+func runConfigHistory(e *env, args []string) int {
+	fs := newFlags(e, "config history", "Show who changed what, when and why, the newest last.")
+	var p platformFlags
+	p.add(fs)
+	n := fs.Int("n", 20, "how many changes, 0 for all")
+	of := fs.String("of", "settings", "settings or marks")
+	format := formatFlag(fs)
+	if code, ok := parse(e, fs, args); !ok {
+		return code
+	}
+	target := &zlsync.Settings
+	switch *of {
+	case "settings":
+	case "marks":
+		target = &zlsync.Marks
+	default:
+		return e.fail(exitUsage, fmt.Errorf("flag -of: found %q, allowed is settings or marks", *of))
+	}
+	if err := errors.Join(checkFormat(*format), checkAddress("platform", p.address)); err != nil {
+		return e.fail(exitUsage, err)
+	}
+	ed, ctx, cancel := p.editor()
+	defer cancel()
+	log, dropped, err := ed.History(ctx, target)
+	if err != nil {
+		return e.fail(exitFailed, err)
+	}
+	if *n > 0 && len(log) > *n {
+		log = log[len(log)-*n:]
+	}
+	if *format == "json" {
+		e.json(log)
+		return exitDone
+	}
+	showHistory(e, log, dropped)
+	return exitDone
+}
+
+func showHistory(e *env, log zlhistory.Log, dropped int) {
+	for _, entry := range log {
+		e.printf("%d  %s  %s: %s\n", entry.Serial, entry.At.UTC().Format("2006-01-02T15:04:05Z"), entry.By, entry.Reason)
+		showChanges(e, entry.Changes)
+		if entry.Omitted > 0 {
+			e.printf("  and %d more\n", entry.Omitted)
+		}
+	}
+	if dropped > 0 {
+		e.printf("%d older changes are kept no longer\n", dropped)
+	}
+}
--- a/io/standin/zlscene/zlscene.go
+++ b/io/standin/zlscene/zlscene.go
@@ -1,6 +1,7 @@
 package zlscene
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"net"
@@ -32,6 +33,9 @@
 	Log  *log.Logger
 	// Naive runs the naive version in place of the daemons.
 	Naive bool
+	// PlatformFor, if set, names the platform address of a daemon, for one
+	// that is to be cut off; empty means the usual one.
+	PlatformFor func(vm zlunit.VM) string
 
 	Platform  *zlfakeplatform.Platform
 	Client    *zlplatform.Client
@@ -192,6 +196,10 @@
 	if err != nil {
 		return err
 	}
+	platform := s.Client.Address
+	if s.PlatformFor != nil {
+		platform = cmp.Or(s.PlatformFor(zlunit.VM(name)), platform)
+	}
 	d := &zldaemon.Daemon{
 		Config: &zlconfig.Config{
 			Name:            zlunit.VM(name),
@@ -200,7 +208,7 @@
 			CallerListen:    ports[0],
 			AdminListen:     ports[1],
 			PeerListen:      ports[2],
-			PlatformAddress: s.Client.Address,
+			PlatformAddress: platform,
 			PlatformTimeout: 2 * time.Second,
 			StopGrace:       time.Second,
 			StopLimit:       10 * time.Second,
--- a/io/version/zlgossip/neighbour.go
+++ b/io/version/zlgossip/neighbour.go
@@ -21,6 +21,26 @@
 // next on the ring, which joins all of them, and others by hash, which keep the
 // paths short; and one of each other data centre.
 func (g *Gossip) neighbours(view *zlview.View) (near, far []zlroster.Member) {
+	if known := g.known.Load(); known != nil && known.view == view {
+		return known.near, known.far
+	}
+	near, far = g.choose(view)
+	g.known.Store(&neighbourhood{
+		view: view,
+		near: near,
+		far:  far,
+	})
+	return near, far
+}
+
+// neighbourhood keeps the neighbours that a view leads to.
+type neighbourhood struct {
+	view *zlview.View
+	near []zlroster.Member
+	far  []zlroster.Member
+}
+
+func (g *Gossip) choose(view *zlview.View) (near, far []zlroster.Member) {
 	for dc, r := range view.Rosters {
 		if dc == g.Home {
 			near = g.nearest(r)
--- a/io/version/zlgossip/round.go
+++ b/io/version/zlgossip/round.go
@@ -10,8 +10,6 @@
 	"zinnialock/core/process/zlunit"
 	"zinnialock/core/version/zlnews"
 	"zinnialock/core/version/zlroster"
-
-	"github.com/fxamacker/cbor/v2"
 )
 
 // Run exchanges news until ctx ends.
@@ -22,7 +20,7 @@
 		alarm := g.Timer.After(wait)
 		select {
 		case <-alarm.C:
-			g.ask(ctx, g.turn())
+			g.ask(ctx, g.usual())
 		case <-g.kick:
 			alarm.Stop()
 			g.Timer.Sleep(ctx.Done(), time.Duration(rand.Float64()*float64(eagerDelay)))
@@ -39,7 +37,16 @@
 	addr string
 }
 
-// turn returns whom to ask in a usual round: one near, one far, and a seed
+// usual returns whom to ask in a round that nothing but time started.
+func (g *Gossip) usual() []target {
+	age := g.Views.Age(g.Timer.Now())
+	if age < agedView || age > lostView {
+		return g.turn()
+	}
+	return g.all()
+}
+
+// turn returns whom to ask in a usual round: two near, one far, and a seed
 // while nobody else is known.
 func (g *Gossip) turn() []target {
 	view := g.Views.Load()
@@ -51,11 +58,7 @@
 	}
 	near, far := g.neighbours(view)
 	var out []target
-	for _, list := range [][]zlroster.Member{near, far} {
-		if len(list) == 0 {
-			continue
-		}
-		m := list[g.turns%len(list)]
+	for _, m := range append(inTurn(near, g.turns, nearAsks), inTurn(far, g.turns, farAsks)...) {
 		if g.silent[m.VM] {
 			// Ask it again now and then; meanwhile another takes its turn.
 			if other, ok := g.substitute(view, m.VM); ok && rand.IntN(4) > 0 {
@@ -70,6 +73,15 @@
 	return out
 }
 
+// inTurn returns the next n members of the list, going round.
+func inTurn(list []zlroster.Member, turn, n int) []zlroster.Member {
+	var out []zlroster.Member
+	for i := range min(n, len(list)) {
+		out = append(out, list[(turn*n+i)%len(list)])
+	}
+	return out
+}
+
 func (g *Gossip) allSilent(targets []target) bool {
 	return !slices.ContainsFunc(targets, func(t target) bool {
 		return !g.silent[t.vm]
@@ -86,7 +98,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	var out []target
-	for _, m := range append(near, far...) {
+	for _, m := range slices.Concat(near, far) {
 		if !g.silent[m.VM] {
 			out = append(out, targetOf(m))
 		}
@@ -189,7 +201,7 @@
 }
 
 func (g *Gossip) question(ctx context.Context, timeout time.Duration, addr, topic string, q, r any) error {
-	body, err := cbor.Marshal(q)
+	body, err := encode(q)
 	if err != nil {
 		return err
 	}
--- a/io/version/zlgossip/status.go
+++ b/io/version/zlgossip/status.go
@@ -37,12 +37,12 @@
 
 // ObjectStatus is an object in force at a daemon.
 type ObjectStatus struct {
-	Kind       string               `json:"kind" cbor:"1,keyasint"`
-	Name       string               `json:"name" cbor:"2,keyasint"`
-	Serial     zlunit.Serial        `json:"serial,omitempty" cbor:"3,keyasint,omitempty"`
-	Version    zlunit.ObjectVersion `json:"version" cbor:"4,keyasint"`
-	InForceMs  int64                `json:"inForceMs" cbor:"5,keyasint"`
-	SinceLocal time.Time            `json:"since" cbor:"6,keyasint"`
+	Kind      string               `json:"kind" cbor:"1,keyasint"`
+	Name      string               `json:"name" cbor:"2,keyasint"`
+	Serial    zlunit.Serial        `json:"serial,omitempty" cbor:"3,keyasint,omitempty"`
+	Version   zlunit.ObjectVersion `json:"version" cbor:"4,keyasint"`
+	InForceMs int64                `json:"inForceMs" cbor:"5,keyasint"`
+	Since     time.Time            `json:"since" cbor:"6,keyasint"`
 }
 
 // RefusedStatus is a newer state of an object that a daemon refuses.
@@ -90,12 +90,12 @@
 
 func objectStatus(item zlnews.Item, now time.Time) ObjectStatus {
 	return ObjectStatus{
-		Kind:       item.Key.Kind,
-		Name:       item.Key.Name,
-		Serial:     item.Rank.Serial,
-		Version:    item.Rank.Version,
-		InForceMs:  now.Sub(item.Since).Milliseconds(),
-		SinceLocal: item.Since.UTC(),
+		Kind:      item.Key.Kind,
+		Name:      item.Key.Name,
+		Serial:    item.Rank.Serial,
+		Version:   item.Rank.Version,
+		InForceMs: now.Sub(item.Since).Milliseconds(),
+		Since:     item.Since.UTC(),
 	}
 }
 
--- a/io/version/zlgossip/zlgossip.go
+++ b/io/version/zlgossip/zlgossip.go
@@ -7,6 +7,7 @@
 	"context"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"zinnialock/core/process/zltimer"
@@ -46,11 +47,18 @@
 }
 
 const (
-	// Period is the time between two rounds; each round asks one daemon of the
-	// own data centre and one of another.
+	// Period is the time between two rounds.
 	Period = time.Second
+	// nearAsks and farAsks are how many daemons of the own data centre and of
+	// others a round asks.
+	nearAsks = 2
+	farAsks  = 1
 	// jitter lengthens each period by up to this share.
 	jitter = 0.2
+	// agedView is the age of the view from which a round asks all neighbours,
+	// up to lostView, past which the platform is out of everyone's reach.
+	agedView = 1500 * time.Millisecond
+	lostView = 6 * time.Second
 	// askTimeout bounds one question.
 	askTimeout = 700 * time.Millisecond
 	// pullTimeout bounds a question for objects, which may be large.
@@ -101,6 +109,7 @@
 
 	once   sync.Once
 	kick   chan struct{}
+	known  atomic.Pointer[neighbourhood]
 	mu     sync.Mutex
 	turns  int
 	silent map[zlunit.VM]bool
@@ -162,7 +171,7 @@
 	case TopicItems:
 		reply, err = g.answerItems(body)
 	case TopicStatus:
-		reply, err = cbor.Marshal(g.Status())
+		reply, err = encode(g.Status())
 	default:
 		return nil, false, nil
 	}
@@ -190,7 +199,7 @@
 			})
 		}
 	}
-	return cbor.Marshal(r)
+	return encode(r)
 }
 
 func (g *Gossip) answerItems(body []byte) ([]byte, error) {
@@ -207,7 +216,11 @@
 	if len(q.Give) > 0 {
 		g.News.Take(q.Give)
 	}
-	return cbor.Marshal(r)
+	return encode(r)
+}
+
+func encode(message any) ([]byte, error) {
+	return cbor.Marshal(message)
 }
 
 func decode(body []byte, out any) error {
--- /dev/null
+++ b/io/version/zlgossip/zlgossip_test.go
@@ -0,0 +1,327 @@
+package zlgossip
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/phuslu/log"
+	"github.com/smartystreets/goconvey/convey"
+
+	"zinnialock/core/process/zltimer"
+	"zinnialock/core/process/zlunit"
+	"zinnialock/core/version/zlmark"
+	"zinnialock/core/version/zlnews"
+	"zinnialock/core/version/zlroster"
+	"zinnialock/core/version/zlview"
+	"zinnialock/io/process/zlplatform"
+	"zinnialock/io/version/zlsync"
+)
+
+// network joins gossips; a cut one is silent both ways.
+type network struct {
+	mu    sync.Mutex
+	nodes map[string]*node
+	cut   map[string]bool
+	asks  int
+	bytes int
+}
+
+type node struct {
+	*Gossip
+	follower *zlsync.Follower
+	net      *network
+	addr     string
+}
+
+const oneWay = time.Millisecond
+
+// Ask implements Asker.
+func (n *node) Ask(ctx context.Context, addr, topic string, body []byte) ([]byte, error) {
+	n.net.mu.Lock()
+	other := n.net.nodes[addr]
+	cut := other == nil || n.net.cut[addr] || n.net.cut[n.addr]
+	n.net.mu.Unlock()
+	if cut {
+		<-ctx.Done()
+		return nil, errors.New("no reply")
+	}
+	time.Sleep(oneWay)
+	reply, _, err := other.Answer(ctx, topic, body)
+	time.Sleep(oneWay)
+	n.net.mu.Lock()
+	n.net.asks++
+	n.net.bytes += len(body) + len(reply)
+	n.net.mu.Unlock()
+	return reply, err
+}
+
+func (w *network) add(vm string, dc zlunit.DataCentre, rate float64) *node {
+	timer := &zltimer.Service{
+		Rate: rate,
+	}
+	views := &zlview.Holder{}
+	quiet := &log.Logger{
+		Level: log.PanicLevel,
+	}
+	n := &node{
+		net:  w,
+		addr: vm,
+		follower: &zlsync.Follower{
+			Home:  dc,
+			Timer: timer,
+			Views: views,
+			Log:   quiet,
+		},
+	}
+	n.Gossip = &Gossip{
+		Self:  zlunit.VM(vm),
+		Home:  dc,
+		Asker: n,
+		Timer: timer,
+		Views: views,
+		News:  n.follower,
+		Log:   quiet,
+	}
+	n.follower.Taken = n.Kick
+	w.nodes[vm] = n
+	return n
+}
+
+func item(kind zlplatform.ObjectKind, name string, version zlunit.ObjectVersion, value any) zlnews.Item {
+	data, err := json.Marshal(value)
+	if err != nil {
+		panic(err)
+	}
+	return zlnews.Item{
+		Key: zlnews.Key{
+			Kind: string(kind),
+			Name: name,
+		},
+		Rank:  zlnews.RankOf(version, data),
+		Value: data,
+	}
+}
+
+// fleet makes a network of daemons that all hold the rosters.
+func fleet(dataCentres, each int, rate func() float64) *network {
+	w := &network{
+		nodes: map[string]*node{},
+		cut:   map[string]bool{},
+	}
+	var items []zlnews.Item
+	for d := range dataCentres {
+		dc := zlunit.DataCentre(fmt.Sprintf("dc%d", d))
+		r := zlroster.Roster{
+			DataCentre: dc,
+		}
+		for i := range each {
+			vm := fmt.Sprintf("%s-%d", dc, i)
+			w.add(vm, dc, rate())
+			r = r.With(zlroster.Member{
+				VM:   zlunit.VM(vm),
+				Peer: vm,
+			})
+		}
+		items = append(items, item(zlplatform.ObjectRoster, string(dc), zlunit.ObjectVersion(d+1), r))
+	}
+	for _, n := range w.nodes {
+		n.follower.Take(items)
+	}
+	return w
+}
+
+func steady() float64 { return 1 }
+
+// run starts all daemons and returns what ends them.
+func (w *network) run() (stop func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	for _, n := range w.nodes {
+		wg.Go(func() {
+			n.Run(ctx)
+		})
+	}
+	return func() {
+		cancel()
+		wg.Wait()
+	}
+}
+
+func markItem() zlnews.Item {
+	return item(zlplatform.ObjectMarks, zlsync.MarksName, 100, &zlmark.Marks{
+		DataCentres: map[zlunit.DataCentre]zlmark.Mark{
+			"dc1": {
+				Reason: "test",
+			},
+		},
+	})
+}
+
+func (n *node) sawMark() bool {
+	return n.Views.Load().Marks.UpstreamOut("u", "dc1")
+}
+
+func TestMarkReachesDaemonsCutOffFromThePlatform(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		convey.Convey("Given 660 daemons, of which only half of one data centre hear the platform", t, func() {
+			w := fleet(4, 165, steady)
+			defer w.run()()
+			time.Sleep(2 * time.Second)
+			at := time.Now()
+			for i := range 82 {
+				w.nodes[fmt.Sprintf("dc0-%d", i)].follower.Take([]zlnews.Item{markItem()})
+			}
+			var times []time.Duration
+			for len(times) < len(w.nodes) && time.Since(at) < 10*time.Second {
+				time.Sleep(10 * time.Millisecond)
+				times = times[:0]
+				for _, n := range w.nodes {
+					held, ok := n.follower.Store().Get(markItem().Key)
+					if ok && n.sawMark() {
+						times = append(times, held.Since.Sub(at))
+					}
+				}
+			}
+			convey.So(len(times), convey.ShouldEqual, len(w.nodes))
+			slices.Sort(times)
+			t.Logf("660 daemons: p50 %v, largest %v", times[len(times)/2], times[len(times)-1])
+			convey.So(times[len(times)-1], convey.ShouldBeLessThan, 3*time.Second)
+		})
+	})
+}
+
+func TestSilentNeighboursDoNotKeepNewsAway(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		convey.Convey("Given a data centre where half of the daemons are dead", t, func() {
+			w := fleet(2, 20, steady)
+			for i := range 10 {
+				w.cut[fmt.Sprintf("dc1-%d", i*2)] = true
+			}
+			defer w.run()()
+			time.Sleep(10 * time.Second)
+			w.nodes["dc0-0"].follower.Take([]zlnews.Item{markItem()})
+			time.Sleep(5 * time.Second)
+			for name, n := range w.nodes {
+				convey.So(n.sawMark(), convey.ShouldEqual, !w.cut[name])
+			}
+		})
+	})
+}
+
+func TestStartWhileThePlatformIsDownAsksSeeds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		convey.Convey("Given a daemon that knows nothing but a dead and a live seed", t, func() {
+			w := fleet(1, 3, steady)
+			w.nodes["dc0-0"].follower.Take([]zlnews.Item{markItem()})
+			w.nodes["dc0-0"].Views.Confirm(time.Now())
+			late := w.add("dc0-9", "dc0", 1)
+			late.Seeds = []string{"nobody", "dc0-0"}
+			defer w.run()()
+			time.Sleep(5 * time.Second)
+			convey.So(late.Views.Load(), convey.ShouldNotBeNil)
+			convey.So(late.sawMark(), convey.ShouldBeTrue)
+			convey.So(late.Views.Age(time.Now()), convey.ShouldBeBetweenOrEqual, 5*time.Second, 6*time.Second)
+		})
+	})
+}
+
+// platformPace mimics how often a follower of 660 daemons confirms.
+func platformPace() time.Duration {
+	return 4600*time.Millisecond + time.Duration(rand.Float64()*float64(2*time.Second))
+}
+
+func TestAgeOfTheViewAtFullSize(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		convey.Convey("Given 660 daemons that each hear the platform now and then", t, func() {
+			w := fleet(4, 165, steady)
+			var hearing sync.WaitGroup
+			done := make(chan struct{})
+			for _, n := range w.nodes {
+				hearing.Go(func() {
+					n.Timer.Sleep(done, time.Duration(rand.Float64()*float64(8*time.Second)))
+					for {
+						n.Views.Confirm(n.Timer.Now())
+						if !n.Timer.Sleep(done, platformPace()) {
+							return
+						}
+					}
+				})
+			}
+			stop := w.run()
+			defer hearing.Wait()
+			defer close(done)
+			defer stop()
+			time.Sleep(10 * time.Second)
+			w.mu.Lock()
+			w.asks, w.bytes = 0, 0
+			w.mu.Unlock()
+			var ages []time.Duration
+			for range 20 {
+				time.Sleep(time.Second / 4)
+				for _, n := range w.nodes {
+					ages = append(ages, n.Views.Age(time.Now()))
+				}
+			}
+			slices.Sort(ages)
+			w.mu.Lock()
+			defer w.mu.Unlock()
+			t.Logf("age p50 %v, p99.9 %v, largest %v; %.2f asks/s and %.0f B/s of payload for each daemon",
+				ages[len(ages)/2], ages[len(ages)*999/1000], ages[len(ages)-1],
+				float64(w.asks)/660/5, float64(w.bytes)/660/5)
+			convey.So(ages[len(ages)-1], convey.ShouldBeLessThan, 3*time.Second)
+		})
+	})
+}
+
+func TestConfirmationNeverLooksYoungerThanItIs(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		convey.Convey("Given daemons with clocks up to the bound off, and a platform that falls silent", t, func() {
+			r := rand.New(rand.NewPCG(1, 2))
+			w := fleet(3, 4, func() float64 {
+				return 1 + (r.Float64()*2-1)*ClockError/2
+			})
+			defer w.run()()
+			for _, n := range w.nodes {
+				n.Views.Confirm(n.Timer.Now())
+			}
+			last := time.Now()
+			for range 300 {
+				time.Sleep(time.Second)
+				for _, n := range w.nodes {
+					least := time.Duration(float64(time.Since(last)) * (1 - ClockError/2))
+					if age := n.Views.Age(n.Timer.Now()); age < least-time.Millisecond {
+						t.Fatalf("%s: age %v, truly %v", n.Self, age, time.Since(last))
+					}
+				}
+			}
+		})
+	})
+}
+
+func TestDigestsStaySmall(t *testing.T) {
+	convey.Convey("A round between daemons that hold the same takes few bytes", t, func() {
+		w := fleet(1, 2, steady)
+		a := w.nodes["dc0-0"]
+		reply, _, err := w.nodes["dc0-1"].Answer(context.Background(), TopicDigest, mustDigest(a))
+		convey.So(err, convey.ShouldBeNil)
+		convey.So(len(reply)+len(mustDigest(a)), convey.ShouldBeLessThan, 64)
+	})
+}
+
+func mustDigest(n *node) []byte {
+	body, err := encode(digestQuestion{
+		Digest: n.News.Store().Digest(),
+	})
+	if err != nil {
+		panic(err)
+	}
+	return body
+}
--- a/io/version/zlsync/pace.go
+++ b/io/version/zlsync/pace.go
@@ -14,7 +14,7 @@
 	perDaemon = 3 * time.Millisecond
 	// watchPerDaemon is the time that each daemon adds to the length of a
 	// watch.
-	watchPerDaemon = 10 * time.Millisecond
+	watchPerDaemon = 7 * time.Millisecond
 	// minWatch and maxWatch bound how long the platform holds a watch.
 	minWatch = time.Second
 	maxWatch = 30 * time.Second
