News: status names self, times in full; large objects are only pulled

Cause: a daemon that could not join its roster was missing from its own status; times lost their milliseconds on the way; several neighbours could hand the same large tree to one daemon at once. Conclusion: what is handed over unasked stays under 16 KB a question.

--- a/cmd/config_bench.go
+++ b/cmd/config_bench.go
@@ -40,7 +40,8 @@
 	// Call is the time from the operator's call to the last daemon in force.
 	Call spread `json:"call"`
 	// PeerBytes and PlatformCalls are per daemon and second in the quiet time
-	// after the rounds; PeerBytes counts what was sent and received.
+	// after the rounds; PeerBytes counts what was sent and received, with the
+	// headers of IP and UDP.
 	PeerBytes     float64 `json:"peerBytesPerSecond"`
 	PlatformCalls float64 `json:"platformCallsPerSecond"`
 }
@@ -70,6 +71,8 @@
 	benchDataCentres = 3
 	// benchLimit bounds the wait for the last daemon in a round.
 	benchLimit = 30 * time.Second
+	// packetHeader is the size of an IPv4 and a UDP header, in bytes.
+	packetHeader = 28
 	// quietTime is how long the cost is measured.
 	quietTime = 10 * time.Second
 )
@@ -301,6 +304,7 @@
 				return 0, 0, err
 			}
 			bytes += float64(c.Peers.SentBytes + c.Peers.ReceivedBytes)
+			bytes += packetHeader * float64(c.Peers.SentPackets+c.Peers.ReceivedPackets)
 			calls += float64(c.Platform.Calls)
 		}
 		return bytes, calls, nil
--- /dev/null
+++ b/core/version/zlview/zlview_test.go
@@ -0,0 +1,95 @@
+package zlview
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"github.com/smartystreets/goconvey/convey"
+
+	"zinnialock/core/process/zlunit"
+	"zinnialock/core/version/zlcatalog"
+	"zinnialock/core/version/zlmark"
+	"zinnialock/core/version/zltree"
+)
+
+func testView(marks *zlmark.Marks) *View {
+	c := &zlcatalog.Catalog{
+		Service: "s",
+		Upstreams: []zlcatalog.Upstream{
+			{
+				Name:       "near",
+				DataCentre: "nashua",
+			},
+			{
+				Name:       "far",
+				DataCentre: "lowell",
+			},
+			{
+				Name:       "going",
+				DataCentre: "nashua",
+				Leaving:    true,
+			},
+		},
+	}
+	v := &View{
+		Home:  "nashua",
+		Marks: marks,
+		Catalogs: map[zlunit.Service]*zlcatalog.Catalog{
+			"s": c,
+		},
+	}
+	return v.Build()
+}
+
+func TestUsable(t *testing.T) {
+	policy := &zltree.Policy{
+		ViewAge: 3 * time.Second,
+	}
+	usable := func(v *View, name zlunit.Upstream, age time.Duration) bool {
+		return v.Usable(name, age, policy)
+	}
+	convey.Convey("Given a view of two data centres", t, func() {
+		v := testView(nil)
+		convey.Convey("past its age only the own data centre is served", func() {
+			convey.So(usable(v, "far", policy.ViewAge), convey.ShouldBeTrue)
+			convey.So(usable(v, "far", policy.ViewAge+1), convey.ShouldBeFalse)
+			convey.So(usable(v, "near", time.Hour), convey.ShouldBeTrue)
+		})
+		convey.Convey("a view that was never confirmed serves only the own data centre", func() {
+			h := &Holder{}
+			h.Store(v)
+			convey.So(h.Age(time.Now()), convey.ShouldEqual, time.Duration(math.MaxInt64))
+			convey.So(usable(v, "far", h.Age(time.Now())), convey.ShouldBeFalse)
+			convey.So(usable(v, "near", h.Age(time.Now())), convey.ShouldBeTrue)
+		})
+		convey.Convey("what leaves or is unknown is not usable", func() {
+			convey.So(usable(v, "going", 0), convey.ShouldBeFalse)
+			convey.So(usable(v, "nobody", 0), convey.ShouldBeFalse)
+		})
+	})
+	convey.Convey("Marks hold at any age, also in the own data centre", t, func() {
+		v := testView(&zlmark.Marks{
+			DataCentres: map[zlunit.DataCentre]zlmark.Mark{
+				"nashua": {},
+			},
+			Upstreams: map[zlunit.Upstream]zlmark.Mark{
+				"far": {},
+			},
+		})
+		convey.So(usable(v, "near", 0), convey.ShouldBeFalse)
+		convey.So(usable(v, "far", 0), convey.ShouldBeFalse)
+		convey.So(v.Marks.VMOut("nashua-1", "nashua"), convey.ShouldBeTrue)
+		convey.So(v.Marks.VMOut("lowell-1", "lowell"), convey.ShouldBeFalse)
+	})
+}
+
+func TestHolderOnlyTakesLaterConfirmations(t *testing.T) {
+	convey.Convey("An earlier confirmation changes nothing", t, func() {
+		h := &Holder{}
+		now := time.Now()
+		h.Confirm(now)
+		h.Confirm(now.Add(-time.Minute))
+		convey.So(h.Age(now.Add(time.Second)), convey.ShouldEqual, time.Second)
+	})
+}
--- a/io/version/zlgossip/round.go
+++ b/io/version/zlgossip/round.go
@@ -10,6 +10,8 @@
 	"zinnialock/core/process/zlunit"
 	"zinnialock/core/version/zlnews"
 	"zinnialock/core/version/zlroster"
+
+	"github.com/rotisserie/eris"
 )
 
 // Run exchanges news until ctx ends.
@@ -184,6 +186,7 @@
 		theirs[e.Key] = e.Rank
 	}
 	want, give := g.News.Store().Compare(theirs)
+	give = small(give)
 	if len(want) == 0 && len(give) == 0 {
 		return true, nil
 	}
@@ -200,6 +203,21 @@
 	return len(r.Items) == len(want), nil
 }
 
+// small keeps what is worth handing over unasked: several neighbours may do so
+// at once, while a daemon asks only one for what it lacks.
+func small(items []zlnews.Item) []zlnews.Item {
+	total := 0
+	var out []zlnews.Item
+	for _, item := range items {
+		total += len(item.Value)
+		if total > maxGive {
+			break
+		}
+		out = append(out, item)
+	}
+	return out
+}
+
 func (g *Gossip) question(ctx context.Context, timeout time.Duration, addr, topic string, q, r any) error {
 	body, err := encode(q)
 	if err != nil {
@@ -210,6 +228,9 @@
 	alarm := g.Timer.Call(timeout, cancel)
 	defer alarm.Stop()
 	reply, err := g.Asker.Ask(ctx, addr, topic, body)
+	if err != nil && ctx.Err() != nil {
+		return eris.Wrapf(err, "no reply within %v", timeout)
+	}
 	if err != nil {
 		return err
 	}
--- a/io/version/zlgossip/status.go
+++ b/io/version/zlgossip/status.go
@@ -115,6 +115,9 @@
 func (g *Gossip) FleetStatus(ctx context.Context) []Status {
 	var members []zlroster.Member
 	places := map[zlunit.VM]zlunit.DataCentre{}
+	self := zlroster.Member{
+		VM: g.Self,
+	}
 	if view := g.Views.Load(); view != nil {
 		for dc, r := range view.Rosters {
 			for _, m := range r.Members {
@@ -123,6 +126,11 @@
 			}
 		}
 	}
+	if _, listed := places[g.Self]; !listed {
+		// It could not join its roster yet.
+		members = append(members, self)
+		places[g.Self] = g.Home
+	}
 	out := make([]Status, len(members))
 	slots := make(chan struct{}, statusAsks)
 	var wg sync.WaitGroup
--- a/io/version/zlgossip/zlgossip.go
+++ b/io/version/zlgossip/zlgossip.go
@@ -63,6 +63,8 @@
 	askTimeout = 700 * time.Millisecond
 	// pullTimeout bounds a question for objects, which may be large.
 	pullTimeout = 5 * time.Second
+	// maxGive bounds what a daemon hands over unasked, in bytes.
+	maxGive = 16 << 10
 	// eagerDelay is the longest pause before a round that fresh news starts.
 	eagerDelay = 100 * time.Millisecond
 	// ClockError bounds how much a daemon's clock runs fast or slow, as a
@@ -219,8 +221,20 @@
 	return encode(r)
 }
 
+var encMode = mustEncMode()
+
+func mustEncMode() cbor.EncMode {
+	mode, err := cbor.EncOptions{
+		Time: cbor.TimeRFC3339Nano,
+	}.EncMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}
+
 func encode(message any) ([]byte, error) {
-	return cbor.Marshal(message)
+	return encMode.Marshal(message)
 }
 
 func decode(body []byte, out any) error {
