--- a/cmd/config.go
+++ b/cmd/config.go
@@ -59,32 +59,15 @@
 }
 
 func runConfig(e *env, args []string) int {
-	return runSub(e, "config", configCommands(), args)
-}
-
-// runSub runs one of the subcommands of a subcommand.
-func runSub(e *env, name string, subs []command, args []string) int {
-	list := func() {
-		_, _ = fmt.Fprintf(e.stderr, "Usage: zinnialock %s SUBCOMMAND [flags]\n", name)
-		for _, c := range subs {
-			_, _ = fmt.Fprintf(e.stderr, "  %-9s %s\n", c.name, c.summary)
-		}
-	}
 	if len(args) == 0 {
-		list()
+		usageOf(e.stderr, "config ", configCommands())
 		return exitUsage
 	}
-	for _, c := range subs {
-		if c.name == args[0] {
-			return c.run(e, args[1:])
-		}
-	}
-	if args[0] == "-h" || args[0] == "--help" || args[0] == "help" {
-		list()
+	if isHelp(args[0]) {
+		usageOf(e.stdout, "config ", configCommands())
 		return exitDone
 	}
-	_, _ = fmt.Fprintf(e.stderr, "zinnialock %s: unknown subcommand %q%s\n", name, args[0], hintAmong(subs, args[0]))
-	return exitUsage
+	return dispatch(e, "config ", configCommands(), args)
 }
 
 // platformFlags are the flags of every command that calls the platform.
--- a/cmd/config_status.go
+++ b/cmd/config_status.go
@@ -50,7 +50,7 @@
 	if *format == "json" {
 		e.json(report)
 	} else {
-		showStatus(e, report)
+		showFleet(e, report)
 	}
 	if len(report.Behind) > 0 || len(report.NotHeardFrom) > 0 || report.refuses() {
 		return exitFailed
@@ -151,7 +151,7 @@
 	return false
 }
 
-func showStatus(e *env, r *fleetReport) {
+func showFleet(e *env, r *fleetReport) {
 	for _, s := range r.Daemons {
 		if s.Silent != "" {
 			e.printf("%-16s %-12s not heard from: %s\n", s.VM, s.DataCentre, s.Silent)
--- a/core/request/zlclaim/guard_test.go
+++ b/core/request/zlclaim/guard_test.go
@@ -83,6 +83,17 @@
 		convey.So(other.Reason, convey.ShouldEqual, zlquery.ReasonClaimed)
 		convey.So(s.runs, convey.ShouldEqual, 1)
 	})
+	inScene(t, "an id used for another request does not get that one's answer", func(s *scene) {
+		id := NewID(time.Now())
+		s.ask(0, id, false)
+		a := s.guards[0].Answer(context.Background(), &zlquery.Request{
+			ID:       id,
+			Text:     "something else",
+			Deadline: time.Now().Add(time.Second),
+		})
+		convey.So(a.Reason, convey.ShouldEqual, zlquery.ReasonClaimed)
+		convey.So(s.runs, convey.ShouldEqual, 1)
+	})
 	inScene(t, "a request that was proved not run may be run by another daemon", func(s *scene) {
 		id := NewID(time.Now())
 		s.outcome = zlquery.OutcomeNotRun
@@ -115,6 +126,17 @@
 		convey.So(s.runs, convey.ShouldEqual, 0)
 		s.store.set(func() { s.store.down = false })
 	})
+	inScene(t, "a store that stays down refuses at once, and serves once it is back", func(s *scene) {
+		s.store.set(func() { s.store.down = true })
+		id := sameSegment(3)
+		s.ask(0, id, false)
+		time.Sleep(claimLife)
+		start := time.Now()
+		convey.So(s.ask(0, sameSegment(3), false).Reason, convey.ShouldEqual, zlquery.ReasonClaimStore)
+		convey.So(time.Since(start), convey.ShouldBeLessThan, 2*retryPause+writeGap)
+		s.store.set(func() { s.store.down = false })
+		convey.So(s.ask(0, id, false).Outcome, convey.ShouldEqual, zlquery.OutcomeDone)
+	})
 	inScene(t, "a claim whose reply is lost is read back and runs once", func(s *scene) {
 		id := NewID(time.Now())
 		s.store.set(func() { s.store.lose = 1 })
@@ -199,8 +221,12 @@
 		claimOne(t, again, first, VerdictHeld)
 		time.Sleep(Window + 2*memory)
 		claimOne(t, again, first, VerdictTooOld)
-		next := sameSegment(SegmentOf(first))
-		claimOne(t, again, next, VerdictFresh)
+		// The first claim may have to move the head's records, which are all
+		// too old, to an archive that a later one drops; each removes only a few.
+		for range 10 {
+			claimOne(t, again, sameSegment(SegmentOf(first)), VerdictFresh)
+			time.Sleep(writeGap)
+		}
 		objects := 0
 		for _, o := range store.objects[SegmentOf(first)] {
 			if !o.Deleted {
--- a/core/request/zlcoord/run.go
+++ b/core/request/zlcoord/run.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"zinnialock/core/process/zlquantile"
 	"zinnialock/core/process/zlroute"
 	"zinnialock/core/process/zltimer"
 	"zinnialock/core/process/zlunit"
@@ -79,8 +80,10 @@
 	start       time.Time
 	// due is when the wait ends.
 	due time.Time
-	// hedgeAfter is when a sub-request counts as late.
-	hedgeAfter time.Duration
+	// hedgeAfter is when a sub-request counts as late, and hedgeSurely when
+	// it does while the budget of hedges is short.
+	hedgeAfter  time.Duration
+	hedgeSurely time.Duration
 
 	inbox  *inbox
 	shards []shardState
@@ -112,7 +115,8 @@
 func (r *run) answer() *zlquery.Answer {
 	allowed := r.req.Deadline.Sub(r.start)
 	r.due = r.req.Deadline.Add(-min(lateness, allowed/10))
-	r.hedgeAfter = r.lateAfter(allowed)
+	r.hedgeAfter = r.lateAfter(allowed, r.policy.HedgeQuantile, lateMedians)
+	r.hedgeSurely = r.lateAfter(allowed, 1-(1-r.policy.HedgeQuantile)/surelyTimes, surelyMedians)
 	room := rooms.Get().(*room)
 	defer room.put(r)
 	room.lend(r)
@@ -120,7 +124,9 @@
 	r.wait()
 	room.waiting = r.inbox.close()
 	r.abandon()
-	r.profile.latency.Observe(r.coordinator.Timer.Now(), r.took...)
+	now := r.coordinator.Timer.Now()
+	r.profile.latency.Observe(now, r.took...)
+	r.coordinator.latency.Observe(now, r.took...)
 	return r.finish()
 }
 
@@ -147,14 +153,33 @@
 	r.dispatchAll()
 }
 
-// defaultLate is the share of the time allowed after which a sub-request is
-// late while nothing was measured yet.
-const defaultLate = 8
+const (
+	// defaultLate is the largest share of the time allowed, as a divisor,
+	// after which a sub-request is late.
+	defaultLate = 8
+	// unknownLate is when it is late while nothing was measured yet.
+	unknownLate = 100 * time.Millisecond
+	// surelyTimes is how many times fewer sub-requests are late while the
+	// budget of hedges is short.
+	surelyTimes = 3
+	// lateMedians and surelyMedians bound the two delays by the median, which
+	// a moment in which all was slow does not move.
+	lateMedians   = 3
+	surelyMedians = 4
+)
 
-func (r *run) lateAfter(allowed time.Duration) time.Duration {
-	d, ok := r.profile.latency.Quantile(r.start, r.policy.HedgeQuantile)
-	if !ok {
-		d = 100 * time.Millisecond
+// lateAfter is the time at a quantile of the kind's latency, or of all kinds'
+// while too little is known of it, but no more than some medians.
+func (r *run) lateAfter(allowed time.Duration, quantile float64, medians time.Duration) time.Duration {
+	d := unknownLate
+	for _, tracker := range []*zlquantile.Tracker{&r.profile.latency, &r.coordinator.latency} {
+		at, ok := tracker.Quantile(r.start, quantile)
+		if !ok {
+			continue
+		}
+		median, _ := tracker.Quantile(r.start, 0.5)
+		d = min(at, medians*median)
+		break
 	}
 	return max(min(d, allowed/defaultLate), leastLate)
 }
--- a/io/process/zldaemon/news.go
+++ b/io/process/zldaemon/news.go
@@ -52,9 +52,9 @@
 	})
 }
 
-// serveStatus shows what each daemon of the fleet holds, or only this one with
+// serveNews shows what each daemon of the fleet holds, or only this one with
 // "?only=self".
-func (d *Daemon) serveStatus(w http.ResponseWriter, r *http.Request) {
+func (d *Daemon) serveNews(w http.ResponseWriter, r *http.Request) {
 	var all []zlgossip.Status
 	if r.URL.Query().Get("only") == "self" {
 		all = append(all, d.gossip.Status())
--- a/io/standin/zlscene/zlscene.go
+++ b/io/standin/zlscene/zlscene.go
@@ -4,11 +4,13 @@
 	"cmp"
 	"context"
 	"fmt"
+	"maps"
 	"net"
 	"net/http"
 	"time"
 
 	"zinnialock/core/process/zlunit"
+	"zinnialock/core/request/zlcoord"
 	"zinnialock/core/version/zlcatalog"
 	"zinnialock/core/version/zltree"
 	"zinnialock/io/process/zlconfig"
@@ -26,6 +28,14 @@
 // FirstVersion is the index version that a scene starts with.
 const FirstVersion zlunit.IndexVersion = 1
 
+// What the platform stand-in allows, in calls per second, and how old its list
+// of VMs is.
+const (
+	platformReads  = 2000
+	platformWrites = 300
+	platformLag    = 5 * time.Second
+)
+
 // Scene is a running deployment. Plan, Seed and Log must be set before Run.
 type Scene struct {
 	Plan UserPlan
@@ -36,6 +46,10 @@
 	// PlatformFor, if set, names the platform address of a daemon, for one
 	// that is to be cut off; empty means the usual one.
 	PlatformFor func(vm zlunit.VM) string
+	// Without switches mechanisms of the daemons off, for experiments.
+	Without zlcoord.Without
+	// Settings are further settings of the deployment.
+	Settings zltree.Node
 
 	Platform  *zlfakeplatform.Platform
 	Client    *zlplatform.Client
@@ -77,7 +91,11 @@
 	if err != nil {
 		return eris.Wrap(err, "platform stand-in")
 	}
-	s.Platform = &zlfakeplatform.Platform{}
+	s.Platform = &zlfakeplatform.Platform{
+		ReadsPerSecond:  platformReads,
+		WritesPerSecond: platformWrites,
+		VMLag:           platformLag,
+	}
 	s.server = &http.Server{
 		Handler:           s.Platform.Handler(),
 		ReadHeaderTimeout: time.Minute,
@@ -114,11 +132,13 @@
 
 // tree is the deployment's first settings tree.
 func (s *Scene) tree() *zltree.Tree {
+	node := zltree.Node{
+		zltree.KeyDeadline: "2s",
+	}
+	maps.Copy(node, s.Settings)
 	return &zltree.Tree{
 		Nodes: map[zltree.Path]zltree.Node{
-			zltree.Path(s.Plan.Deployment): {
-				zltree.KeyDeadline: "2s",
-			},
+			zltree.Path(s.Plan.Deployment): node,
 		},
 	}
 }
@@ -185,8 +205,21 @@
 	return s.RunDaemon(dc, i)
 }
 
+// portTries bounds the tries to find ports that nobody takes meanwhile.
+const portTries = 5
+
 // RunDaemon starts the daemon of entry VM i of a data centre.
 func (s *Scene) RunDaemon(dc zlunit.DataCentre, i int) error {
+	var err error
+	for range portTries {
+		if err = s.runDaemon(dc, i); err == nil {
+			return nil
+		}
+	}
+	return err
+}
+
+func (s *Scene) runDaemon(dc zlunit.DataCentre, i int) error {
 	name := fmt.Sprintf("%s-%d", dc, i+1)
 	keys, err := s.authority.Store(name)
 	if err != nil {
@@ -213,8 +246,9 @@
 			StopGrace:       time.Second,
 			StopLimit:       10 * time.Second,
 		},
-		Keys: keys,
-		Log:  s.Log,
+		Keys:    keys,
+		Log:     s.Log,
+		Without: s.Without,
 	}
 	if err := d.Run(); err != nil {
 		return err
@@ -278,7 +312,7 @@
 	return ""
 }
 
-// Close ends everything at once.
+// Close ends everything at once, also after a Run that failed.
 func (s *Scene) Close() {
 	for n, e := range s.entries {
 		if !s.killed[n] {
@@ -288,6 +322,8 @@
 	for _, u := range s.Upstreams {
 		u.Close()
 	}
-	s.Client.HTTP.CloseIdleConnections()
-	_ = s.server.Close()
+	if s.server != nil {
+		s.Client.HTTP.CloseIdleConnections()
+		_ = s.server.Close()
+	}
 }
--- a/io/version/zlgossip/zlgossip_test.go
+++ b/io/version/zlgossip/zlgossip_test.go
@@ -125,7 +125,7 @@
 		for i := range each {
 			vm := fmt.Sprintf("%s-%d", dc, i)
 			w.add(vm, dc, rate())
-			r = r.With(zlroster.Member{
+			r.Members = append(r.Members, zlroster.Member{
 				VM:   zlunit.VM(vm),
 				Peer: vm,
 			})
