load: latency of idempotent requests on its own; demo: 1 in 100 sub-requests straggles

Cause: in the demo requests that are not idempotent wait for the platform through its outage, so p99 over all says nothing of the tail; the naive version met hardly any straggler. Change: idempotentP99Ms and idempotentP999Ms beside the rest; every upstream of the demo takes 20 times as long for 1 request in 100.

--- a/cmd/demo.go
+++ b/cmd/demo.go
@@ -79,6 +79,9 @@
 	sideNaive = "naive"
 )
 
+// demoStragglers is the share of sub-requests that straggle throughout.
+const demoStragglers = 0.01
+
 // side is one scene under load.
 type side struct {
 	name    string
@@ -145,9 +148,10 @@
 	s := &side{
 		name: name,
 		scene: &zlscene.Scene{
-			Plan:  plan,
-			Seed:  o.seed,
-			Naive: name == sideNaive,
+			Plan:          plan,
+			Seed:          o.seed,
+			StraggleShare: demoStragglers,
+			Naive:         name == sideNaive,
 			Log: &log.Logger{
 				Level: log.ErrorLevel,
 				Writer: &log.IOWriter{
--- a/cmd/demoscreen.go
+++ b/cmd/demoscreen.go
@@ -118,6 +118,8 @@
 	row("p50, ms", func(s *zlload.Summary) string { return ms(s.P50Ms) })
 	row("p99, ms", func(s *zlload.Summary) string { return ms(s.P99Ms) })
 	row("p99.9, ms", func(s *zlload.Summary) string { return ms(s.P999Ms) })
+	row("p99 idempotent, ms", func(s *zlload.Summary) string { return ms(s.IdempotentP99Ms) })
+	row("p99.9 idempotent, ms", func(s *zlload.Summary) string { return ms(s.IdempotentP999Ms) })
 	row("coverage, mean", func(s *zlload.Summary) string { return fmt.Sprintf("%.5f", s.CoverageMean) })
 	row("coverage, least", func(s *zlload.Summary) string { return fmt.Sprintf("%.5f", s.CoverageMin) })
 	row("extra load", func(s *zlload.Summary) string { return fmt.Sprintf("%.4f", s.ExtraLoad) })
--- a/cmd/load.go
+++ b/cmd/load.go
@@ -163,6 +163,7 @@
 	e.printf("sent %d (%d not idempotent), answered %d, refused %d, failed %d\n", s.Sent, s.Once, s.Answered, s.Refused, s.Failed)
 	e.printf("sent again by callers %d, attempts cut %d\n", s.Again, s.Cut)
 	e.printf("p50 %.1f ms, p99 %.1f ms, p99.9 %.1f ms, largest %.1f ms\n", s.P50Ms, s.P99Ms, s.P999Ms, s.MaxMs)
+	e.printf("idempotent only: p99 %.1f ms, p99.9 %.1f ms\n", s.IdempotentP99Ms, s.IdempotentP999Ms)
 	e.printf("coverage mean %.5f, least %.5f; extra load %.4f\n", s.CoverageMean, s.CoverageMin, s.ExtraLoad)
 	reasons := make([]string, 0, len(s.Reasons))
 	for reason := range s.Reasons {
--- a/io/process/zlload/summary.go
+++ b/io/process/zlload/summary.go
@@ -19,18 +19,22 @@
 	// Once counts the requests that are not idempotent.
 	Once int64 `json:"once"`
 	// Again counts the further attempts that callers made.
-	Again        int64            `json:"again"`
-	P50Ms        float64          `json:"p50Ms"`
-	P99Ms        float64          `json:"p99Ms"`
-	P999Ms       float64          `json:"p999Ms"`
-	MaxMs        float64          `json:"maxMs"`
-	CoverageMean float64          `json:"coverageMean"`
-	CoverageMin  float64          `json:"coverageMin"`
-	ExtraLoad    float64          `json:"extraLoad"`
-	Hedges       int64            `json:"hedges"`
-	Retries      int64            `json:"retries"`
-	Violations   []string         `json:"violations"`
-	Reasons      map[string]int64 `json:"reasons"`
+	Again  int64   `json:"again"`
+	P50Ms  float64 `json:"p50Ms"`
+	P99Ms  float64 `json:"p99Ms"`
+	P999Ms float64 `json:"p999Ms"`
+	MaxMs  float64 `json:"maxMs"`
+	// IdempotentP99Ms and IdempotentP999Ms leave out the requests that are not
+	// idempotent, which wait for the platform.
+	IdempotentP99Ms  float64          `json:"idempotentP99Ms"`
+	IdempotentP999Ms float64          `json:"idempotentP999Ms"`
+	CoverageMean     float64          `json:"coverageMean"`
+	CoverageMin      float64          `json:"coverageMin"`
+	ExtraLoad        float64          `json:"extraLoad"`
+	Hedges           int64            `json:"hedges"`
+	Retries          int64            `json:"retries"`
+	Violations       []string         `json:"violations"`
+	Reasons          map[string]int64 `json:"reasons"`
 }
 
 const (
@@ -50,10 +54,12 @@
 type tally struct {
 	mu        sync.Mutex
 	histogram *hdrhistogram.Histogram
-	summary   Summary
-	coverage  float64
-	parts     int64
-	subs      int64
+	// idempotent holds the latencies of idempotent requests only.
+	idempotent *hdrhistogram.Histogram
+	summary    Summary
+	coverage   float64
+	parts      int64
+	subs       int64
 	// received is what upstreams counted, or 0 without an audit.
 	received int64
 	points   []Point
@@ -63,8 +69,9 @@
 
 func newTally() *tally {
 	return &tally{
-		histogram: hdrhistogram.New(1, maxLatency, 3),
-		start:     time.Now(),
+		histogram:  hdrhistogram.New(1, maxLatency, 3),
+		idempotent: hdrhistogram.New(1, maxLatency, 3),
+		start:      time.Now(),
 		summary: Summary{
 			CoverageMin: 1,
 			Reasons:     map[string]int64{},
@@ -100,6 +107,9 @@
 		t.summary.Answered++
 		t.parts += int64(len(a.Parts))
 		_ = t.histogram.RecordValue(max(latency.Microseconds(), 1))
+		if !e.Once {
+			_ = t.idempotent.RecordValue(max(latency.Microseconds(), 1))
+		}
 		t.addPoint(float64(a.Coverage), latency, intended)
 	}
 }
@@ -144,9 +154,11 @@
 		s.Reasons[k] = v
 	}
 	s.Violations = append([]string{}, t.summary.Violations...)
-	s.P50Ms = t.milliseconds(50)
-	s.P99Ms = t.milliseconds(99)
-	s.P999Ms = t.milliseconds(99.9)
+	s.P50Ms = quantile(t.histogram, 50)
+	s.P99Ms = quantile(t.histogram, 99)
+	s.P999Ms = quantile(t.histogram, 99.9)
+	s.IdempotentP99Ms = quantile(t.idempotent, 99)
+	s.IdempotentP999Ms = quantile(t.idempotent, 99.9)
 	s.MaxMs = float64(t.histogram.Max()) / 1000
 	if s.Answered > 0 {
 		s.CoverageMean = t.coverage / float64(s.Answered)
@@ -157,8 +169,9 @@
 	return s
 }
 
-func (t *tally) milliseconds(quantile float64) float64 {
-	return float64(t.histogram.ValueAtQuantile(quantile)) / 1000
+// quantile returns a quantile of a histogram of microseconds in milliseconds.
+func quantile(h *hdrhistogram.Histogram, q float64) float64 {
+	return float64(h.ValueAtQuantile(q)) / 1000
 }
 
 // extraLoad is the share of sub-requests beyond one for each part of an
--- a/io/standin/zlscene/zlscene.go
+++ b/io/standin/zlscene/zlscene.go
@@ -38,6 +38,9 @@
 	Plan UserPlan
 	Seed uint64
 	Log  *log.Logger
+	// StraggleShare is the share of each upstream's requests that take 20 times
+	// as long.
+	StraggleShare float64
 	// Naive runs the naive version in place of the daemons.
 	Naive bool
 
@@ -177,6 +180,7 @@
 			ColdWork:      plan.ColdWork,
 			ConnectMs:     plan.ConnectMs,
 			ServiceMs:     plan.ServiceMs,
+			StraggleShare: s.StraggleShare,
 			StraggleTimes: 20,
 			QueueLimit:    64,
 			Shards: map[zlunit.IndexVersion][]zlunit.Shard{
