--- a/cmd/cmd.go
+++ b/cmd/cmd.go
@@ -57,6 +57,16 @@
 			summary: "send queries at a rate and check each answer",
 			run:     runLoad,
 		},
+		{
+			name:    "status",
+			summary: "show each daemon's view of the fleet",
+			run:     runStatus,
+		},
+		{
+			name:    "events",
+			summary: "show what daemons repaired, and why",
+			run:     runEvents,
+		},
 		{
 			name:    "standin",
 			summary: "run a small stand-in for the platform or an upstream",
@@ -72,6 +82,11 @@
 			summary: "measure what the tier costs as it grows",
 			run:     runCapacity,
 		},
+		{
+			name:    "experiment",
+			summary: "measure the tier beside the naive version",
+			run:     runExperiment,
+		},
 	}
 }
 
@@ -111,7 +126,7 @@
 func usageOf(w io.Writer, parent string, list []command) {
 	_, _ = fmt.Fprintf(w, "Usage: zinnialock %sSUBCOMMAND [flags]\n", parent)
 	for _, c := range list {
-		_, _ = fmt.Fprintf(w, "  %-9s %s\n", c.name, c.summary)
+		_, _ = fmt.Fprintf(w, "  %-10s %s\n", c.name, c.summary)
 	}
 	_, _ = fmt.Fprintf(w, "`zinnialock %sSUBCOMMAND -h` lists the flags of one.\n", parent)
 }
--- a/cmd/query.go
+++ b/cmd/query.go
@@ -33,7 +33,7 @@
 		checkFormat(*format),
 		checkAddress("target", *target),
 		checkText("service", *service, "the name of a service"),
-		checkNumber("least", *least, 1),
+		checkNumber("least", *least, 0, 1),
 		checkDuration("deadline", *deadline, time.Millisecond, maxDeadline),
 		checkID(*id, *retry),
 	)
--- a/cmd/standin.go
+++ b/cmd/standin.go
@@ -61,8 +61,8 @@
 	}
 	err := errors.Join(
 		checkAddress("listen", *listen),
-		checkNumber("reads", *reads, maxRate),
-		checkNumber("writes", *writes, maxRate),
+		checkNumber("reads", *reads, 0, maxRate),
+		checkNumber("writes", *writes, 0, maxRate),
 		checkDuration("vm-lag", *lag, 0, maxDuration),
 	)
 	if err != nil {
--- a/core/request/zlaggr/zlaggr.go
+++ b/core/request/zlaggr/zlaggr.go
@@ -6,6 +6,8 @@
 	"context"
 	"sort"
 	"sync"
+	"sync/atomic"
+	"time"
 
 	"zinnialock/core/connection/zlgate"
 	"zinnialock/core/process/zltimer"
@@ -41,6 +43,13 @@
 
 	shards  [tableShards]tableShard
 	workers workers
+	batches atomic.Int64
+}
+
+// Batches returns how many batches have replies outstanding. A planned stop
+// waits until there are none.
+func (a *Aggregator) Batches() int64 {
+	return a.batches.Load()
 }
 
 // Wait returns once no call to an upstream is left, and ends the goroutines
@@ -52,6 +61,7 @@
 // Serve starts the sub-requests of batch; sink gets one reply for each, on any
 // goroutine. Ctx ends them all.
 func (a *Aggregator) Serve(ctx context.Context, batch *zlquery.Batch, sink func(zlquery.Reply)) *Work {
+	a.batches.Add(1)
 	w := newWork(a, batch, sink)
 	w.start(ctx)
 	return w
@@ -65,12 +75,14 @@
 }
 
 // gate returns the gate of an upstream, made on first use.
-func (a *Aggregator) gate(name zlunit.Upstream, grant *Grant) *zlgate.Gate {
-	g := a.find(name)
+func (a *Aggregator) gate(u *zlcatalog.Upstream, grant *Grant) *zlgate.Gate {
+	g := a.find(u.Name)
 	g.SetLimits(zlgate.Limits{
 		Slots:       grant.Slots,
 		Cold:        grant.Cold,
 		Connections: grant.Connections,
+		ColdWork:    u.ColdWork,
+		ColdTime:    time.Duration(u.ColdMs) * time.Millisecond,
 	})
 	return g
 }
--- a/io/request/zlclaimstore/router_test.go
+++ b/io/request/zlclaimstore/router_test.go
@@ -113,7 +113,7 @@
 		roster = roster.With(zlroster.Member{
 			VM:   zlunit.VM(name),
 			Peer: name,
-		})
+		}, time.Now())
 	}
 	view := &zlview.View{
 		Rosters: map[zlunit.DataCentre]zlroster.Roster{
