--- a/io/process/zldaemon/zldaemon.go
+++ b/io/process/zldaemon/zldaemon.go
@@ -81,9 +81,9 @@
 	node       *zlpeer.Node
 	coord      *zlcoord.Coordinator
 	claims     claims
-	traces     *zltrace.Store
 	fleet      *zlfleet.Fleet
 	events     *zlevent.Ring
+	traces     *zltrace.Store
 	caller     *http.Server
 	admin      *http.Server
 	cancel     context.CancelFunc
@@ -162,8 +162,8 @@
 		},
 		Dispatcher: d.node,
 		Counter:    d.metrics,
-		Traces:     d.traces,
 		Without:    d.Without,
+		Traces:     d.traces,
 	}
 	d.buildClaims()
 	d.buildFleet()
--- a/io/standin/zlscene/zlscene.go
+++ b/io/standin/zlscene/zlscene.go
@@ -274,15 +274,18 @@
 // readyWait bounds the start of a scene.
 const readyWait = 10 * time.Second
 
-// waitReady waits until every daemon sees the whole fleet.
+// waitReady waits until every daemon sees the whole fleet and every upstream has
+// a daemon that may speak to it.
 func (s *Scene) waitReady(ctx context.Context) error {
 	deadline := time.Now().Add(readyWait)
 	for time.Now().Before(deadline) && ctx.Err() == nil {
 		all := true
+		held := 0
 		for _, e := range s.entries {
 			all = all && e.Ready(len(s.entries))
+			held += e.Held()
 		}
-		if all {
+		if all && held >= len(s.Upstreams) {
 			return nil
 		}
 		time.Sleep(20 * time.Millisecond)
