Planned stop: at most 2 s for the outcomes of claims

Cause: while the platform is down a stopping daemon waited for its whole limit. Measured: not yet; the bound is a constant. Conclusion: a planned stop does not hang on the platform.

--- a/io/process/zldaemon/claims.go
+++ b/io/process/zldaemon/claims.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"zinnialock/core/request/zlclaim"
 	"zinnialock/io/request/zlclaimstore"
@@ -47,9 +48,15 @@
 	c.guard.Run()
 }
 
+// finishWait bounds how long a planned stop waits for outcomes to be recorded,
+// since the platform may be down.
+const finishWait = 2 * time.Second
+
 // finish waits until the outcomes of ended requests are in the log, at the
-// latest until ctx ends.
+// latest until ctx ends or finishWait has passed.
 func (c *claims) finish(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, finishWait)
+	defer cancel()
 	c.guard.Close(ctx)
 }
 
