load asks each upstream for all runs at once

Cause: the audit made one call for each request and upstream, 13,500 for the demo's 300 requests and 45 upstreams, too many for a longer load. Change: upstream stand-ins take a list of ids; load sends up to 1,000 in a call. Conclusion: the audit's calls grow with upstreams, hardly with requests.

--- a/io/process/zlload/audit.go
+++ b/io/process/zlload/audit.go
@@ -1,11 +1,12 @@
 package zlload
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
 	"net/http"
-	"net/url"
+	"slices"
 	"sort"
 	"sync"
 	"time"
@@ -69,7 +70,7 @@
 	var mu sync.Mutex
 	err := a.each(func(c *zlcatalog.Catalog, u zlcatalog.Upstream) error {
 		var counts zlfakeupstream.Counts
-		if err := a.get(ctx, u.Address, "/control/counts", &counts); err != nil {
+		if err := a.call(ctx, http.MethodGet, u.Address, "/control/counts", nil, &counts); err != nil {
 			return err
 		}
 		mu.Lock()
@@ -81,11 +82,6 @@
 	return s, err
 }
 
-// runsReply is an upstream's count of the runs of one request.
-type runsReply struct {
-	Shards RunCount `json:"shards"`
-}
-
 // Runs returns how often each of the requests ran, by shard, summed over the
 // upstreams of its service.
 func (a *Auditor) Runs(ctx context.Context, entries []*Entry) (map[zlunit.RequestID]RunCount, error) {
@@ -94,20 +90,17 @@
 		s := e.Request.Service
 		byService[s] = append(byService[s], e.Request.RequestID)
 	}
-	out := map[zlunit.RequestID]RunCount{}
+	out := allRuns{}
 	var mu sync.Mutex
 	err := a.each(func(c *zlcatalog.Catalog, u zlcatalog.Upstream) error {
-		for _, id := range byService[c.Service] {
-			var runs runsReply
-			if err := a.get(ctx, u.Address, "/control/runs?request="+url.QueryEscape(string(id)), &runs); err != nil {
+		for ids := range slices.Chunk(byService[c.Service], maxAsked) {
+			var runs map[zlunit.RequestID]RunCount
+			if err := a.call(ctx, http.MethodPost, u.Address, "/control/runs", ids, &runs); err != nil {
 				return err
 			}
 			mu.Lock()
-			for shard, n := range runs.Shards {
-				if out[id] == nil {
-					out[id] = RunCount{}
-				}
-				out[id][shard] += n
+			for id, shards := range runs {
+				out.add(id, shards)
 			}
 			mu.Unlock()
 		}
@@ -116,8 +109,27 @@
 	return out, err
 }
 
-func (a *Auditor) get(ctx context.Context, address, path string, into any) error {
-	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+path, nil)
+// maxAsked bounds how many requests an upstream is asked about at once.
+const maxAsked = 1000
+
+// allRuns is the runs of requests, summed over upstreams.
+type allRuns map[zlunit.RequestID]RunCount
+
+func (r allRuns) add(id zlunit.RequestID, shards RunCount) {
+	if r[id] == nil {
+		r[id] = RunCount{}
+	}
+	for shard, n := range shards {
+		r[id][shard] += n
+	}
+}
+
+func (a *Auditor) call(ctx context.Context, method, address, path string, body, into any) error {
+	data, err := json.Marshal(body)
+	if err != nil {
+		return err
+	}
+	r, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, bytes.NewReader(data))
 	if err != nil {
 		return err
 	}
--- a/io/process/zlload/zlload_test.go
+++ b/io/process/zlload/zlload_test.go
@@ -72,13 +72,17 @@
 			Received: w.received,
 		})
 	})
-	mux.HandleFunc("GET /control/runs", func(out http.ResponseWriter, r *http.Request) {
+	mux.HandleFunc("POST /control/runs", func(out http.ResponseWriter, r *http.Request) {
 		w.mu.Lock()
 		defer w.mu.Unlock()
-		reply := runsReply{}
-		if n := w.runs[zlunit.RequestID(r.URL.Query().Get("request"))]; n > 0 {
-			reply.Shards = RunCount{
-				0: n,
+		var ids []zlunit.RequestID
+		_ = json.NewDecoder(r.Body).Decode(&ids)
+		reply := allRuns{}
+		for _, id := range ids {
+			if n := w.runs[id]; n > 0 {
+				reply.add(id, RunCount{
+					0: n,
+				})
 			}
 		}
 		_ = json.NewEncoder(out).Encode(reply)
--- a/io/standin/zlfakeupstream/runs.go
+++ b/io/standin/zlfakeupstream/runs.go
@@ -1,7 +1,9 @@
 package zlfakeupstream
 
 import (
+	"encoding/json"
 	"maps"
+	"net/http"
 
 	"zinnialock/core/process/zlunit"
 	"zinnialock/io/request/zlupcall"
@@ -66,3 +68,25 @@
 	defer u.mu.Unlock()
 	return maps.Clone(u.runs.of(request))
 }
+
+// maxAsked bounds a list of request ids, in bytes.
+const maxAsked = 4 << 20
+
+// serveRunsOf takes a JSON list of request ids and returns the runs of each
+// that ran, by id and shard.
+func (u *Upstream) serveRunsOf(w http.ResponseWriter, r *http.Request) {
+	var ids []zlunit.RequestID
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxAsked)).Decode(&ids); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	out := map[zlunit.RequestID]shardRuns{}
+	u.mu.Lock()
+	for _, id := range ids {
+		if ran := u.runs.of(id); len(ran) > 0 {
+			out[id] = ran
+		}
+	}
+	u.mu.Unlock()
+	reply(w, out)
+}
--- a/io/standin/zlfakeupstream/zlfakeupstream.go
+++ b/io/standin/zlfakeupstream/zlfakeupstream.go
@@ -156,6 +156,7 @@
 	mux.HandleFunc("GET /load", u.serveLoad)
 	mux.HandleFunc("GET /control/counts", u.serveCounts)
 	mux.HandleFunc("GET /control/runs", u.serveRuns)
+	mux.HandleFunc("POST /control/runs", u.serveRunsOf)
 	mux.HandleFunc("PUT /control/settings", u.serveSettings)
 	mux.HandleFunc("POST /control/cold", u.serveCold)
 	mux.HandleFunc("POST /control/leave", u.serveLeave)
