--- a/core/request/zlclaim/guard_test.go
+++ b/core/request/zlclaim/guard_test.go
@@ -97,8 +97,9 @@
 	inScene(t, "a request that was proved not run may be run by another daemon", func(s *scene) {
 		id := NewID(time.Now())
 		s.outcome = zlquery.OutcomeNotRun
-		convey.So(s.ask(0, id, false).Outcome, convey.ShouldEqual, zlquery.OutcomeNotRun)
-		time.Sleep(time.Second)
+		refused := s.ask(0, id, false)
+		convey.So(refused.Outcome, convey.ShouldEqual, zlquery.OutcomeNotRun)
+		time.Sleep(refused.RetryAfter)
 		s.outcome = zlquery.OutcomeDone
 		convey.So(s.ask(1, id, true).Outcome, convey.ShouldEqual, zlquery.OutcomeDone)
 		convey.So(s.runs, convey.ShouldEqual, 1)
--- a/core/request/zlclaim/writer.go
+++ b/core/request/zlclaim/writer.go
@@ -96,11 +96,11 @@
 }
 
 // gather takes jobs until the next write is due: at once after a quiet time
-// if there is an ask, else when outcomes have waited long enough.
+// if something is urgent, else when outcomes have waited long enough.
 func (w *writer) gather(ctx context.Context, waiting []*job, first, last time.Time) []*job {
 	for len(waiting) < maxPending {
 		due := last.Add(writeGap)
-		if !hasAsk(waiting) {
+		if !urgent(waiting) {
 			due = later(due, first.Add(outcomeWait))
 		}
 		wait := due.Sub(w.timer.Now())
@@ -134,9 +134,11 @@
 	return waiting
 }
 
-func hasAsk(jobs []*job) bool {
+// urgent reports whether somebody waits for a job: for an ask's reply, or to ask
+// again for an id that did not run.
+func urgent(jobs []*job) bool {
 	for _, j := range jobs {
-		if j.ask != nil {
+		if j.ask != nil || j.outcome.State == StateNotRun {
 			return true
 		}
 	}
--- a/io/standin/zlscene/entry.go
+++ b/io/standin/zlscene/entry.go
@@ -10,6 +10,8 @@
 	Target() string
 	// Ready reports whether it serves and sees a fleet of n daemons.
 	Ready(n int) bool
+	// Held counts the upstreams that it may speak to.
+	Held() int
 	// Kill ends it at once.
 	Kill()
 }
@@ -30,6 +32,17 @@
 	return ready && d.daemon.Peers() == n
 }
 
+// Held implements entry.
+func (d *daemonEntry) Held() int {
+	n := 0
+	for _, h := range d.daemon.Status().Fleet.Held {
+		if h.Usable {
+			n++
+		}
+	}
+	return n
+}
+
 // Kill implements entry.
 func (d *daemonEntry) Kill() {
 	d.daemon.Kill()
--- a/io/standin/zlscene/naive.go
+++ b/io/standin/zlscene/naive.go
@@ -84,6 +84,15 @@
 	return n.views.Load() != nil
 }
 
+// Held implements entry; the naive version speaks to all.
+func (n *naiveDaemon) Held() int {
+	view := n.views.Load()
+	if view == nil {
+		return 0
+	}
+	return len(view.Upstreams())
+}
+
 // Kill implements entry.
 func (n *naiveDaemon) Kill() {
 	n.cancel()
--- a/io/standin/zlscene/zlscene.go
+++ b/io/standin/zlscene/zlscene.go
@@ -41,6 +41,9 @@
 	Plan UserPlan
 	Seed uint64
 	Log  *log.Logger
+	// StraggleShare is the share of each upstream's requests that take 20 times
+	// as long.
+	StraggleShare float64
 	// Naive runs the naive version in place of the daemons.
 	Naive bool
 	// PlatformFor, if set, names the platform address of a daemon, for one
@@ -189,6 +192,7 @@
 			ColdWork:      plan.ColdWork,
 			ConnectMs:     plan.ConnectMs,
 			ServiceMs:     plan.ServiceMs,
+			StraggleShare: s.StraggleShare,
 			StraggleTimes: 20,
 			QueueLimit:    64,
 			Shards: map[zlunit.IndexVersion][]zlunit.Shard{
@@ -278,15 +282,18 @@
 // readyWait bounds the start of a scene.
 const readyWait = 10 * time.Second
 
-// waitReady waits until every daemon sees the whole fleet.
+// waitReady waits until every daemon sees the whole fleet and every upstream has
+// a daemon that may speak to it.
 func (s *Scene) waitReady(ctx context.Context) error {
 	deadline := time.Now().Add(readyWait)
 	for time.Now().Before(deadline) && ctx.Err() == nil {
 		all := true
+		held := 0
 		for _, e := range s.entries {
 			all = all && e.Ready(len(s.entries))
+			held += e.Held()
 		}
-		if all {
+		if all && held >= len(s.Upstreams) {
 			return nil
 		}
 		time.Sleep(20 * time.Millisecond)
