--- a/cmd/cmd.go
+++ b/cmd/cmd.go
@@ -42,6 +42,16 @@
 			summary: "validate a daemon's settings file",
 			run:     runCheck,
 		},
+		{
+			name:    "config",
+			summary: "show and change the operators' settings tree",
+			run:     runConfig,
+		},
+		{
+			name:    "mark",
+			summary: "take a VM, a data centre or an upstream out of service, or bring it back",
+			run:     runMark,
+		},
 		{
 			name:    "query",
 			summary: "send one query and show its answer",
@@ -138,6 +148,9 @@
 	best := ""
 	least := hintDistance + 1
 	for _, c := range list {
+		if typed != "" && strings.HasPrefix(c.name, typed) {
+			return fmt.Sprintf("; did you mean %q?", parent+c.name)
+		}
 		if d := distance(typed, c.name); d < least {
 			best, least = c.name, d
 		}
--- a/core/request/zlclaim/guard.go
+++ b/core/request/zlclaim/guard.go
@@ -33,6 +33,9 @@
 	recallWait = 100 * time.Millisecond
 	// storeRetryAfter tells a caller when to come back after the store failed.
 	storeRetryAfter = time.Second
+	// releaseRetryAfter is the least time after which a caller may come back
+	// with an id that did not run: the log has to say so first.
+	releaseRetryAfter = 200 * time.Millisecond
 	// heldRetryAfter tells a caller when to ask for the outcome of an attempt
 	// that may still run.
 	heldRetryAfter = 500 * time.Millisecond
@@ -144,7 +147,7 @@
 func (g *Guard) run(ctx context.Context, req *zlquery.Request, ask Ask, valid time.Time) *zlquery.Answer {
 	if !g.Timer.Now().Before(valid) {
 		g.record(ask, StateNotRun)
-		return g.refuse(req, zlquery.OutcomeNotRun, zlquery.ReasonDeadline, 0)
+		return g.refuse(req, zlquery.OutcomeNotRun, zlquery.ReasonDeadline, releaseRetryAfter)
 	}
 	a := g.Next.Answer(ctx, req)
 	switch a.Outcome {
@@ -153,6 +156,7 @@
 		g.record(ask, StateDone)
 	case zlquery.OutcomeNotRun:
 		g.record(ask, StateNotRun)
+		a.RetryAfter = max(a.RetryAfter, releaseRetryAfter)
 	case zlquery.OutcomeUnknown:
 		// The claim stays: nobody may run this id again.
 	}
--- a/io/process/zlfleet/grant.go
+++ b/io/process/zlfleet/grant.go
@@ -27,6 +27,7 @@
 func (f *Fleet) Grant(u zlcatalog.Upstream) zlaggr.Grant {
 	s := f.tenure.May(use(u), f.Timer.Now())
 	if !s.OK {
+		f.Count(CountRefusal, string(s.Why))
 		return zlaggr.Grant{
 			Refusal: zlquery.ReasonNotHolder,
 		}
@@ -163,13 +164,13 @@
 }
 
 // Settled reports whether this daemon is in the roster, has its lease and may
-// use all that it holds.
+// use the whole of all that it holds.
 func (f *Fleet) Settled() bool {
 	if !f.Member() || f.tenure.Left(f.Timer.Now()) <= 0 {
 		return false
 	}
 	for _, h := range f.Status().Held {
-		if !h.Usable {
+		if h.Why != zltenure.WhyHeld {
 			return false
 		}
 	}
