--- a/core/request/zlcoord/take.go
+++ b/core/request/zlcoord/take.go
@@ -109,9 +109,8 @@
 	if result.Reason == zlquery.ReasonPeerLost {
 		r.suspect(sub.to.Peer, now)
 	}
-	if sub.cause == zltrace.CauseHedge && speaksOfLoad(result.Reason) {
-		// A hedge is refused where ordinary work is still welcome.
-		sub.to.Record.Cancelled(now, 0, false)
+	if sub.cause == zltrace.CauseHedge && result.Reason != zlquery.ReasonPeerLost {
+		r.hedgeNotRun(sub, now)
 	} else {
 		sub.to.Record.Refused(now, result.Reason, result.RetryAfter)
 	}
@@ -119,6 +118,17 @@
 	r.failed(sub.shard, result.Reason, now)
 }
 
+// hedgeNotRun handles the refusal of a hedge: nothing was spent, and another
+// replica may be asked at once.
+func (r *run) hedgeNotRun(sub *subState, now time.Time) {
+	sub.to.Record.RefusedHedge(now)
+	r.profile.hedges.Return()
+	r.hedges--
+	st := &r.shards[sub.shard]
+	st.lateAt = r.at(now)
+	r.rearm = true
+}
+
 // takeUnknown ends a sub-request that may have run and may still be running,
 // which is why it is cancelled as well.
 func (r *run) takeUnknown(id zlunit.SubID, reason zlquery.Reason, now time.Time) {
--- a/io/standin/zlscene/zlscene.go
+++ b/io/standin/zlscene/zlscene.go
@@ -1,6 +1,7 @@
 package zlscene
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"maps"
@@ -40,8 +41,14 @@
 	Plan UserPlan
 	Seed uint64
 	Log  *log.Logger
+	// StraggleShare is the share of each upstream's requests that take 20 times
+	// as long.
+	StraggleShare float64
 	// Naive runs the naive version in place of the daemons.
 	Naive bool
+	// PlatformFor, if set, names the platform address of a daemon, for one
+	// that is to be cut off; empty means the usual one.
+	PlatformFor func(vm zlunit.VM) string
 	// Without switches mechanisms of the daemons off, for experiments.
 	Without zlcoord.Without
 	// Settings are further settings of the deployment.
@@ -185,6 +192,7 @@
 			ColdWork:      plan.ColdWork,
 			ConnectMs:     plan.ConnectMs,
 			ServiceMs:     plan.ServiceMs,
+			StraggleShare: s.StraggleShare,
 			StraggleTimes: 20,
 			QueueLimit:    64,
 			Shards: map[zlunit.IndexVersion][]zlunit.Shard{
@@ -225,6 +233,10 @@
 	if err != nil {
 		return err
 	}
+	platform := s.Client.Address
+	if s.PlatformFor != nil {
+		platform = cmp.Or(s.PlatformFor(zlunit.VM(name)), platform)
+	}
 	d := &zldaemon.Daemon{
 		Config: &zlconfig.Config{
 			Name:            zlunit.VM(name),
@@ -233,7 +245,7 @@
 			CallerListen:    ports[0],
 			AdminListen:     ports[1],
 			PeerListen:      ports[2],
-			PlatformAddress: s.Client.Address,
+			PlatformAddress: platform,
 			PlatformTimeout: 2 * time.Second,
 			StopGrace:       time.Second,
 			StopLimit:       10 * time.Second,
@@ -270,15 +282,18 @@
 // readyWait bounds the start of a scene.
 const readyWait = 10 * time.Second
 
-// waitReady waits until every daemon sees the whole fleet.
+// waitReady waits until every daemon sees the whole fleet and every upstream has
+// a daemon that may speak to it.
 func (s *Scene) waitReady(ctx context.Context) error {
 	deadline := time.Now().Add(readyWait)
 	for time.Now().Before(deadline) && ctx.Err() == nil {
 		all := true
+		held := 0
 		for _, e := range s.entries {
 			all = all && e.Ready(len(s.entries))
+			held += e.Held()
 		}
-		if all {
+		if all && held >= len(s.Upstreams) {
 			return nil
 		}
 		time.Sleep(20 * time.Millisecond)
