zlworker: no goroutine is kept after Wait

Cause: a task that ran after Wait, during a stop, parked its goroutine for good; TestRollingReplacementCutsNothing found it once. Change: Wait is final for the kept goroutines; a test. Result: io/standin/zlscene passes twice with the race detector. Conclusion: a stop leaves nothing behind.

--- a/core/process/zlworker/zlworker.go
+++ b/core/process/zlworker/zlworker.go
@@ -15,6 +15,8 @@
 	mu   sync.Mutex
 	idle []chan T
 	busy int
+	// closed tells that no goroutine is kept any more.
+	closed bool
 	// ended is made by Wait and closed once nothing is busy.
 	ended chan struct{}
 }
@@ -54,16 +56,18 @@
 		p.ended = nil
 		return false
 	}
-	if p.ended != nil || len(p.idle) >= maxIdle {
+	if p.closed || len(p.idle) >= maxIdle {
 		return false
 	}
 	p.idle = append(p.idle, next)
 	return true
 }
 
-// Wait returns once no task is left, and ends the kept goroutines.
+// Wait returns once no task is left, and ends the kept goroutines. A task that
+// is run later gets a goroutine that ends with it.
 func (p *Pool[T]) Wait() {
 	p.mu.Lock()
+	p.closed = true
 	for _, next := range p.idle {
 		close(next)
 	}
--- a/core/process/zlworker/zlworker_test.go
+++ b/core/process/zlworker/zlworker_test.go
@@ -15,7 +15,6 @@
 			sum.Add(n)
 		},
 	}
-	p.Wait()
 	for round := range int64(3) {
 		for i := range int64(2 * maxIdle) {
 			p.Run(i)
@@ -26,3 +25,16 @@
 		}
 	}
 }
+
+func TestNoGoroutineIsKeptAfterWait(t *testing.T) {
+	p := &Pool[chan struct{}]{
+		Do: func(done chan struct{}) {
+			close(done)
+		},
+	}
+	p.Wait()
+	done := make(chan struct{})
+	p.Run(done)
+	<-done
+	goleak.VerifyNone(t)
+}
