A new daemon does not wait anew for those who died long ago

Cause: a daemon that had just started counted the wait for a dead earlier holder from its own start, for 48 h after each crash. Change: answers to beats tell when epochs were adopted; a lease is over a lease and the clock error after anybody adopted a later epoch. Conclusion: a planned replacement is free of the gap also after crashes.

--- a/core/process/zltenure/beat.go
+++ b/core/process/zltenure/beat.go
@@ -19,6 +19,14 @@
 	Released []zlunit.Upstream `cbor:"4,keyasint,omitempty"`
 	// Doubted lists the daemons that the sender has not heard from.
 	Doubted []zlunit.VM `cbor:"5,keyasint,omitempty"`
+	// Past asks for the epochs that the answerer adopted before.
+	Past bool `cbor:"6,keyasint,omitempty"`
+}
+
+// Adoption tells how long ago a daemon adopted an epoch.
+type Adoption struct {
+	Epoch zlunit.ObjectVersion `cbor:"1,keyasint"`
+	Age   time.Duration        `cbor:"2,keyasint"`
 }
 
 // Echo answers a Beat.
@@ -26,8 +34,9 @@
 	VM          zlunit.VM            `cbor:"1,keyasint"`
 	Incarnation zlunit.Incarnation   `cbor:"2,keyasint"`
 	Epoch       zlunit.ObjectVersion `cbor:"3,keyasint"`
-	// Adopted is the time since the epoch was adopted.
-	Adopted time.Duration `cbor:"4,keyasint"`
+	// Adopted holds the epoch and, if asked for, those adopted before it,
+	// oldest first.
+	Adopted []Adoption `cbor:"4,keyasint"`
 	// Vouches is the promise to stop vouching once a later epoch is adopted.
 	Vouches bool `cbor:"5,keyasint,omitempty"`
 	// Confirmed is the time since the platform confirmed the epoch, if it did.
@@ -47,6 +56,7 @@
 		VM:          t.Self.VM,
 		Incarnation: t.Self.Incarnation,
 		Epoch:       t.roster.Epoch,
+		Past:        !t.clear,
 	}
 }
 
@@ -62,9 +72,7 @@
 		Epoch:       t.roster.Epoch,
 		Vouches:     b.Epoch == t.roster.Epoch && t.vouchesFor(b),
 	}
-	if f, ok := t.facts[t.Self]; ok && len(f.adoptions) > 0 {
-		e.Adopted = now.Sub(f.adoptions[len(f.adoptions)-1].by)
-	}
+	e.Adopted = t.adoptions(b.Past, now)
 	if !t.confirmed.IsZero() {
 		age := now.Sub(t.confirmed)
 		e.Confirmed = &age
@@ -77,6 +85,26 @@
 	return e
 }
 
+// adoptions lists the epochs adopted here, or only the one in force.
+func (t *Tenure) adoptions(past bool, now time.Time) []Adoption {
+	f, ok := t.facts[t.Self]
+	if !ok {
+		return nil
+	}
+	list := f.adoptions
+	if !past {
+		list = list[max(len(list)-1, 0):]
+	}
+	out := make([]Adoption, 0, len(list))
+	for _, a := range list {
+		out = append(out, Adoption{
+			Epoch: a.epoch,
+			Age:   now.Sub(a.by),
+		})
+	}
+	return out
+}
+
 func (t *Tenure) vouchesFor(b *Beat) bool {
 	m, ok := t.roster.Member(b.VM)
 	if !ok || m.Incarnation != b.Incarnation || !t.member(t.roster) {
@@ -104,7 +132,9 @@
 		t.dead(to, now)
 	}
 	f := t.fact(from)
-	f.adopt(e.Epoch, now.Add(-t.shorter(e.Adopted)))
+	for _, a := range e.Adopted {
+		f.adopt(a.Epoch, now.Add(-t.shorter(a.Age)))
+	}
 	for _, u := range e.Released {
 		f.released[u] = max(f.released[u], e.Epoch)
 	}
@@ -136,7 +166,8 @@
 }
 
 // Questions returns whom to ask so that what is held here becomes usable:
-// the earlier holders, and their vouchers while leases may still run.
+// the earlier holders, their vouchers while leases may still run, and this
+// daemon's own vouchers, which may have seen epochs end before it started.
 func (t *Tenure) Questions(now time.Time) []Question {
 	t.mu.RLock()
 	defer t.mu.RUnlock()
@@ -156,6 +187,9 @@
 			if t.accounted(u, d, now) {
 				continue
 			}
+			for _, v := range t.vouchers {
+				ask(v)
+			}
 			q := ask(d.holder)
 			q.Released = append(q.Released, u)
 			if !t.lapsed(d, now) {
--- a/core/process/zltenure/fact.go
+++ b/core/process/zltenure/fact.go
@@ -18,6 +18,8 @@
 	dead    bool
 	// deadBy is the latest time at which it can have died.
 	deadBy time.Time
+	// ended, if not 0, is the epoch that ended with the record of the death.
+	ended zlunit.ObjectVersion
 }
 
 // adoption tells by when a process had adopted an epoch.
@@ -50,6 +52,35 @@
 	return f.deadBy, f.dead
 }
 
+// ended returns the earliest time by which some process is known to have
+// adopted an epoch after the given one.
+func (t *Tenure) ended(epoch zlunit.ObjectVersion) (time.Time, bool) {
+	var first time.Time
+	found := false
+	for _, f := range t.facts {
+		for _, a := range f.adoptions {
+			if a.epoch > epoch {
+				if !found || a.by.Before(first) {
+					first = a.by
+				}
+				found = true
+				break
+			}
+		}
+	}
+	return first, found
+}
+
+// deadSince returns the latest time at which the process can have died.
+func (t *Tenure) deadSince(f *fact) time.Time {
+	if f.ended != 0 {
+		if by, ok := t.ended(f.ended); ok && by.Before(f.deadBy) {
+			return by
+		}
+	}
+	return f.deadBy
+}
+
 func (t *Tenure) fact(k zlroster.Key) *fact {
 	f, ok := t.facts[k]
 	if !ok {
@@ -95,7 +126,7 @@
 	for _, c := range t.roster.Past {
 		for _, d := range c.Out {
 			seen(d.Member)
-			t.noteExit(d, now)
+			t.noteExit(d, c.Epoch, now)
 		}
 	}
 	for k := range known {
@@ -110,13 +141,14 @@
 	}
 }
 
-func (t *Tenure) noteExit(d zlroster.Departure, now time.Time) {
+func (t *Tenure) noteExit(d zlroster.Departure, ended zlunit.ObjectVersion, now time.Time) {
 	switch d.How {
 	case zlroster.ExitReleased:
 		t.fact(d.Key()).stopped = true
 		t.dead(d.Key(), now)
 	case zlroster.ExitDead, zlroster.ExitReplaced:
 		t.dead(d.Key(), now)
+		t.fact(d.Key()).ended = ended
 	case zlroster.ExitSilent, zlroster.ExitChanged:
 		// It may still run.
 	}
--- a/core/process/zltenure/hold.go
+++ b/core/process/zltenure/hold.go
@@ -147,6 +147,7 @@
 
 // settle counts, for each hold, who may still be sending.
 func (t *Tenure) settle(now time.Time) {
+	t.clear = true
 	for u, h := range t.holds {
 		h.blocked, h.unaccounted = 0, 0
 		for _, d := range h.debts {
@@ -158,6 +159,7 @@
 				h.blocked++
 			}
 		}
+		t.clear = t.clear && h.full()
 	}
 }
 
@@ -174,13 +176,13 @@
 	if epoch, ok := f.released[u]; ok && epoch >= d.epoch {
 		return true
 	}
-	return f.dead && t.waited(f.deadBy, now)
+	return f.dead && t.waited(t.deadSince(f), now)
 }
 
 // lapsed reports that the earlier holder's lease has ended, by its own clock.
 func (t *Tenure) lapsed(d *debt, now time.Time) bool {
 	for _, x := range d.terms {
-		if !t.adopted(t.Self, x.epoch, now) {
+		if by, ok := t.ended(x.epoch); !ok || !t.waited(by, now) {
 			return false
 		}
 		if len(x.vouchers) > 0 && !slices.ContainsFunc(x.vouchers, func(k zlroster.Key) bool {
--- a/core/process/zltenure/zltenure.go
+++ b/core/process/zltenure/zltenure.go
@@ -50,6 +50,8 @@
 	// paused since its lease was last current.
 	ticked time.Time
 	woke   bool
+	// clear tells that no earlier holder is waited for.
+	clear bool
 	// stopped tells that this daemon has given up everything for good.
 	stopped bool
 	holds   map[zlunit.Upstream]*hold
--- a/io/process/zlfleet/zlfleet_test.go
+++ b/io/process/zlfleet/zlfleet_test.go
@@ -83,6 +83,22 @@
 	})
 }
 
+func TestPlannedReplacementAfterACrash(t *testing.T) {
+	inScene(t, "A new daemon learns from others that an old lease has ended", 3, func(s *scene) {
+		s.members["vm0"].kill()
+		s.start("vm0")
+		time.Sleep(takeoverTarget)
+		convey.So(s.members["vm1"].fleet.Leave(context.Background()), convey.ShouldBeNil)
+		time.Sleep(2 * time.Second)
+		convey.So(s.members["vm1"].fleet.Release(context.Background()), convey.ShouldBeTrue)
+		s.members["vm1"].kill()
+		s.reset()
+		s.start("vm1")
+		time.Sleep(time.Second)
+		s.mustHeal(t, "planned replacement after a crash", time.Second)
+	})
+}
+
 func TestVMReplacedUnderTheSameAddress(t *testing.T) {
 	inScene(t, "Whoever answers at an address shows that the one before is dead", 3, func(s *scene) {
 		s.members["vm0"].kill()
