Followers that start in an outage spread out too

Cause: without a view a follower took the fleet for one daemon and tried again each 2 s at most: 660 that start while the platform is down would make about 660 calls a second. On recovery each also read the records right after it had listed everything, most in a second 559 of 500 allowed. Change: backoff assumes 250 daemons while nothing is known; the first listing puts the next reading of the records off. Conclusion: a small fleet that starts in an outage may notice its end 7.5 s late.

--- a/io/version/zlsync/follower_test.go
+++ b/io/version/zlsync/follower_test.go
@@ -111,55 +111,95 @@
 // A few hundred calls a second is what the platform leaves for following it.
 const callsAllowed = 500
 
+// herd runs followers against a platform and looks at the calls it gets.
+type herd struct {
+	p         *fakePlatform
+	followers []*Follower
+	cancel    context.CancelFunc
+	wg        sync.WaitGroup
+}
+
+const herdDaemons = 660
+
+// newHerd starts the followers; end them with stop.
+func newHerd(p *fakePlatform) *herd {
+	ctx, cancel := context.WithCancel(context.Background())
+	h := &herd{
+		p:      p,
+		cancel: cancel,
+	}
+	p.latency = 2 * time.Millisecond
+	mustPut(p, Settings.Kind, Settings.Name, treeWith("2s"))
+	mustPut(p, zlplatform.ObjectRoster, "nashua", fleetRoster(herdDaemons))
+	for range herdDaemons {
+		f := newFollower(p)
+		h.followers = append(h.followers, f)
+		h.wg.Go(func() {
+			f.Run(ctx)
+		})
+	}
+	return h
+}
+
+func (h *herd) stop() {
+	h.cancel()
+	h.wg.Wait()
+}
+
+// phase lets d pass and checks that no second had too many calls.
+func (h *herd) phase(t *testing.T, what string, d time.Duration) {
+	synctest.Wait()
+	h.p.set(func() {
+		h.p.calls = nil
+	})
+	time.Sleep(d)
+	synctest.Wait()
+	h.p.mu.Lock()
+	calls := slices.Clone(h.p.calls)
+	h.p.mu.Unlock()
+	most := busiest(calls, time.Second)
+	t.Logf("%s: %.1f calls/s, most in a second %d", what, float64(len(calls))/d.Seconds(), most)
+	convey.So(most, convey.ShouldBeLessThan, callsAllowed)
+}
+
 func TestNoHerdAroundAnOutage(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		convey.Convey("Given 660 daemons that follow a platform", t, func() {
-			const daemons = 660
-			p := newFake()
-			p.latency = 2 * time.Millisecond
-			mustPut(p, Settings.Kind, Settings.Name, treeWith("2s"))
-			mustPut(p, zlplatform.ObjectRoster, "nashua", fleetRoster(daemons))
-			ctx, cancel := context.WithCancel(context.Background())
-			var followers []*Follower
-			var wg sync.WaitGroup
-			defer wg.Wait()
-			defer cancel()
-			for range daemons {
-				f := newFollower(p)
-				followers = append(followers, f)
-				wg.Go(func() {
-					f.Run(ctx)
-				})
-			}
+			h := newHerd(newFake())
+			defer h.stop()
 			time.Sleep(time.Minute)
-			phase := func(what string, d time.Duration) {
-				synctest.Wait()
-				p.set(func() {
-					p.calls = nil
-				})
-				time.Sleep(d)
-				synctest.Wait()
-				p.mu.Lock()
-				calls := slices.Clone(p.calls)
-				p.mu.Unlock()
-				most := busiest(calls, time.Second)
-				t.Logf("%s: %.1f calls/s, most in a second %d", what, float64(len(calls))/d.Seconds(), most)
-				convey.So(most, convey.ShouldBeLessThan, callsAllowed)
-			}
-			phase("steady", time.Minute)
-			p.setDown(true)
-			phase("an hour's outage", time.Hour)
-			p.setDown(false)
-			phase("recovery", time.Minute)
-			for _, f := range followers {
+			h.phase(t, "steady", time.Minute)
+			h.p.setDown(true)
+			h.phase(t, "an hour's outage", time.Hour)
+			h.p.setDown(false)
+			h.phase(t, "recovery", time.Minute)
+			for _, f := range h.followers {
 				at, ok := f.Confirmed()
 				convey.So(ok && time.Since(at) < 15*time.Second, convey.ShouldBeTrue)
 			}
-			mustPut(p, Settings.Kind, Settings.Name, treeWith("3s"))
-			phase("a change", 5*time.Second)
-			for _, f := range followers {
+			mustPut(h.p, Settings.Kind, Settings.Name, treeWith("3s"))
+			h.phase(t, "a change", 5*time.Second)
+			for _, f := range h.followers {
 				convey.So(f.Views.Load().Policy("s", "k").Deadline, convey.ShouldEqual, 3*time.Second)
 			}
 		})
 	})
 }
+
+func TestNoHerdOfDaemonsThatStartInAnOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		convey.Convey("Given 660 daemons that start together while the platform is down", t, func() {
+			p := newFake()
+			h := newHerd(p)
+			defer h.stop()
+			p.setDown(true)
+			time.Sleep(20 * time.Second)
+			h.phase(t, "outage", 5*time.Minute)
+			p.setDown(false)
+			h.phase(t, "recovery", time.Minute)
+			for _, f := range h.followers {
+				convey.So(f.Views.Load(), convey.ShouldNotBeNil)
+			}
+		})
+	})
+}
--- a/io/version/zlsync/pace.go
+++ b/io/version/zlsync/pace.go
@@ -28,6 +28,8 @@
 	minTopBackoff = 2 * time.Second
 	// topBackoffPerDaemon is what each daemon adds to that bound.
 	topBackoffPerDaemon = 30 * time.Millisecond
+	// unknownFleet is the size that backoff assumes while nothing is known.
+	unknownFleet = 250
 	// recheckPeriod is the period of reading the records in full, which finds
 	// a platform that was restored from an older state unnoticed.
 	recheckPeriod = 5 * time.Minute
@@ -40,7 +42,13 @@
 	failures := 0
 	recheck := f.Timer.Now().Add(f.jittered(recheckPeriod))
 	for ctx.Err() == nil {
+		knew := f.Views.Load() != nil
 		err := f.step(ctx)
+		if err == nil && !knew {
+			// The first listing brought everything.
+			recheck = f.Timer.Now().Add(f.jittered(recheckPeriod))
+			failures = 0
+		}
 		if err == nil && (failures > 0 || f.Timer.Now().After(recheck)) {
 			recheck = f.Timer.Now().Add(f.jittered(recheckPeriod))
 			err = f.recheck(ctx)
@@ -93,7 +101,11 @@
 	if failures == 0 {
 		return time.Duration(rand.Float64() * float64(spread))
 	}
-	top := max(f.fleet()*topBackoffPerDaemon, minTopBackoff)
+	fleet := f.fleet()
+	if f.Views.Load() == nil {
+		fleet = unknownFleet
+	}
+	top := max(fleet*topBackoffPerDaemon, minTopBackoff)
 	limit := min(max(spread, minBackoff)<<min(failures, 16), top)
 	return time.Duration(rand.Float64() * float64(limit))
 }
