claims: a run outlives its caller; load and demo have callers that hang up

Cause: a caller that hung up ended its own run, and its repetition was told unknown; a release in the same write as its claim, or before it, was dropped, so the id stayed held for nobody. Change: the guard goes on without the caller; writers remember releases without a record; -impatient has callers hang up within 20 ms and send again through another daemon; violations are counted beyond the 50 kept.

--- a/cmd/demo.go
+++ b/cmd/demo.go
@@ -82,6 +82,10 @@
 // demoStragglers is the share of sub-requests that straggle throughout.
 const demoStragglers = 0.01
 
+// demoImpatient is the share of callers of requests that are not idempotent who
+// hang up early and send again.
+const demoImpatient = 0.25
+
 // side is one scene under load.
 type side struct {
 	name    string
@@ -188,6 +192,7 @@
 		Duration:  o.duration,
 		Seed:      o.seed,
 		OnceShare: o.once,
+		Impatient: demoImpatient,
 		Checker: &zlload.Checker{
 			Shards: catalogs.Shards,
 		},
@@ -219,7 +224,7 @@
 	}()
 	s.summary, s.points, s.err = s.load.Run(ctx)
 	<-ended
-	s.summary.Violations = append(s.summary.Violations, s.script.faults...)
+	s.summary.Violate(s.script.faults)
 	if s.err == nil {
 		s.err = s.script.err
 	}
--- a/cmd/demoscreen.go
+++ b/cmd/demoscreen.go
@@ -77,7 +77,7 @@
 	lines := []string{fmt.Sprintf("%-10s %8s %8s %8s %9s %9s %9s %10s", "", "sent", "answered", "refused", "p50 ms", "p99 ms", "coverage", "violations")}
 	for _, name := range s.names {
 		r := s.rows[name]
-		lines = append(lines, fmt.Sprintf("%-10s %8d %8d %8d %9.1f %9.1f %9.4f %10d", name, r.Sent, r.Answered, r.Refused, r.P50Ms, r.P99Ms, r.CoverageMean, len(r.Violations)))
+		lines = append(lines, fmt.Sprintf("%-10s %8d %8d %8d %9.1f %9.1f %9.4f %10d", name, r.Sent, r.Answered, r.Refused, r.P50Ms, r.P99Ms, r.CoverageMean, r.ViolationCount))
 	}
 	from := max(0, len(s.events)-eventLines)
 	lines = append(lines, s.events[from:]...)
@@ -123,11 +123,22 @@
 	row("coverage, mean", func(s *zlload.Summary) string { return fmt.Sprintf("%.5f", s.CoverageMean) })
 	row("coverage, least", func(s *zlload.Summary) string { return fmt.Sprintf("%.5f", s.CoverageMin) })
 	row("extra load", func(s *zlload.Summary) string { return fmt.Sprintf("%.4f", s.ExtraLoad) })
-	row("violations", func(s *zlload.Summary) string { return fmt.Sprint(len(s.Violations)) })
+	row("violations", func(s *zlload.Summary) string { return count(s.ViolationCount) })
 	for _, s := range sides {
-		for _, v := range s.summary.Violations {
-			e.printf("%s: %s\n", s.name, v)
-		}
+		showFirst(e, s)
+	}
+}
+
+// firstViolations is how many violations of a side a comparison shows.
+const firstViolations = 8
+
+func showFirst(e *env, s *side) {
+	list := s.summary.Violations
+	for _, v := range list[:min(firstViolations, len(list))] {
+		e.printf("%s: %s\n", s.name, v)
+	}
+	if more := s.summary.ViolationCount - firstViolations; more > 0 {
+		e.printf("%s: and %d more\n", s.name, more)
 	}
 }
 
--- a/cmd/load.go
+++ b/cmd/load.go
@@ -24,9 +24,11 @@
 	seed     uint64
 	kind     string
 	once     float64
-	audit    bool
-	plot     string
-	format   string
+	// impatient is a share of the share once.
+	impatient float64
+	audit     bool
+	plot      string
+	format    string
 }
 
 func runLoad(e *env, args []string) int {
@@ -40,6 +42,7 @@
 	fs.Uint64Var(&o.seed, "seed", 1, "seed")
 	fs.StringVar(&o.kind, "kind", "lookup", "query kind")
 	fs.Float64Var(&o.once, "once", 0, "share of queries that are not idempotent, 0 to 1")
+	fs.Float64Var(&o.impatient, "impatient", 0, "share of those whose caller hangs up within 20 ms and sends again, 0 to 1")
 	fs.BoolVar(&o.audit, "audit", true, "read the counts of the upstream stand-ins; off for real upstreams")
 	fs.StringVar(&o.plot, "plot", "", "`FILE.png` for the latency distribution and the timeline")
 	fs.StringVar(&o.format, "format", "text", "text or json")
@@ -62,6 +65,7 @@
 		checkDuration("time", o.duration, time.Millisecond, maxDuration),
 		checkDuration("deadline", o.deadline, time.Millisecond, maxDeadline),
 		checkNumber("once", o.once, 0, 1),
+		checkNumber("impatient", o.impatient, 0, 1),
 		checkText("kind", o.kind, "the name of a query kind"),
 	)
 }
@@ -111,6 +115,7 @@
 		Duration:  o.duration,
 		Seed:      o.seed,
 		OnceShare: o.once,
+		Impatient: o.impatient,
 		Checker: &zlload.Checker{
 			Shards: catalogs.Shards,
 		},
@@ -149,7 +154,7 @@
 
 // verdict is the exit code for a summary: nothing answered proves nothing.
 func verdict(s *zlload.Summary) int {
-	if len(s.Violations) > 0 || s.Answered == 0 {
+	if s.ViolationCount > 0 || s.Answered == 0 {
 		return exitFailed
 	}
 	return exitDone
@@ -161,7 +166,7 @@
 
 func showSummary(e *env, s *zlload.Summary) {
 	e.printf("sent %d (%d not idempotent), answered %d, refused %d, failed %d\n", s.Sent, s.Once, s.Answered, s.Refused, s.Failed)
-	e.printf("sent again by callers %d, attempts cut %d\n", s.Again, s.Cut)
+	e.printf("sent again by callers %d, callers hung up %d, attempts cut %d\n", s.Again, s.HungUp, s.Cut)
 	e.printf("p50 %.1f ms, p99 %.1f ms, p99.9 %.1f ms, largest %.1f ms\n", s.P50Ms, s.P99Ms, s.P999Ms, s.MaxMs)
 	e.printf("idempotent only: p99 %.1f ms, p99.9 %.1f ms\n", s.IdempotentP99Ms, s.IdempotentP999Ms)
 	e.printf("coverage mean %.5f, least %.5f; extra load %.4f\n", s.CoverageMean, s.CoverageMin, s.ExtraLoad)
@@ -173,7 +178,7 @@
 	for _, reason := range reasons {
 		e.printf("refused for %s: %d\n", reason, s.Reasons[reason])
 	}
-	e.printf("violations: %d\n", len(s.Violations))
+	e.printf("violations: %d\n", s.ViolationCount)
 	for _, v := range s.Violations {
 		e.printf("  %s\n", v)
 	}
--- a/contrib/processes.sh
+++ b/contrib/processes.sh
@@ -95,11 +95,11 @@
 }
 
 echo "-- two loads; daemon 3 is ended by SIGKILL, daemon 2 is stopped by SIGTERM"
-"$z" load -targets "${targets[0]}" -platform "127.0.0.1:$base" -rate 100 -time 12s -once 0.1 -format json >"$work/steady.json" 2>"$work/steady.err" &
+"$z" load -targets "${targets[0]}" -platform "127.0.0.1:$base" -rate 100 -time 12s -once 0.1 -impatient 0.25 -format json >"$work/steady.json" 2>"$work/steady.err" &
 steady=$!
 # Callers of the second load move to daemon 1 once daemon 2 takes none, as a
 # balancer makes them: no request may be cut.
-"$z" load -targets "${targets[1]},${targets[0]}" -platform "127.0.0.1:$base" -rate 50 -time 12s -seed 2 -once 0.1 -format json >"$work/stopped.json" 2>"$work/stopped.err" &
+"$z" load -targets "${targets[1]},${targets[0]}" -platform "127.0.0.1:$base" -rate 50 -time 12s -seed 2 -once 0.1 -impatient 0.25 -format json >"$work/stopped.json" 2>"$work/stopped.err" &
 stopping=$!
 sleep 3
 kill -9 "${daemons[2]}"
--- a/core/request/zlclaim/guard.go
+++ b/core/request/zlclaim/guard.go
@@ -94,6 +94,12 @@
 	}
 	start := g.Timer.Now()
 	valid := start.Add(g.life(req))
+	// A caller that hangs up sends the request again, and is to get the answer
+	// of this run then: so the claim and the run go on.
+	ctx, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	stop := context.AfterFunc(g.ctx, cancel)
+	defer stop()
 	reply, err := g.claim(ctx, ask, valid)
 	took := g.Timer.Now().Sub(start)
 	a := g.act(ctx, req, ask, valid, reply, err)
--- a/core/request/zlclaim/guard_test.go
+++ b/core/request/zlclaim/guard_test.go
@@ -166,6 +166,29 @@
 	})
 }
 
+func TestRunOutlivesItsCaller(t *testing.T) {
+	inScene(t, "a run goes on when its caller hangs up, and the repetition gets its answer", func(s *scene) {
+		id := NewID(time.Now())
+		s.guards[0].Next = runner(func(ctx context.Context, req *zlquery.Request) *zlquery.Answer {
+			time.Sleep(300 * time.Millisecond)
+			if ctx.Err() != nil {
+				s.outcome = zlquery.OutcomeUnknown
+			}
+			return s.run(ctx, req)
+		})
+		ctx, hangUp := context.WithTimeout(context.Background(), 100*time.Millisecond)
+		defer hangUp()
+		s.guards[0].Answer(ctx, &zlquery.Request{
+			ID:       id,
+			Deadline: time.Now().Add(2 * time.Second),
+		})
+		a := s.ask(0, id, true)
+		convey.So(a.Outcome, convey.ShouldEqual, zlquery.OutcomeDone)
+		convey.So(a.Version, convey.ShouldEqual, zlunit.IndexVersion(7))
+		convey.So(s.runs, convey.ShouldEqual, 1)
+	})
+}
+
 // slowClaimer models a pause between the claim and the send.
 type slowClaimer struct {
 	Claimer
@@ -277,6 +300,39 @@
 	}
 }
 
+// TestReleaseBeforeTheClaim has an attempt give up before its ask is decided,
+// in the same write or an earlier one: the id stays free.
+func TestReleaseBeforeTheClaim(t *testing.T) {
+	for _, wait := range []time.Duration{time.Millisecond, time.Second} {
+		synctest.Test(t, func(t *testing.T) {
+			w := newWriters(newFakeStore(1))
+			defer w.Close()
+			id := sameSegment(3)
+			// The writes that follow wait for the gap, and share one if they can.
+			claimOne(t, w, sameSegment(3), VerdictFresh)
+			go func() {
+				_ = w.Record(context.Background(), Outcome{
+					ID:    id,
+					Nonce: 5,
+					State: StateNotRun,
+				})
+			}()
+			time.Sleep(wait)
+			late, _ := w.Claim(context.Background(), Ask{
+				ID:    id,
+				Nonce: 5,
+			})
+			next, err := w.Claim(context.Background(), Ask{
+				ID:    id,
+				Nonce: 6,
+			})
+			if late.Verdict == VerdictFresh || next.Verdict != VerdictFresh || err != nil {
+				t.Fatalf("after %v: got %v, then %v, %v; want held, then fresh", wait, late, next, err)
+			}
+		})
+	}
+}
+
 func TestEndedAttemptIsNotFreshAgain(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		w := newWriters(newFakeStore(1))
--- a/core/request/zlclaim/writer.go
+++ b/core/request/zlclaim/writer.go
@@ -68,6 +68,9 @@
 	jobs    chan *job
 	// failingSince is when the store began to fail, or zero.
 	failingSince time.Time
+	// released holds the attempts that gave up before their ask was decided,
+	// and when that was.
+	released map[Nonce]time.Time
 }
 
 // run serves jobs until ctx ends.
@@ -232,40 +235,68 @@
 // their records. A second ask for an id in one batch finds it held.
 func (w *writer) decide(jobs []*job) (fresh []*job, ops []op) {
 	now := w.timer.Now()
+	w.noteReleased(jobs, now)
 	taken := map[key]Ask{}
 	for _, j := range jobs {
-		if j.outcome != nil {
-			if w.segment.wants(*j.outcome, j.key) {
-				fresh = append(fresh, j)
-				ops = append(ops, w.outcomeOp(j))
-			} else {
-				j.settle(Reply{}, nil)
-			}
-			continue
+		record, ok := w.decideOne(j, taken, now)
+		if ok {
+			fresh = append(fresh, j)
+			ops = append(ops, record)
 		}
-		reply, isFresh := w.segment.judge(*j.ask, j.key, now)
-		if !isFresh {
-			j.settle(reply, nil)
-			continue
+	}
+	return fresh, ops
+}
+
+// decideOne returns the record that a job needs, or settles the job.
+func (w *writer) decideOne(j *job, taken map[key]Ask, now time.Time) (op, bool) {
+	if j.outcome != nil {
+		if w.segment.wants(*j.outcome, j.key) {
+			return w.outcomeOp(j), true
 		}
-		if other, ok := taken[j.key]; ok && other.Nonce != j.ask.Nonce {
-			j.settle(Reply{
-				Verdict: VerdictHeld,
-				Holder:  other.Holder,
-			}, nil)
+		j.settle(Reply{}, nil)
+		return op{}, false
+	}
+	reply, isFresh := w.segment.judge(*j.ask, j.key, now)
+	if !isFresh {
+		j.settle(reply, nil)
+		return op{}, false
+	}
+	other, isTaken := taken[j.key]
+	_, isReleased := w.released[j.ask.Nonce]
+	if isReleased || isTaken && other.Nonce != j.ask.Nonce {
+		j.settle(Reply{
+			Verdict: VerdictHeld,
+			Holder:  other.Holder,
+		}, nil)
+		return op{}, false
+	}
+	taken[j.key] = *j.ask
+	return op{
+		key:    j.key,
+		at:     timeOf(j.key, now),
+		nonce:  j.ask.Nonce,
+		holder: j.ask.Holder,
+		state:  StateClaimed,
+	}, true
+}
+
+// noteReleased remembers the attempts that gave up although nothing is recorded
+// of them: their asks are late, and would hold the id for nobody.
+func (w *writer) noteReleased(jobs []*job, now time.Time) {
+	for nonce, at := range w.released {
+		if now.Sub(at) > outcomeLife {
+			delete(w.released, nonce)
+		}
+	}
+	for _, j := range jobs {
+		if j.outcome == nil || j.outcome.State != StateNotRun || w.segment.wants(*j.outcome, j.key) {
 			continue
 		}
-		taken[j.key] = *j.ask
-		fresh = append(fresh, j)
-		ops = append(ops, op{
-			key:    j.key,
-			at:     timeOf(j.key, now),
-			nonce:  j.ask.Nonce,
-			holder: j.ask.Holder,
-			state:  StateClaimed,
-		})
+		if w.released == nil {
+			w.released = map[Nonce]time.Time{}
+		}
+		w.released[j.outcome.Nonce] = now
 	}
-	return fresh, ops
 }
 
 func (w *writer) outcomeOp(j *job) op {
--- a/io/process/zlload/caller.go
+++ b/io/process/zlload/caller.go
@@ -33,6 +33,8 @@
 	once     bool
 	number   int
 	intended time.Time
+	// patience, if not 0, is when the caller hangs up on its first attempt.
+	patience time.Duration
 }
 
 // Attempt is what a caller saw of one attempt.
@@ -41,6 +43,8 @@
 	// Answer is nil if none came; Err tells why.
 	Answer *zlfront.Answer
 	Err    error
+	// HungUp tells that the caller did not wait for the answer.
+	HungUp bool
 }
 
 // ran returns what the attempt said of the run.
@@ -123,7 +127,12 @@
 	a := Attempt{
 		Target: c.load.Targets[target],
 	}
+	if c.patience > 0 && !req.Retry {
+		ctx, cancel = context.WithTimeout(ctx, c.patience)
+		defer cancel()
+	}
 	a.Answer, a.Err = Post(ctx, c.client, a.Target, req)
+	a.HungUp = c.patience > 0 && errors.Is(a.Err, context.DeadlineExceeded)
 	return a
 }
 
--- a/io/process/zlload/summary.go
+++ b/io/process/zlload/summary.go
@@ -16,6 +16,8 @@
 	Failed int64 `json:"failed"`
 	// Cut counts attempts that reached a daemon and got no answer from it.
 	Cut int64 `json:"cut"`
+	// HungUp counts attempts whose caller did not wait for the answer.
+	HungUp int64 `json:"hungUp"`
 	// Once counts the requests that are not idempotent.
 	Once int64 `json:"once"`
 	// Again counts the further attempts that callers made.
@@ -26,15 +28,17 @@
 	MaxMs  float64 `json:"maxMs"`
 	// IdempotentP99Ms and IdempotentP999Ms leave out the requests that are not
 	// idempotent, which wait for the platform.
-	IdempotentP99Ms  float64          `json:"idempotentP99Ms"`
-	IdempotentP999Ms float64          `json:"idempotentP999Ms"`
-	CoverageMean     float64          `json:"coverageMean"`
-	CoverageMin      float64          `json:"coverageMin"`
-	ExtraLoad        float64          `json:"extraLoad"`
-	Hedges           int64            `json:"hedges"`
-	Retries          int64            `json:"retries"`
-	Violations       []string         `json:"violations"`
-	Reasons          map[string]int64 `json:"reasons"`
+	IdempotentP99Ms  float64 `json:"idempotentP99Ms"`
+	IdempotentP999Ms float64 `json:"idempotentP999Ms"`
+	CoverageMean     float64 `json:"coverageMean"`
+	CoverageMin      float64 `json:"coverageMin"`
+	ExtraLoad        float64 `json:"extraLoad"`
+	Hedges           int64   `json:"hedges"`
+	Retries          int64   `json:"retries"`
+	// Violations holds the first of them as text; ViolationCount counts all.
+	Violations     []string         `json:"violations"`
+	ViolationCount int64            `json:"violationCount"`
+	Reasons        map[string]int64 `json:"reasons"`
 }
 
 const (
@@ -116,7 +120,10 @@
 
 func (t *tally) addAttempt(a *Attempt) {
 	if a.Answer == nil {
-		if !a.unreached() {
+		switch {
+		case a.HungUp:
+			t.summary.HungUp++
+		case !a.unreached():
 			t.summary.Cut++
 		}
 		return
@@ -138,9 +145,15 @@
 
 // violate keeps faults as violations; mu is held.
 func (t *tally) violate(faults []string) {
+	t.summary.Violate(faults)
+}
+
+// Violate adds faults as violations.
+func (s *Summary) Violate(faults []string) {
+	s.ViolationCount += int64(len(faults))
 	for _, f := range faults {
-		if len(t.summary.Violations) < maxViolations {
-			t.summary.Violations = append(t.summary.Violations, f)
+		if len(s.Violations) < maxViolations {
+			s.Violations = append(s.Violations, f)
 		}
 	}
 }
--- a/io/process/zlload/zlload.go
+++ b/io/process/zlload/zlload.go
@@ -36,6 +36,9 @@
 	Mix      []Shape
 	// OnceShare is the share of queries that are not idempotent, from 0 to 1.
 	OnceShare float64
+	// Impatient is the share of those whose caller hangs up early and sends the
+	// request again through another daemon, from 0 to 1.
+	Impatient float64
 	Checker   *Checker
 	// Auditor, if set, reads the upstreams' counts before and after.
 	Auditor *Auditor
@@ -89,6 +92,9 @@
 	return nil
 }
 
+// maxPatience bounds the patience of an impatient caller.
+const maxPatience = 20 * time.Millisecond
+
 // maxIdle is how many idle connections are kept for each daemon.
 const maxIdle = 512
 
@@ -141,6 +147,9 @@
 			number:   i,
 			intended: intended,
 		}
+		if hangUp := random.Float64() < l.Impatient; hangUp && c.once {
+			c.patience = time.Duration(random.Int64N(int64(maxPatience))) + time.Millisecond
+		}
 		wg.Go(c.run)
 	}
 }
