--- a/io/standin/zlscene/zlscene.go
+++ b/io/standin/zlscene/zlscene.go
@@ -1,6 +1,7 @@
 package zlscene
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"maps"
@@ -45,6 +46,9 @@
 	StraggleShare float64
 	// Naive runs the naive version in place of the daemons.
 	Naive bool
+	// PlatformFor, if set, names the platform address of a daemon, for one
+	// that is to be cut off; empty means the usual one.
+	PlatformFor func(vm zlunit.VM) string
 	// Without switches mechanisms of the daemons off, for experiments.
 	Without zlcoord.Without
 	// Settings are further settings of the deployment.
@@ -229,6 +233,10 @@
 	if err != nil {
 		return err
 	}
+	platform := s.Client.Address
+	if s.PlatformFor != nil {
+		platform = cmp.Or(s.PlatformFor(zlunit.VM(name)), platform)
+	}
 	d := &zldaemon.Daemon{
 		Config: &zlconfig.Config{
 			Name:            zlunit.VM(name),
@@ -237,7 +245,7 @@
 			CallerListen:    ports[0],
 			AdminListen:     ports[1],
 			PeerListen:      ports[2],
-			PlatformAddress: s.Client.Address,
+			PlatformAddress: platform,
 			PlatformTimeout: 2 * time.Second,
 			StopGrace:       time.Second,
 			StopLimit:       10 * time.Second,
