--- /dev/null
+++ b/io/standin/zlfakeplatform/objects.go
@@ -0,0 +1,140 @@
+package zlfakeplatform
+
+import (
+	"encoding/json"
+	"net/http"
+	"slices"
+	"strconv"
+	"time"
+
+	"zinnialock/core/process/zlunit"
+	"zinnialock/io/process/zlplatform"
+)
+
+func keyOf(r *http.Request) key {
+	return key{
+		kind: zlplatform.ObjectKind(r.PathValue("kind")),
+		name: r.PathValue("name"),
+	}
+}
+
+func reply(w http.ResponseWriter, value any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(value)
+}
+
+func (p *Platform) getObject(w http.ResponseWriter, r *http.Request) {
+	p.mu.Lock()
+	o, ok := p.objects[keyOf(r)]
+	p.mu.Unlock()
+	if !ok || o.Deleted {
+		http.Error(w, "no such object", http.StatusNotFound)
+		return
+	}
+	reply(w, o)
+}
+
+func (p *Platform) listObjects(w http.ResponseWriter, r *http.Request) {
+	reply(w, p.after(0, []string{r.PathValue("kind")}))
+}
+
+// after lists what changed after a revision, in order of change.
+func (p *Platform) after(rev zlunit.ObjectVersion, kinds []string) zlplatform.Listing {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	l := zlplatform.Listing{
+		Revision: p.rev,
+	}
+	for k, o := range p.objects {
+		if o.Version > rev && slices.Contains(kinds, string(k.kind)) && (rev > 0 || !o.Deleted) {
+			l.Objects = append(l.Objects, o)
+		}
+	}
+	slices.SortFunc(l.Objects, func(a, b zlplatform.Object) int {
+		return int(int64(a.Version) - int64(b.Version))
+	})
+	return l
+}
+
+func (p *Platform) watch(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	rev, err := strconv.ParseUint(q.Get("after"), 10, 64)
+	wait, waitErr := strconv.ParseInt(q.Get("waitMs"), 10, 64)
+	if err != nil || waitErr != nil {
+		http.Error(w, "after and waitMs must be numbers", http.StatusBadRequest)
+		return
+	}
+	p.mu.Lock()
+	p.counts.Watches++
+	p.mu.Unlock()
+	timeout := time.NewTimer(min(time.Duration(wait)*time.Millisecond, maxWait))
+	defer timeout.Stop()
+	for {
+		p.mu.Lock()
+		changed := p.changed
+		down := p.faults.Down
+		p.mu.Unlock()
+		if down {
+			refuseDown(w)
+			return
+		}
+		l := p.after(zlunit.ObjectVersion(rev), q["kind"])
+		if len(l.Objects) > 0 || rev == 0 {
+			reply(w, l)
+			return
+		}
+		select {
+		case <-changed:
+		case <-timeout.C:
+			reply(w, l)
+			return
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+func (p *Platform) putObject(w http.ResponseWriter, r *http.Request) {
+	var value json.RawMessage
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxValue)).Decode(&value); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	p.change(w, r, zlplatform.Object{
+		Value: value,
+	})
+}
+
+func (p *Platform) deleteObject(w http.ResponseWriter, r *http.Request) {
+	p.change(w, r, zlplatform.Object{
+		Deleted: true,
+	})
+}
+
+// change stores next if the caller's ifVersion matches.
+func (p *Platform) change(w http.ResponseWriter, r *http.Request, next zlplatform.Object) {
+	want, err := strconv.ParseUint(r.URL.Query().Get("ifVersion"), 10, 64)
+	if err != nil {
+		http.Error(w, "ifVersion must be a number", http.StatusBadRequest)
+		return
+	}
+	k := keyOf(r)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var have zlunit.ObjectVersion
+	if old, ok := p.objects[k]; ok && !old.Deleted {
+		have = old.Version
+	}
+	if have != zlunit.ObjectVersion(want) {
+		http.Error(w, "version is "+strconv.FormatUint(uint64(have), 10), http.StatusConflict)
+		return
+	}
+	p.rev++
+	next.Kind = k.kind
+	next.Name = k.name
+	next.Version = p.rev
+	p.objects[k] = next
+	close(p.changed)
+	p.changed = make(chan struct{})
+	reply(w, next)
+}
--- a/io/standin/zlscene/zlscene.go
+++ b/io/standin/zlscene/zlscene.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"context"
 	"fmt"
-	"maps"
 	"net"
 	"net/http"
 	"time"
@@ -19,7 +18,6 @@
 	"zinnialock/io/process/zlplatform"
 	"zinnialock/io/standin/zlfakeplatform"
 	"zinnialock/io/standin/zlfakeupstream"
-	"zinnialock/io/version/zlsync"
 
 	"github.com/phuslu/log"
 	"github.com/rotisserie/eris"
@@ -116,92 +114,6 @@
 	return nil
 }
 
-func (s *Scene) runUpstreams(ctx context.Context) error {
-	s.Upstreams = map[zlunit.Upstream]*zlfakeupstream.Upstream{}
-	s.Catalogs = map[zlunit.Service]*zlcatalog.Catalog{}
-	for _, plan := range s.Plan.Services {
-		c, err := s.runService(plan)
-		if err != nil {
-			return err
-		}
-		s.Catalogs[plan.Name] = c
-		if _, err := s.Client.Put(ctx, zlplatform.ObjectCatalog, string(plan.Name), 0, c); err != nil {
-			return err
-		}
-	}
-	_, err := s.Client.Put(ctx, zlplatform.ObjectSettings, zlsync.TreeName, 0, s.tree())
-	return err
-}
-
-// tree is the deployment's first settings tree.
-func (s *Scene) tree() *zltree.Tree {
-	node := zltree.Node{
-		zltree.KeyDeadline: "2s",
-	}
-	maps.Copy(node, s.Settings)
-	return &zltree.Tree{
-		Nodes: map[zltree.Path]zltree.Node{
-			zltree.Path(s.Plan.Deployment): node,
-		},
-	}
-}
-
-func (s *Scene) runService(plan ServicePlan) (*zlcatalog.Catalog, error) {
-	c := &zlcatalog.Catalog{
-		Service: plan.Name,
-		Versions: []zlcatalog.Version{
-			{
-				Number: FirstVersion,
-				Shards: make([][]zlunit.Upstream, plan.Shards),
-			},
-		},
-	}
-	for shard := range plan.Shards {
-		for replica := range plan.Replicas {
-			name := zlunit.Upstream(fmt.Sprintf("%s-%d-%d", plan.Name, shard, replica))
-			u := s.newUpstream(plan, name, zlunit.Shard(shard))
-			if err := u.Run(); err != nil {
-				return nil, eris.Wrapf(err, "upstream %s", name)
-			}
-			s.Upstreams[name] = u
-			c.Upstreams = append(c.Upstreams, zlcatalog.Upstream{
-				Name:        name,
-				DataCentre:  s.Plan.DataCentres[replica%len(s.Plan.DataCentres)],
-				Address:     u.Address,
-				Slots:       plan.Slots,
-				Connections: plan.Connections,
-				ColdLimit:   plan.ColdLimit,
-			})
-			shards := c.Versions[0].Shards
-			shards[shard] = append(shards[shard], name)
-		}
-	}
-	return c, nil
-}
-
-func (s *Scene) newUpstream(plan ServicePlan, name zlunit.Upstream, shard zlunit.Shard) *zlfakeupstream.Upstream {
-	return &zlfakeupstream.Upstream{
-		Address: "127.0.0.1:0",
-		Seed:    s.Seed + uint64(len(s.Upstreams)),
-		Settings: zlfakeupstream.Settings{
-			Name:          name,
-			Service:       plan.Name,
-			Slots:         plan.Slots,
-			Connections:   plan.Connections,
-			ColdLimit:     plan.ColdLimit,
-			ColdWork:      plan.ColdWork,
-			ConnectMs:     plan.ConnectMs,
-			ServiceMs:     plan.ServiceMs,
-			StraggleShare: s.StraggleShare,
-			StraggleTimes: 20,
-			QueueLimit:    64,
-			Shards: map[zlunit.IndexVersion][]zlunit.Shard{
-				FirstVersion: {shard},
-			},
-		},
-	}
-}
-
 func (s *Scene) runEntry(dc zlunit.DataCentre, i int) error {
 	if s.Naive {
 		return s.runNaive(dc)
