cmd: a test of the verdict

Cause: that the demo's exit code follows the violations had no test. Change: the test; a run that answered nothing fails, too.

--- a/cmd/cmd_test.go
+++ b/cmd/cmd_test.go
@@ -6,6 +6,8 @@
 	"path/filepath"
 	"strings"
 	"testing"
+
+	"zinnialock/io/process/zlload"
 )
 
 // run runs a command line.
@@ -139,3 +141,31 @@
 		}
 	}
 }
+
+func TestVerdictFailsForViolationsAndSilence(t *testing.T) {
+	good := zlload.Summary{
+		Answered: 1,
+	}
+	bad := good
+	bad.Violate([]string{"something"})
+	for _, c := range []struct {
+		summary zlload.Summary
+		want    int
+	}{
+		{
+			summary: good,
+			want:    exitDone,
+		},
+		{
+			summary: bad,
+			want:    exitFailed,
+		},
+		{
+			want: exitFailed,
+		},
+	} {
+		if got := verdict(&c.summary); got != c.want {
+			t.Errorf("%+v: code %d, want %d", c.summary, got, c.want)
+		}
+	}
+}
