Callers' text is bounded where it comes in

Cause: a body of 256 KB was taken, but a batch between daemons holds 64 KB of text, so a longer text failed as a lost peer, deep inside.

Change: one bound, zlquery.MaxText, checked at the front with the key named.

Measured: the new case in TestDecodeNamesTheKey fails without the check.

--- a/core/request/zlquery/zlquery.go
+++ b/core/request/zlquery/zlquery.go
@@ -8,6 +8,9 @@
 	"zinnialock/core/process/zlunit"
 )
 
+// MaxText bounds the text of a query, in bytes.
+const MaxText = 64 << 10
+
 // Request is one query of a caller.
 type Request struct {
 	ID            zlunit.RequestID
--- a/io/connection/zlpeer/message.go
+++ b/io/connection/zlpeer/message.go
@@ -14,8 +14,6 @@
 const (
 	// maxSubs bounds the sub-requests of a batch.
 	maxSubs = 4096
-	// maxText bounds the text of a query, in bytes.
-	maxText = 64 << 10
 	// maxName bounds ids and names, in bytes.
 	maxName = 256
 	// maxRows bounds the rows of one reply.
@@ -109,8 +107,8 @@
 	switch {
 	case len(b.Subs) == 0 || len(b.Subs) > maxSubs:
 		return eris.Errorf("subs: found %d, allowed is 1 to %d", len(b.Subs), maxSubs)
-	case len(b.Text) > maxText:
-		return eris.Errorf("text: found %d bytes, allowed is %d", len(b.Text), maxText)
+	case len(b.Text) > zlquery.MaxText:
+		return eris.Errorf("text: found %d bytes, allowed is %d", len(b.Text), zlquery.MaxText)
 	case b.Query == "" || max(len(b.Query), len(b.Request), len(b.Service), len(b.Kind)) > maxName:
 		return eris.Errorf("query, request, service, kind: allowed is up to %d bytes, and a query", maxName)
 	case b.Left <= 0 || b.Left > maxLeft:
--- a/io/request/zlfront/zlfront.go
+++ b/io/request/zlfront/zlfront.go
@@ -164,6 +164,8 @@
 		return fmt.Sprintf("key \"deadlineMs\": found %d, allowed is 1 to %d", in.DeadlineMs, maxMs)
 	case !(in.LeastCoverage >= 0 && in.LeastCoverage <= 1):
 		return fmt.Sprintf("key \"leastCoverage\": found %v, allowed is 0 to 1", in.LeastCoverage)
+	case len(in.Text) > zlquery.MaxText:
+		return fmt.Sprintf("key \"text\": found %d bytes, allowed are %d", len(in.Text), zlquery.MaxText)
 	case len(in.RequestID) > maxID:
 		return fmt.Sprintf("key \"requestId\": found %d bytes, allowed are %d", len(in.RequestID), maxID)
 	case in.RequestID == "" && once:
--- a/io/request/zlfront/zlfront_test.go
+++ b/io/request/zlfront/zlfront_test.go
@@ -59,9 +59,10 @@
 			`{"service":"s","leastCoverage":2}`:  `"leastCoverage": found 2, allowed is 0 to 1`,
 			`{"service":"s","idempotent":false}`: `"requestId"`,
 			`{"service":"s","retry":true}`:       `"requestId"`,
-			`{"servce":"s"}`:                     `"servce"`,
-			`{"service":"s"} {}`:                 `one object`,
-			`{"service":"s"} oops`:               `one object`,
+			`{"service":"s","text":"` + strings.Repeat("x", zlquery.MaxText+1) + `"}`: `"text": found 65537 bytes`,
+			`{"servce":"s"}`:       `"servce"`,
+			`{"service":"s"} {}`:   `one object`,
+			`{"service":"s"} oops`: `one object`,
 		} {
 			_, fault := Decode(strings.NewReader(body))
 			convey.So(fault, convey.ShouldContainSubstring, want)
