--- a/io/process/zlcapacity/limits.go
+++ b/io/process/zlcapacity/limits.go
@@ -79,37 +79,39 @@
 	return out
 }
 
+// controlHow tells how the two limits on control work are worked out.
+const controlHow = "at rest with 18 connections, what 4,000 upstreams add, 3,200 edits and 441 member changes a day"
+
 func (m lineMap) controlCPU() (limit, bool) {
-	idle, idleBand, ok1 := m.value(SeriesDaemons, QuantityCPU)
-	more, moreBand, ok2 := m.growth(SeriesUpstreams, QuantityCPU)
-	edit, editBand, ok3 := m.value(SeriesNodes, QuantityChangeCPU)
-	death, deathBand, ok4 := m.value(SeriesDaemons, QuantityChangeCPU)
-	perEdit := targetChangesDay / dayInSecs / 10
-	perDeath := targetMembersDay / dayInSecs / 10
-	return limit{
-		name:    "processor time for control",
-		allowed: targetControlCPU * 100,
-		unit:    "% of a core",
-		used:    idle + max(more, 0) + edit*perEdit + death*perDeath,
-		band:    idleBand + moreBand + editBand*perEdit + deathBand*perDeath,
-		how:     "idle at 660 daemons, what 4,000 upstreams add, 3,200 edits and 441 member changes a day",
-	}, ok1 && ok2 && ok3 && ok4
+	// A millisecond a second is a tenth of a hundredth of a core.
+	l, ok := m.control(QuantityCPU, QuantityChangeCPU, 0.1)
+	l.name = "processor time for control"
+	l.allowed = targetControlCPU * 100
+	l.unit = "% of a core"
+	return l, ok
 }
 
 func (m lineMap) controlBytes() (limit, bool) {
-	idle, idleBand, ok1 := m.value(SeriesDaemons, QuantityBytes)
-	more, moreBand, ok2 := m.growth(SeriesUpstreams, QuantityBytes)
-	edit, editBand, ok3 := m.value(SeriesNodes, QuantityChangeBytes)
-	death, deathBand, ok4 := m.value(SeriesDaemons, QuantityChangeBytes)
-	perEdit := targetChangesDay / dayInSecs
-	perDeath := targetMembersDay / dayInSecs
+	l, ok := m.control(QuantityBytes, QuantityChangeBytes, 1)
+	l.name = "control traffic, both ways"
+	l.allowed = targetControlBytes / kibibyte
+	l.unit = "KB/s"
+	return l, ok
+}
+
+// control adds what recurs and what the day's changes cost; scale turns the
+// unit of a change's cost, spread over a second, into that of what recurs.
+func (m lineMap) control(rest, change Quantity, scale float64) (limit, bool) {
+	idle, idleBand, ok1 := m.value(SeriesDaemons, rest)
+	more, moreBand, ok2 := m.growth(SeriesUpstreams, rest)
+	edit, editBand, ok3 := m.value(SeriesNodes, change)
+	death, deathBand, ok4 := m.value(SeriesDaemons, change)
+	perEdit := targetChangesDay / dayInSecs * scale
+	perDeath := targetMembersDay / dayInSecs * scale
 	return limit{
-		name:    "control traffic, both ways",
-		allowed: targetControlBytes / kibibyte,
-		unit:    "KB/s",
-		used:    idle + max(more, 0) + edit*perEdit + death*perDeath,
-		band:    idleBand + moreBand + editBand*perEdit + deathBand*perDeath,
-		how:     "idle at 660 daemons, what 4,000 upstreams add, 3,200 edits and 441 member changes a day",
+		used: idle + max(more, 0) + edit*perEdit + death*perDeath,
+		band: idleBand + moreBand + editBand*perEdit + deathBand*perDeath,
+		how:  controlHow,
 	}, ok1 && ok2 && ok3 && ok4
 }
 
--- /dev/null
+++ b/io/process/zlcapacity/queries.go
@@ -0,0 +1,94 @@
+package zlcapacity
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"zinnialock/core/process/zlunit"
+	"zinnialock/io/process/zlload"
+	"zinnialock/io/request/zlfront"
+)
+
+// Queries measures the processor time of all daemons for each query.
+func (m *Meter) Queries(ctx context.Context, rate float64, duration time.Duration) (float64, error) {
+	load := &zlload.Load{
+		Rate:     rate,
+		Duration: duration,
+		Seed:     1,
+		Mix: []zlload.Shape{
+			{
+				Service:  ServiceName,
+				Kind:     "capacity",
+				Weight:   1,
+				Deadline: 5 * time.Second,
+			},
+		},
+	}
+	for _, p := range m.Stage.Places {
+		load.Targets = append(load.Targets, p.Caller)
+	}
+	before, err := m.costs(ctx, m.Stage.Places, false)
+	if err != nil {
+		return 0, err
+	}
+	summary, _, err := load.Run(ctx)
+	if err != nil {
+		return 0, err
+	}
+	after, err := m.costs(ctx, m.Stage.Places, false)
+	if err != nil {
+		return 0, err
+	}
+	if summary.Answered < summary.Sent || summary.CoverageMin < 1 {
+		return 0, &Error{
+			Op:   "queries",
+			Kind: KindMeasure,
+			Err:  eris.Errorf("only %d of %d answered, least coverage %v", summary.Answered, summary.Sent, summary.CoverageMin),
+		}
+	}
+	cpu := 0.0
+	for i := range before {
+		cpu += difference(before[i], after[i]).cpu
+	}
+	return cpu / float64(summary.Answered), nil
+}
+
+// InFlight measures the live heap of the daemons with n queries waiting for
+// their upstreams.
+func (m *Meter) InFlight(ctx context.Context, n int) (float64, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	for i := range n {
+		place := m.Stage.Places[i%len(m.Stage.Places)]
+		go func() {
+			_, _ = zlload.Post(ctx, m.HTTP, place.Caller, &zlfront.Request{
+				RequestID:  zlunit.RequestID(fmt.Sprintf("flight-%d", i)),
+				Service:    ServiceName,
+				Kind:       "capacity",
+				Text:       "in flight",
+				DeadlineMs: (20 * time.Second).Milliseconds(),
+			})
+		}()
+	}
+	time.Sleep(settleTime)
+	costs, err := m.costs(ctx, m.Stage.Places, true)
+	if err != nil {
+		return 0, err
+	}
+	heap, flying := 0.0, int64(0)
+	for _, c := range costs {
+		heap += float64(c.HeapBytes)
+		flying += c.InFlight
+	}
+	if flying != int64(n) {
+		return 0, &Error{
+			Op:   "inFlight",
+			Kind: KindMeasure,
+			Err:  eris.Errorf("%d queries are in flight, want %d", flying, n),
+		}
+	}
+	return heap, nil
+}
--- a/io/process/zlcapacity/stage.go
+++ b/io/process/zlcapacity/stage.go
@@ -21,6 +21,7 @@
 	"zinnialock/io/process/zlplatform"
 	"zinnialock/io/standin/zlfakeplatform"
 	"zinnialock/io/standin/zlfakeupstream"
+	"zinnialock/io/standin/zlports"
 	"zinnialock/io/version/zlsync"
 )
 
@@ -235,7 +236,7 @@
 	if err != nil {
 		return err
 	}
-	ports, err := freePorts(portsPerDaemon * s.Daemons)
+	ports, err := zlports.Free(portsPerDaemon * s.Daemons)
 	if err != nil {
 		return err
 	}
@@ -289,22 +290,6 @@
 level = "error"
 `
 
-// freePorts returns n loopback addresses that were free a moment ago.
-func freePorts(n int) ([]string, error) {
-	out := make([]string, 0, n)
-	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return nil, eris.Wrap(err, "free port")
-		}
-		defer func() {
-			_ = l.Close()
-		}()
-		out = append(out, l.Addr().String())
-	}
-	return out, nil
-}
-
 // ReadStage reads what a running stage wrote into dir.
 func ReadStage(dir string) (*Stage, error) {
 	data, err := os.ReadFile(filepath.Join(dir, StageFile))
--- a/io/standin/zlscene/zlscene.go
+++ b/io/standin/zlscene/zlscene.go
@@ -18,6 +18,7 @@
 	"zinnialock/io/process/zlplatform"
 	"zinnialock/io/standin/zlfakeplatform"
 	"zinnialock/io/standin/zlfakeupstream"
+	"zinnialock/io/standin/zlports"
 
 	"github.com/phuslu/log"
 	"github.com/rotisserie/eris"
@@ -141,7 +142,7 @@
 	if err != nil {
 		return err
 	}
-	ports, err := freePorts(3)
+	ports, err := zlports.Free(3)
 	if err != nil {
 		return err
 	}
@@ -175,22 +176,6 @@
 	return nil
 }
 
-// freePorts returns n loopback addresses that were free a moment ago.
-func freePorts(n int) ([]string, error) {
-	out := make([]string, 0, n)
-	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return nil, eris.Wrap(err, "free port")
-		}
-		defer func() {
-			_ = l.Close()
-		}()
-		out = append(out, l.Addr().String())
-	}
-	return out, nil
-}
-
 // readyWait bounds the start of a scene.
 const readyWait = 10 * time.Second
 
