Silence of a daemon counts across queries; a passing refusal is waited out

Cause: hedges ended queries before the silence within one of them was long enough, so a dead daemon was not suspected while hedge tokens lasted and also got requests that may run only once. A shard refused by one replica for a reason that passes and lost at another was given up. Change: the silence counts from the first unanswered sub-request of any query; the round's refusals decide together whether to ask anew. Conclusion: a dead daemon is known after two hedging delays whatever hedges do.

--- a/core/process/zlroute/peer.go
+++ b/core/process/zlroute/peer.go
@@ -25,7 +25,9 @@
 	heard atomic.Int64
 	// unanswered counts the sub-requests sent since the last sign of life.
 	unanswered atomic.Int64
-	suspect    atomic.Bool
+	// since is when the first of them was sent, in ticks.
+	since   atomic.Int64
+	suspect atomic.Bool
 
 	mu      sync.Mutex
 	probeAt time.Time
@@ -33,8 +35,18 @@
 }
 
 // Sent notes n sub-requests.
-func (p *Peer) Sent(n int) {
-	p.unanswered.Add(int64(n))
+func (p *Peer) Sent(now time.Time, n int) {
+	if p.unanswered.Add(int64(n)) == int64(n) {
+		p.since.Store(ticks(now))
+	}
+}
+
+// Quiet is how long the daemon has left all sub-requests unanswered.
+func (p *Peer) Quiet(now time.Time) time.Duration {
+	if p.unanswered.Load() == 0 {
+		return 0
+	}
+	return time.Duration(ticks(now) - p.since.Load())
 }
 
 func (p *Peer) hear(at int64) {
--- a/core/process/zlroute/zlroute_test.go
+++ b/core/process/zlroute/zlroute_test.go
@@ -126,7 +126,7 @@
 		now := time.Now()
 		list := candidates(r, 2)
 		p := list[0].Peer
-		p.Sent(silentLeast)
+		p.Sent(now, silentLeast)
 		convey.So(r.Silent(p, now), convey.ShouldBeFalse)
 		r.Heard(list[1].Peer, now.Add(time.Millisecond))
 		convey.So(r.Silent(p, now), convey.ShouldBeTrue)
@@ -146,3 +146,17 @@
 		})
 	})
 }
+
+func TestQuietCountsAcrossQueries(t *testing.T) {
+	convey.Convey("Given a daemon that leaves two queries unanswered, one after the other", t, func() {
+		r := seeded()
+		now := time.Now()
+		p := candidates(r, 1)[0].Peer
+		convey.So(p.Quiet(now), convey.ShouldEqual, 0)
+		p.Sent(now, 1)
+		p.Sent(now.Add(15*time.Millisecond), 1)
+		convey.So(p.Quiet(now.Add(20*time.Millisecond)), convey.ShouldEqual, 20*time.Millisecond)
+		r.Heard(p, now.Add(21*time.Millisecond))
+		convey.So(p.Quiet(now.Add(time.Second)), convey.ShouldEqual, 0)
+	})
+}
--- a/core/request/zlcoord/late.go
+++ b/core/request/zlcoord/late.go
@@ -58,14 +58,16 @@
 	r.hedge(shard, st, now)
 }
 
-// silent reports whether the daemon of sub gives no sign of life.
+// silent reports whether the daemon of sub gives no sign of life. Its silence
+// counts from the first sub-request of any query that it left unanswered, since
+// hedges may end each query before long.
 func (r *run) silent(sub *subState, now time.Time) bool {
 	c := r.coordinator
 	peer := sub.to.Peer
 	if c.Without.Around || peer.VM == c.Self {
 		return false
 	}
-	tooShort := r.at(now)-sub.sent < max(silentTimes*r.hedgeAfter, leastSilence)
+	tooShort := peer.Quiet(now) < max(silentTimes*r.hedgeAfter, leastSilence)
 	if tooShort && !peer.Suspected() || !c.Router.Silent(peer, r.start.Add(sub.sent)) {
 		return false
 	}
--- a/core/request/zlcoord/retry.go
+++ b/core/request/zlcoord/retry.go
@@ -48,7 +48,7 @@
 		r.versionGone(shard, why, now)
 	case !ok && len(r.plan.Shards[shard]) == 0:
 		r.giveUp(shard, r.noReplica(shard))
-	case !ok && !mayPass(why):
+	case !ok && !r.anyMayPass(shard, why):
 		r.giveUp(shard, why)
 	case !ok:
 		st.round++
@@ -164,3 +164,15 @@
 		r.coordinator.Counter.Count("suspect", zlquery.ReasonPeerLost)
 	}
 }
+
+// anyMayPass reports whether what kept any replica of a shard from serving in
+// this round may be over in a moment.
+func (r *run) anyMayPass(shard zlunit.Shard, why zlquery.Reason) bool {
+	st := &r.shards[shard]
+	for i := st.last; i >= 0; i = r.subs[i].prev {
+		if s := &r.subs[i]; s.round == st.round && mayPass(s.reason) {
+			return true
+		}
+	}
+	return mayPass(why)
+}
--- a/core/request/zlcoord/send.go
+++ b/core/request/zlcoord/send.go
@@ -128,7 +128,7 @@
 		Priority:   r.policy.Priority,
 	}
 	inbox := r.inbox
-	peer.Sent(len(subs))
+	peer.Sent(c.Timer.Now(), len(subs))
 	call := c.Dispatcher.Dispatch(r.ctx, peer.VM, batch, func(reply zlquery.Reply) {
 		if inbox.put(reply) {
 			return
