--- a/io/version/zlgossip/round.go
+++ b/io/version/zlgossip/round.go
@@ -48,7 +48,7 @@
 	return g.all()
 }
 
-// turn returns whom to ask in a usual round: two near, one far, and a seed
+// turn returns whom to ask in a usual round: one near, one far, and a seed
 // while nobody else is known.
 func (g *Gossip) turn() []target {
 	view := g.Views.Load()
--- a/io/version/zlgossip/zlgossip.go
+++ b/io/version/zlgossip/zlgossip.go
@@ -51,7 +51,7 @@
 	Period = time.Second
 	// nearAsks and farAsks are how many daemons of the own data centre and of
 	// others a round asks.
-	nearAsks = 2
+	nearAsks = 1
 	farAsks  = 1
 	// jitter lengthens each period by up to this share.
 	jitter = 0.2
--- a/io/version/zlsync/pace.go
+++ b/io/version/zlsync/pace.go
@@ -11,16 +11,16 @@
 const (
 	// perDaemon is the time that each daemon adds to the spread of the fleet's
 	// calls: all of them together make at most one call each perDaemon.
-	perDaemon = 3 * time.Millisecond
+	perDaemon = 4 * time.Millisecond
 	// watchPerDaemon is the time that each daemon adds to the length of a
 	// watch.
 	watchPerDaemon = 7 * time.Millisecond
 	// minWatch and maxWatch bound how long the platform holds a watch.
-	minWatch = time.Second
+	minWatch = 500 * time.Millisecond
 	maxWatch = 30 * time.Second
 	// longWatch is the length past which a confirming call is made between
 	// two watches, since a watch only confirms as of its start.
-	longWatch = 1500 * time.Millisecond
+	longWatch = 700 * time.Millisecond
 	// minBackoff is the mean of the first pause after a failure. Pauses are
 	// drawn from zero up, so that daemons that failed at once spread out.
 	minBackoff = 200 * time.Millisecond
