--- a/io/version/zlgossip/round.go
+++ b/io/version/zlgossip/round.go
@@ -229,7 +229,7 @@
 	defer alarm.Stop()
 	reply, err := g.Asker.Ask(ctx, addr, topic, body)
 	if err != nil && ctx.Err() != nil {
-		return eris.Wrapf(err, "no reply within %v", timeout)
+		return eris.Errorf("no reply within %v", timeout)
 	}
 	if err != nil {
 		return err
