--- a/cmd/cmd_test.go
+++ b/cmd/cmd_test.go
@@ -6,6 +6,8 @@
 	"path/filepath"
 	"strings"
 	"testing"
+
+	"zinnialock/io/process/zlload"
 )
 
 // run runs a command line.
@@ -77,6 +79,11 @@
 		"explain":                        "found no request id",
 		"explain r -admin here":          `flag -admin: found "here"`,
 		"explain r -format yaml":         `flag -format: found "yaml"`,
+		"status -admin here":             `flag -admin: found "here"`,
+		"events -admin here":             `flag -admin: found "here"`,
+		"experiment -rate 0":             "flag -rate: found 0",
+		"experiment -straggle 3":         "flag -straggle: found 3, allowed is 0 to 1",
+		"capacity":                       "capacity",
 		"demo -user nobody":              `flag -user: found "nobody", allowed is guild or vaxjo`,
 		"demo -rate 0":                   "flag -rate: found 0",
 		"demo -time 1s":                  "flag -time: found 1s, allowed is 12s to 30s",
@@ -134,3 +141,31 @@
 		}
 	}
 }
+
+func TestVerdictFailsForViolationsAndSilence(t *testing.T) {
+	good := zlload.Summary{
+		Answered: 1,
+	}
+	bad := good
+	bad.Violate([]string{"something"})
+	for _, c := range []struct {
+		summary zlload.Summary
+		want    int
+	}{
+		{
+			summary: good,
+			want:    exitDone,
+		},
+		{
+			summary: bad,
+			want:    exitFailed,
+		},
+		{
+			want: exitFailed,
+		},
+	} {
+		if got := verdict(&c.summary); got != c.want {
+			t.Errorf("%+v: code %d, want %d", c.summary, got, c.want)
+		}
+	}
+}
--- a/cmd/demo.go
+++ b/cmd/demo.go
@@ -79,6 +79,13 @@
 	sideNaive = "naive"
 )
 
+// demoStragglers is the share of sub-requests that straggle throughout.
+const demoStragglers = 0.01
+
+// demoImpatient is the share of callers of requests that are not idempotent who
+// hang up early and send again.
+const demoImpatient = 0.25
+
 // side is one scene under load.
 type side struct {
 	name    string
@@ -145,9 +152,10 @@
 	s := &side{
 		name: name,
 		scene: &zlscene.Scene{
-			Plan:  plan,
-			Seed:  o.seed,
-			Naive: name == sideNaive,
+			Plan:          plan,
+			Seed:          o.seed,
+			StraggleShare: demoStragglers,
+			Naive:         name == sideNaive,
 			Log: &log.Logger{
 				Level: log.ErrorLevel,
 				Writer: &log.IOWriter{
@@ -184,6 +192,7 @@
 		Duration:  o.duration,
 		Seed:      o.seed,
 		OnceShare: o.once,
+		Impatient: demoImpatient,
 		Checker: &zlload.Checker{
 			Shards: catalogs.Shards,
 		},
@@ -215,7 +224,7 @@
 	}()
 	s.summary, s.points, s.err = s.load.Run(ctx)
 	<-ended
-	s.summary.Violations = append(s.summary.Violations, s.script.faults...)
+	s.summary.Violate(s.script.faults)
 	if s.err == nil {
 		s.err = s.script.err
 	}
--- a/core/request/zlclaim/guard.go
+++ b/core/request/zlclaim/guard.go
@@ -33,6 +33,9 @@
 	recallWait = 100 * time.Millisecond
 	// storeRetryAfter tells a caller when to come back after the store failed.
 	storeRetryAfter = time.Second
+	// releaseRetryAfter is the least time after which a caller may come back
+	// with an id that did not run: the log has to say so first.
+	releaseRetryAfter = 200 * time.Millisecond
 	// heldRetryAfter tells a caller when to ask for the outcome of an attempt
 	// that may still run.
 	heldRetryAfter = 500 * time.Millisecond
@@ -91,6 +94,12 @@
 	}
 	start := g.Timer.Now()
 	valid := start.Add(g.life(req))
+	// A caller that hangs up sends the request again, and is to get the answer
+	// of this run then: so the claim and the run go on.
+	ctx, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	stop := context.AfterFunc(g.ctx, cancel)
+	defer stop()
 	reply, err := g.claim(ctx, ask, valid)
 	took := g.Timer.Now().Sub(start)
 	a := g.act(ctx, req, ask, valid, reply, err)
@@ -144,7 +153,7 @@
 func (g *Guard) run(ctx context.Context, req *zlquery.Request, ask Ask, valid time.Time) *zlquery.Answer {
 	if !g.Timer.Now().Before(valid) {
 		g.record(ask, StateNotRun)
-		return g.refuse(req, zlquery.OutcomeNotRun, zlquery.ReasonDeadline, 0)
+		return g.refuse(req, zlquery.OutcomeNotRun, zlquery.ReasonDeadline, releaseRetryAfter)
 	}
 	a := g.Next.Answer(ctx, req)
 	switch a.Outcome {
@@ -153,6 +162,7 @@
 		g.record(ask, StateDone)
 	case zlquery.OutcomeNotRun:
 		g.record(ask, StateNotRun)
+		a.RetryAfter = max(a.RetryAfter, releaseRetryAfter)
 	case zlquery.OutcomeUnknown:
 		// The claim stays: nobody may run this id again.
 	}
--- a/core/request/zlcoord/machine_test.go
+++ b/core/request/zlcoord/machine_test.go
@@ -109,12 +109,22 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for _, try := range t.Tries {
+		if try.Cause == zltrace.CauseHedge && try.End == zltrace.EndNotRun {
+			continue
+		}
 		m.causes[try.Cause]++
 	}
 }
 
 func (m *machine) show() {
-	m.c.Views.Store(chaosView(m.first, m.last, m.marks))
+	view := chaosView(m.first, m.last, m.marks)
+	m.c.Views.Store(view)
+	m.locked(func() {
+		m.chaos.out = map[zlunit.Upstream]bool{}
+		for name, u := range view.Upstreams() {
+			m.chaos.out[name] = m.marks.UpstreamOut(name, u.DataCentre)
+		}
+	})
 	m.c.Views.Confirm(time.Now())
 }
 
--- a/io/process/zlload/summary.go
+++ b/io/process/zlload/summary.go
@@ -16,21 +16,29 @@
 	Failed int64 `json:"failed"`
 	// Cut counts attempts that reached a daemon and got no answer from it.
 	Cut int64 `json:"cut"`
+	// HungUp counts attempts whose caller did not wait for the answer.
+	HungUp int64 `json:"hungUp"`
 	// Once counts the requests that are not idempotent.
 	Once int64 `json:"once"`
 	// Again counts the further attempts that callers made.
-	Again        int64            `json:"again"`
-	P50Ms        float64          `json:"p50Ms"`
-	P99Ms        float64          `json:"p99Ms"`
-	P999Ms       float64          `json:"p999Ms"`
-	MaxMs        float64          `json:"maxMs"`
-	CoverageMean float64          `json:"coverageMean"`
-	CoverageMin  float64          `json:"coverageMin"`
-	ExtraLoad    float64          `json:"extraLoad"`
-	Hedges       int64            `json:"hedges"`
-	Retries      int64            `json:"retries"`
-	Violations   []string         `json:"violations"`
-	Reasons      map[string]int64 `json:"reasons"`
+	Again  int64   `json:"again"`
+	P50Ms  float64 `json:"p50Ms"`
+	P99Ms  float64 `json:"p99Ms"`
+	P999Ms float64 `json:"p999Ms"`
+	MaxMs  float64 `json:"maxMs"`
+	// IdempotentP99Ms and IdempotentP999Ms leave out the requests that are not
+	// idempotent, which wait for the platform.
+	IdempotentP99Ms  float64 `json:"idempotentP99Ms"`
+	IdempotentP999Ms float64 `json:"idempotentP999Ms"`
+	CoverageMean     float64 `json:"coverageMean"`
+	CoverageMin      float64 `json:"coverageMin"`
+	ExtraLoad        float64 `json:"extraLoad"`
+	Hedges           int64   `json:"hedges"`
+	Retries          int64   `json:"retries"`
+	// Violations holds the first of them as text; ViolationCount counts all.
+	Violations     []string         `json:"violations"`
+	ViolationCount int64            `json:"violationCount"`
+	Reasons        map[string]int64 `json:"reasons"`
 }
 
 const (
@@ -50,10 +58,12 @@
 type tally struct {
 	mu        sync.Mutex
 	histogram *hdrhistogram.Histogram
-	summary   Summary
-	coverage  float64
-	parts     int64
-	subs      int64
+	// idempotent holds the latencies of idempotent requests only.
+	idempotent *hdrhistogram.Histogram
+	summary    Summary
+	coverage   float64
+	parts      int64
+	subs       int64
 	// received is what upstreams counted, or 0 without an audit.
 	received int64
 	points   []Point
@@ -63,8 +73,9 @@
 
 func newTally() *tally {
 	return &tally{
-		histogram: hdrhistogram.New(1, maxLatency, 3),
-		start:     time.Now(),
+		histogram:  hdrhistogram.New(1, maxLatency, 3),
+		idempotent: hdrhistogram.New(1, maxLatency, 3),
+		start:      time.Now(),
 		summary: Summary{
 			CoverageMin: 1,
 			Reasons:     map[string]int64{},
@@ -100,13 +111,19 @@
 		t.summary.Answered++
 		t.parts += int64(len(a.Parts))
 		_ = t.histogram.RecordValue(max(latency.Microseconds(), 1))
+		if !e.Once {
+			_ = t.idempotent.RecordValue(max(latency.Microseconds(), 1))
+		}
 		t.addPoint(float64(a.Coverage), latency, intended)
 	}
 }
 
 func (t *tally) addAttempt(a *Attempt) {
 	if a.Answer == nil {
-		if !a.unreached() {
+		switch {
+		case a.HungUp:
+			t.summary.HungUp++
+		case !a.unreached():
 			t.summary.Cut++
 		}
 		return
@@ -128,9 +145,15 @@
 
 // violate keeps faults as violations; mu is held.
 func (t *tally) violate(faults []string) {
+	t.summary.Violate(faults)
+}
+
+// Violate adds faults as violations.
+func (s *Summary) Violate(faults []string) {
+	s.ViolationCount += int64(len(faults))
 	for _, f := range faults {
-		if len(t.summary.Violations) < maxViolations {
-			t.summary.Violations = append(t.summary.Violations, f)
+		if len(s.Violations) < maxViolations {
+			s.Violations = append(s.Violations, f)
 		}
 	}
 }
@@ -144,9 +167,11 @@
 		s.Reasons[k] = v
 	}
 	s.Violations = append([]string{}, t.summary.Violations...)
-	s.P50Ms = t.milliseconds(50)
-	s.P99Ms = t.milliseconds(99)
-	s.P999Ms = t.milliseconds(99.9)
+	s.P50Ms = quantile(t.histogram, 50)
+	s.P99Ms = quantile(t.histogram, 99)
+	s.P999Ms = quantile(t.histogram, 99.9)
+	s.IdempotentP99Ms = quantile(t.idempotent, 99)
+	s.IdempotentP999Ms = quantile(t.idempotent, 99.9)
 	s.MaxMs = float64(t.histogram.Max()) / 1000
 	if s.Answered > 0 {
 		s.CoverageMean = t.coverage / float64(s.Answered)
@@ -157,8 +182,9 @@
 	return s
 }
 
-func (t *tally) milliseconds(quantile float64) float64 {
-	return float64(t.histogram.ValueAtQuantile(quantile)) / 1000
+// quantile returns a quantile of a histogram of microseconds in milliseconds.
+func quantile(h *hdrhistogram.Histogram, q float64) float64 {
+	return float64(h.ValueAtQuantile(q)) / 1000
 }
 
 // extraLoad is the share of sub-requests beyond one for each part of an
