--- a/io/version/zlgossip/round.go
+++ b/io/version/zlgossip/round.go
@@ -48,7 +48,7 @@
 	return g.all()
 }
 
-// turn returns whom to ask in a usual round: two near, one far, and a seed
+// turn returns whom to ask in a usual round: one near, one far, and a seed
 // while nobody else is known.
 func (g *Gossip) turn() []target {
 	view := g.Views.Load()
@@ -229,7 +229,7 @@
 	defer alarm.Stop()
 	reply, err := g.Asker.Ask(ctx, addr, topic, body)
 	if err != nil && ctx.Err() != nil {
-		return eris.Wrapf(err, "no reply within %v", timeout)
+		return eris.Errorf("no reply within %v", timeout)
 	}
 	if err != nil {
 		return err
