--- a/contrib/fleet.sh
+++ b/contrib/fleet.sh
@@ -132,21 +132,22 @@
 check "$(peak)" -le 1 "cold peak"
 ready 0; ready 1
 
-load "$work/one.json" 15 0 2 3 4 5
+load "$work/one.json" 15 1 2 3 4 5
 sleep 2
-kill -9 "${pid[${names[1]}]}"
-row "one killed: its peer holds all 12 after" "$(until_held 12 0 2 3 4 5) ms"
+kill -9 "${pid[${names[0]}]}"
+wait "${pid[${names[0]}]}" 2>/dev/null || true
+row "one killed: its peer holds all 12 after" "$(until_held 12 1 2 3 4 5) ms"
 wait "${pid[load]}" || true
 row "  failed, refused of $(sum "$work/one.json" sent)" "$(sum "$work/one.json" failed), $(sum "$work/one.json" refused)"
-start 1; ready 1; until_held 12 0 1 2 3 4 5 >/dev/null
+start 0; ready 0; until_held 12 0 1 2 3 4 5 >/dev/null
 
 load "$work/down.json" $((outage + 6)) 0 1 2 3 4 5
 sleep 2
-curl -sf -X PUT "http://$platform/control/faults" -d '{"down": true}'
+curl -sf -X PUT "http://$platform/control/faults" -d '{"down": true}' >/dev/null
 sleep "$outage"
 row "platform down for $outage s: held at its end" "$(held 0 1 2 3 4 5) of 12"
 check "$(held 0 1 2 3 4 5)" -eq 12 "held without the platform"
-curl -sf -X PUT "http://$platform/control/faults" -d '{}'
+curl -sf -X PUT "http://$platform/control/faults" -d '{}' >/dev/null
 wait "${pid[load]}" || true
 row "  failed, refused of $(sum "$work/down.json" sent)" "$(sum "$work/down.json" failed), $(sum "$work/down.json" refused)"
 
