A record written at the platform by other means is taken as an edit

Cause: a settings tree or marks record written straight at the object API, with no history in it, ranked below the held one; the daemons put theirs back, so an operator's write reverted within seconds.

Change: such a write, if its platform version is later than the held record's, enters the held record as one change by "platform", which a daemon writes back. Diff serves every kind of record (it stood in the tree alone). The scene's marks go through the editor; config status takes -admin as status does.

Measured: TestRecordWrittenByHandIsTakenAsAnEdit fails without the rule (the old value stays) and passes with it; the settings state machine still holds.

Conclusion: an accepted write does not revert, whoever made it. A restore to a state from before the first edit, with versions that go on growing, cannot be told from it.

--- a/cmd/config_status.go
+++ b/cmd/config_status.go
@@ -27,18 +27,14 @@
 
 func runConfigStatus(e *env, args []string) int {
 	fs := newFlags(e, "config status", "Show what is in force at each daemon and since when. Exit code 1 if a daemon is behind, refuses something or was not heard from.")
-	daemons := fs.String("daemon", "127.0.0.1:7101", "admin addresses of daemons to ask for the whole fleet, `IP:PORT[,IP:PORT]`")
+	daemons := fs.String("admin", "127.0.0.1:7101", "admin addresses of daemons to ask for the whole fleet, `IP:PORT[,IP:PORT]`")
 	wait := fs.Duration("wait", 30*time.Second, "how long to wait")
 	format := formatFlag(fs)
 	if code, ok := parse(e, fs, args); !ok {
 		return code
 	}
-	addresses := strings.Split(*daemons, ",")
-	err := checkFormat(*format)
-	for _, a := range addresses {
-		err = errors.Join(err, checkAddress("daemon", a))
-	}
-	if err != nil {
+	addresses, err := checkTargets("admin", *daemons)
+	if err := errors.Join(err, checkFormat(*format)); err != nil {
 		return e.fail(exitUsage, err)
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), *wait)
--- a/cmd/config_tree.go
+++ b/cmd/config_tree.go
@@ -229,7 +229,7 @@
 // from.
 func preparePut(ctx context.Context, ed *zlsync.Editor, r zlhistory.Record, next *zltree.Tree, replace bool) ([]zlhistory.Change, zlunit.Serial, error) {
 	if replace {
-		return asTree(r).Diff(next), r.Head().Serial, nil
+		return zlhistory.Diff(r, next), r.Head().Serial, nil
 	}
 	base, err := ed.Load(ctx, &zlsync.Settings)
 	if err != nil {
@@ -238,7 +238,7 @@
 	if err := zlhistory.Rewind(base, next.Serial); err != nil {
 		return nil, 0, err
 	}
-	return asTree(base).Diff(next), next.Serial, nil
+	return zlhistory.Diff(base, next), next.Serial, nil
 }
 
 func runConfigDiff(e *env, args []string) int {
@@ -261,7 +261,7 @@
 	if err != nil {
 		return e.fail(editExit(err), err)
 	}
-	changes := tree.Diff(next)
+	changes := zlhistory.Diff(tree, next)
 	if *format == "json" {
 		e.json(changes)
 	} else {
--- a/contrib/settings.sh
+++ b/contrib/settings.sh
@@ -71,29 +71,29 @@
 sleep 1
 expect 0 config set "${who[@]}" -path guild -key deadline -value 2s -reason "school holidays"
 sleep 1
-expect 0 config status -daemon "$admin"
+expect 0 config status -admin "$admin"
 echo "-- lowell-1 is paused"
 kill -STOP "$paused"
 expect 0 config set "${who[@]}" -path guild -key deadline -value 3s -reason "rolls are slow"
 expect 0 mark dc lowell out "${who[@]}" -reason "its daemon is silent"
-expect 1 config status -daemon "$admin"
+expect 1 config status -admin "$admin"
 kill -CONT "$paused"
 sleep 2
 echo "-- it goes on"
-expect 0 config status -daemon "$admin"
+expect 0 config status -admin "$admin"
 echo "-- the platform is down, and nashua-2 starts"
 curl -sf -X PUT "http://$platform/control/faults" -d '{"down": true}'
 expect 1 config set "${who[@]}" -path guild -key deadline -value 4s -reason "too late" -wait 1s
 start nashua-2 nashua 3
 ready "127.0.0.1:$((base + 231))"
 sleep 2
-expect 0 config status -daemon "127.0.0.1:$((base + 231))"
+expect 0 config status -admin "127.0.0.1:$((base + 231))"
 echo "-- the platform is back"
 curl -sf -X PUT "http://$platform/control/faults" -d '{"down": false}'
 sleep 5
 expect 0 mark dc lowell in "${who[@]}" -reason "it is back"
 sleep 1
-expect 0 config status -daemon "$admin"
+expect 0 config status -admin "$admin"
 expect 0 config history -platform "$platform" -of marks
 echo "checks $([ $failed = 0 ] && echo passed || echo failed)"
 exit $failed
--- a/core/version/zlhistory/zlhistory.go
+++ b/core/version/zlhistory/zlhistory.go
@@ -5,8 +5,10 @@
 package zlhistory
 
 import (
+	"cmp"
 	"encoding/json"
 	"reflect"
+	"slices"
 	"time"
 
 	"zinnialock/core/process/zlunit"
@@ -103,6 +105,8 @@
 type Record interface {
 	// Head returns the serial and history.
 	Head() *Meta
+	// Places lists the places that have a value, in any order.
+	Places() []Place
 	// Value returns the value at a place, nil for none.
 	Value(p Place) any
 	// Set changes one value on behalf of e.
@@ -144,6 +148,30 @@
 	return true
 }
 
+// Diff lists the changes that turn the values of r into those of next, in the
+// order of their places.
+func Diff(r, next Record) []Change {
+	var changes []Change
+	seen := map[Place]bool{}
+	for _, p := range append(r.Places(), next.Places()...) {
+		old, value := r.Value(p), next.Value(p)
+		if seen[p] || reflect.DeepEqual(old, value) {
+			continue
+		}
+		seen[p] = true
+		changes = append(changes, Change{
+			Path: p.Path,
+			Key:  p.Key,
+			Old:  old,
+			New:  value,
+		})
+	}
+	slices.SortFunc(changes, func(a, b Change) int {
+		return cmp.Or(cmp.Compare(a.Path, b.Path), cmp.Compare(a.Key, b.Key))
+	})
+	return changes
+}
+
 // bound keeps as many changes as an entry may hold and counts the rest.
 func bound(changes []Change) ([]Change, int) {
 	total := 0
--- a/core/version/zlhistory/zlhistory_test.go
+++ b/core/version/zlhistory/zlhistory_test.go
@@ -16,6 +16,17 @@
 	values map[string]any
 }
 
+// Places implements Record.
+func (r *record) Places() []Place {
+	var out []Place
+	for key := range r.values {
+		out = append(out, Place{
+			Key: key,
+		})
+	}
+	return out
+}
+
 // Value implements Record.
 func (r *record) Value(p Place) any {
 	return r.values[p.Key]
--- a/core/version/zlmark/record.go
+++ b/core/version/zlmark/record.go
@@ -41,6 +41,23 @@
 	return mark.Reason
 }
 
+// Places implements zlhistory.Record.
+func (m *Marks) Places() []zlhistory.Place {
+	out := places(nil, SubjectVM, m.VMs)
+	out = places(out, SubjectDataCentre, m.DataCentres)
+	return places(out, SubjectUpstream, m.Upstreams)
+}
+
+func places[K ~string](out []zlhistory.Place, s Subject, marks map[K]Mark) []zlhistory.Place {
+	for name := range marks {
+		out = append(out, zlhistory.Place{
+			Path: string(s),
+			Key:  string(name),
+		})
+	}
+	return out
+}
+
 // Set implements zlhistory.Record.
 func (m *Marks) Set(c zlhistory.Change, e *zlhistory.Entry) {
 	var mark *Mark
--- a/core/version/zltree/record.go
+++ b/core/version/zltree/record.go
@@ -2,8 +2,6 @@
 
 import (
 	"encoding/json"
-	"reflect"
-	"sort"
 	"strconv"
 
 	"zinnialock/core/process/zlunit"
@@ -40,36 +38,18 @@
 	t.Nodes[path][Key(c.Key)] = c.New
 }
 
-// Diff lists the changes that turn t into next, in a fixed order.
-func (t *Tree) Diff(next *Tree) []zlhistory.Change {
-	places := map[zlhistory.Place]bool{}
-	for _, tree := range []*Tree{t, next} {
-		for path, node := range tree.Nodes {
-			for key := range node {
-				places[zlhistory.Place{
-					Path: string(path),
-					Key:  string(key),
-				}] = true
-			}
-		}
-	}
-	var changes []zlhistory.Change
-	for p := range places {
-		old, value := t.Value(p), next.Value(p)
-		if !reflect.DeepEqual(old, value) {
-			changes = append(changes, zlhistory.Change{
-				Path: p.Path,
-				Key:  p.Key,
-				Old:  old,
-				New:  value,
+// Places implements zlhistory.Record.
+func (t *Tree) Places() []zlhistory.Place {
+	var out []zlhistory.Place
+	for path, node := range t.Nodes {
+		for key := range node {
+			out = append(out, zlhistory.Place{
+				Path: string(path),
+				Key:  string(key),
 			})
 		}
 	}
-	sort.Slice(changes, func(i, j int) bool {
-		a, b := changes[i], changes[j]
-		return a.Path < b.Path || a.Path == b.Path && a.Key < b.Key
-	})
-	return changes
+	return out
 }
 
 // Parse reads the value of a key from text: a number, or else a duration.
--- a/io/standin/zlscene/actions.go
+++ b/io/standin/zlscene/actions.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"fmt"
-	"time"
+	"slices"
 
+	"zinnialock/core/process/zltimer"
 	"zinnialock/core/process/zlunit"
 	"zinnialock/core/version/zlcatalog"
+	"zinnialock/core/version/zlhistory"
 	"zinnialock/core/version/zlmark"
 	"zinnialock/io/process/zlplatform"
 	"zinnialock/io/standin/zlfakeupstream"
@@ -23,23 +25,38 @@
 	})
 }
 
-// Mark takes data centres out of service, and all others into it.
+// Mark takes data centres out of service, and all others into it, by an edit
+// as operators make it.
 func (s *Scene) Mark(ctx context.Context, out ...zlunit.DataCentre) error {
-	marks := &zlmark.Marks{
-		DataCentres: map[zlunit.DataCentre]zlmark.Mark{},
+	editor := &zlsync.Editor{
+		Platform: s.Client,
+		Timer:    &zltimer.Service{},
 	}
-	for _, dc := range out {
-		marks.DataCentres[dc] = zlmark.Mark{
-			Reason: "demo",
-			At:     time.Now(),
+	_, err := editor.Edit(ctx, &zlsync.Marks, &zlsync.Edit{
+		By:     "demo",
+		Reason: "demo",
+		Prepare: func(r zlhistory.Record) ([]zlhistory.Change, zlunit.Serial, error) {
+			return s.marks(r, out), r.Head().Serial, nil
+		},
+	})
+	return err
+}
+
+// marks lists the change of every data centre's mark.
+func (s *Scene) marks(r zlhistory.Record, out []zlunit.DataCentre) []zlhistory.Change {
+	changes := make([]zlhistory.Change, 0, len(s.Plan.DataCentres))
+	for _, dc := range s.Plan.DataCentres {
+		c := zlhistory.Change{
+			Path: string(zlmark.SubjectDataCentre),
+			Key:  string(dc),
 		}
+		c.Old = r.Value(c.Place())
+		if slices.Contains(out, dc) {
+			c.New = "demo"
+		}
+		changes = append(changes, c)
 	}
-	version, err := s.versionOf(ctx, zlplatform.ObjectMarks, zlsync.MarksName)
-	if err != nil {
-		return err
-	}
-	_, err = s.Client.Put(ctx, zlplatform.ObjectMarks, zlsync.MarksName, version, marks)
-	return err
+	return changes
 }
 
 func (s *Scene) versionOf(ctx context.Context, kind zlplatform.ObjectKind, name string) (zlunit.ObjectVersion, error) {
--- a/io/version/zlsync/follower_test.go
+++ b/io/version/zlsync/follower_test.go
@@ -62,6 +62,34 @@
 	})
 }
 
+func TestRecordWrittenByHandIsTakenAsAnEdit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		convey.Convey("Given an accepted edit, then a tree written without a history", t, func() {
+			p := newFake()
+			f := newFollower(p)
+			_, err := newEditor(p).Edit(context.Background(), &Settings, setting("ana", "guild", "deadline", "2s"))
+			convey.So(err, convey.ShouldBeNil)
+			convey.So(f.Poll(context.Background(), 0), convey.ShouldBeNil)
+			mustPut(p, Settings.Kind, Settings.Name, treeWith("3s"))
+			ctx, cancel := context.WithCancel(context.Background())
+			done := make(chan struct{})
+			go func() {
+				defer close(done)
+				f.Run(ctx)
+			}()
+			time.Sleep(13 * time.Second)
+			cancel()
+			<-done
+			convey.So(f.Views.Load().Policy("s", "k").Deadline, convey.ShouldEqual, 3*time.Second)
+			log, _, err := newEditor(p).History(context.Background(), &Settings)
+			convey.So(err, convey.ShouldBeNil)
+			convey.So(len(log), convey.ShouldEqual, 2)
+			convey.So(log[1].By, convey.ShouldEqual, "platform")
+			convey.So(log[0].By, convey.ShouldEqual, "ana")
+		})
+	})
+}
+
 func TestReturnFromAMarkRampsAtADaemonThatSawIt(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		convey.Convey("Given a daemon that saw a mark come and go", t, func() {
--- a/io/version/zlsync/repair.go
+++ b/io/version/zlsync/repair.go
@@ -6,9 +6,12 @@
 	"math/rand/v2"
 	"time"
 
+	"zinnialock/core/process/zlunit"
 	"zinnialock/core/version/zlhistory"
 	"zinnialock/core/version/zlnews"
 	"zinnialock/io/process/zlplatform"
+
+	"github.com/google/uuid"
 )
 
 // repairSpread is the longest pause before a repair; of a whole fleet that sees
@@ -99,7 +102,12 @@
 	if version != 0 && !zlhistory.Forked(held, next) && next.Head().Serial >= held.Head().Serial {
 		return nil
 	}
-	joined := zlhistory.Merge(held, next)
+	joined := held
+	if writtenByHand(item, next, version) {
+		f.take(held, next)
+	} else {
+		joined = zlhistory.Merge(held, next)
+	}
 	if err := t.Check(joined); err != nil {
 		return err
 	}
@@ -107,6 +115,25 @@
 		return err
 	}
 	f.count("repaired", string(t.Kind))
-	f.Log.Warn().Str("kind", string(t.Kind)).Uint64("serial", uint64(joined.Head().Serial)).Msg("sync: wrote accepted changes back that the platform had lost")
+	f.Log.Warn().Str("kind", string(t.Kind)).Uint64("serial", uint64(joined.Head().Serial)).Msg("sync: wrote a record back whose history the platform lacked")
 	return nil
 }
+
+// writtenByHand reports whether next is a later write without any history, as
+// other tools than the config and mark subcommands make it. A restored
+// platform's versions start over, so its record is not later.
+func writtenByHand(held zlnews.Item, next zlhistory.Record, version zlunit.ObjectVersion) bool {
+	head := next.Head()
+	return version > held.Rank.Version && head.Serial == 0 && len(head.History) == 0
+}
+
+// take enters what was written by hand into the held record as a change.
+func (f *Follower) take(held, next zlhistory.Record) {
+	zlhistory.Commit(held, zlhistory.Entry{
+		Nonce:   zlhistory.Nonce(uuid.NewString()),
+		By:      "platform",
+		Reason:  "written without a history",
+		At:      f.Timer.Now(),
+		Changes: zlhistory.Diff(held, next),
+	})
+}
