--- a/cmd/cmd.go
+++ b/cmd/cmd.go
@@ -37,6 +37,11 @@
 			summary: "run a daemon",
 			run:     runServe,
 		},
+		{
+			name:    "relay",
+			summary: "run a daemon on the users' platform",
+			run:     runRelay,
+		},
 		{
 			name:    "check",
 			summary: "validate a daemon's settings file",
--- /dev/null
+++ b/core/process/zlplace/record.go
@@ -0,0 +1,201 @@
+package zlplace
+
+import (
+	"sync"
+	"time"
+
+	"zinnialock/core/process/zlunit"
+)
+
+const (
+	// smoothing is the weight of a new sample in the running means.
+	smoothing = 0.2
+	// fade is the time without news after which what speaks against a replica
+	// halves, so that it is tried again.
+	fade = time.Second
+	// slowest bounds how many times slower than usual a replica is counted.
+	slowest = 16
+	// failMemory is how long one failure counts in full: the time in which a
+	// replica that is restarted is seen to be gone.
+	failMemory = 300 * time.Millisecond
+)
+
+// Record is what this process saw of one life of a replica.
+type Record struct {
+	mu      sync.Mutex
+	flights map[*Flight]struct{}
+	// pace is the running mean of the time taken over the time expected.
+	pace float64
+	// faults is the running share of requests that failed.
+	faults float64
+	heard  time.Time
+	failed time.Time
+	// away is until when the replica asked to be left alone.
+	away time.Time
+	// overdue tells that a request waits past its time and nothing was
+	// answered since.
+	overdue   bool
+	overdueAt time.Time
+	cold      coldBudget
+}
+
+// Flight is one request on its way to a replica. Nudge must not block.
+type Flight struct {
+	// Nudge tells the sender that another request to the same replica is
+	// overdue.
+	Nudge func()
+
+	record *Record
+	group  *group
+	sent   time.Time
+}
+
+// Upstream outcomes as the record counts them.
+type Outcome int
+
+// The outcomes of a flight.
+const (
+	// OutcomeServed is a whole answer.
+	OutcomeServed Outcome = iota
+	// OutcomeFailed is a failure or a broken connection.
+	OutcomeFailed
+	// OutcomeRefused is a proven not run.
+	OutcomeRefused
+	// OutcomeUnreached tells that no connection was to be had.
+	OutcomeUnreached
+	// OutcomeGivenUp tells that the sender stopped waiting.
+	OutcomeGivenUp
+)
+
+func (r *Record) halve(v float64, now time.Time, neutral float64) float64 {
+	if r.heard.IsZero() {
+		return neutral
+	}
+	for age := now.Sub(r.heard); age >= fade && v-neutral > 0.01; age -= fade {
+		v = neutral + (v-neutral)/2
+	}
+	return v
+}
+
+// standing is what speaks against one more request.
+type standing struct {
+	inFlight int
+	pace     float64
+	faults   float64
+	failed   bool
+	overdue  bool
+	away     bool
+}
+
+func (r *Record) standing(now time.Time) standing {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return standing{
+		inFlight: len(r.flights),
+		pace:     r.halve(r.pace, now, 1),
+		faults:   r.halve(r.faults, now, 0),
+		failed:   !r.failed.IsZero() && now.Sub(r.failed) < failMemory,
+		overdue:  r.overdue,
+		away:     now.Before(r.away),
+	}
+}
+
+// Sent marks the moment at which the flight's first byte goes out.
+func (f *Flight) Sent(now time.Time) {
+	f.record.mu.Lock()
+	defer f.record.mu.Unlock()
+	f.sent = now
+}
+
+// Overdue tells that the flight waits longer than it should; the others at the
+// same replica are nudged.
+func (f *Flight) Overdue(now time.Time) {
+	r := f.record
+	r.mu.Lock()
+	if r.overdue {
+		r.mu.Unlock()
+		return
+	}
+	r.overdue = true
+	r.overdueAt = now
+	nudges := make([]func(), 0, len(r.flights))
+	for other := range r.flights {
+		if other != f && other.Nudge != nil {
+			nudges = append(nudges, other.Nudge)
+		}
+	}
+	r.mu.Unlock()
+	for _, nudge := range nudges {
+		nudge()
+	}
+}
+
+// ReplicaOverdue reports whether some request at the replica is overdue.
+func (f *Flight) ReplicaOverdue() bool {
+	f.record.mu.Lock()
+	defer f.record.mu.Unlock()
+	return f.record.overdue
+}
+
+// Done ends a flight. Expected is what such a request usually takes, or 0;
+// hint is how long the replica asked to be left alone.
+func (f *Flight) Done(now time.Time, outcome Outcome, expected, hint time.Duration) {
+	r := f.record
+	r.mu.Lock()
+	delete(r.flights, f)
+	switch outcome {
+	case OutcomeServed:
+		r.overdue = false
+		r.sample(now, 0)
+		if expected > 0 && !f.sent.IsZero() {
+			r.step(now, float64(now.Sub(f.sent))/float64(expected))
+		}
+	case OutcomeFailed, OutcomeUnreached:
+		r.failed = now
+		r.sample(now, 1)
+	case OutcomeRefused:
+		if until := now.Add(max(hint, failMemory/3)); until.After(r.away) {
+			r.away = until
+		}
+	case OutcomeGivenUp:
+		if expected > 0 && !f.sent.IsZero() && now.Sub(f.sent) > 2*expected {
+			r.step(now, float64(now.Sub(f.sent))/float64(expected))
+		}
+	}
+	r.mu.Unlock()
+	f.group.freed()
+}
+
+func (r *Record) step(now time.Time, ratio float64) {
+	was := r.halve(r.pace, now, 1)
+	r.pace = was + smoothing*(min(ratio, slowest)-was)
+	r.heard = now
+}
+
+func (r *Record) sample(now time.Time, fault float64) {
+	was := r.halve(r.faults, now, 0)
+	r.pace = r.halve(r.pace, now, 1)
+	r.faults = was + smoothing*(fault-was)
+	r.heard = now
+}
+
+// coldBudget spaces the requests to a cold replica.
+type coldBudget struct {
+	next time.Time
+}
+
+// take reports whether one more request may go to a cold replica; rate is in
+// requests a second.
+func (c *coldBudget) take(now time.Time, rate float64) bool {
+	if rate <= 0 || now.Before(c.next) {
+		return false
+	}
+	c.next = now.Add(time.Duration(float64(time.Second) / rate))
+	return true
+}
+
+type recordKey struct {
+	id   zlunit.Upstream
+	born int64
+	addr string
+}
--- /dev/null
+++ b/core/process/zlspend/zlspend.go
@@ -0,0 +1,112 @@
+// Package zlspend bounds second sends: over any window, the second sends of a
+// service stay below a share of its requests and a slack that all VMs divide.
+//
+// It answers the pattern in which many replicas turn slow at once: what was not
+// spent in the last window is there at once, where a bucket of tokens would
+// have let it lapse.
+package zlspend
+
+import (
+	"sync"
+	"time"
+)
+
+// slices is into how many parts a window is cut; one more is kept, so that a
+// count covers a whole window at least.
+const slices = 20
+
+// Window counts the requests of one service and the second sends for them, as
+// this VM saw them. The fields must be set before use.
+type Window struct {
+	// Length is over what time the share holds.
+	Length time.Duration
+	// Share is the second sends allowed for each request.
+	Share float64
+	// Slack is the second sends allowed besides, for this VM.
+	Slack float64
+
+	mu      sync.Mutex
+	began   time.Time
+	current int64
+	ring    [slices + 1]counts
+	sum     counts
+}
+
+type counts struct {
+	requests int
+	extras   int
+}
+
+// Request notes an ordinary request.
+func (w *Window) Request(now time.Time) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.turn(now)
+	w.ring[w.current%(slices+1)].requests++
+	w.sum.requests++
+}
+
+// Take notes a second send and reports true, unless that would leave less than
+// reserve (a share of what is allowed).
+func (w *Window) Take(now time.Time, reserve float64) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.turn(now)
+	if float64(w.sum.extras+1) > w.allowed(now)*(1-reserve) {
+		return false
+	}
+	w.ring[w.current%(slices+1)].extras++
+	w.sum.extras++
+	return true
+}
+
+// Return takes back a second send that reached nobody.
+func (w *Window) Return(now time.Time) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.turn(now)
+	c := &w.ring[w.current%(slices+1)]
+	if c.extras > 0 {
+		c.extras--
+		w.sum.extras--
+	}
+}
+
+// Left is how many second sends are allowed now.
+func (w *Window) Left(now time.Time) float64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.turn(now)
+	return w.allowed(now) - float64(w.sum.extras)
+}
+
+// SetSlack changes this VM's part of the slack.
+func (w *Window) SetSlack(slack float64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.Slack = slack
+}
+
+// allowed grows over the first window from nothing: a process that was
+// restarted does not know what its former life spent.
+func (w *Window) allowed(now time.Time) float64 {
+	age := min(float64(now.Sub(w.began))/float64(w.Length), 1)
+	return float64(w.sum.requests)*w.Share + w.Slack*age
+}
+
+func (w *Window) turn(now time.Time) {
+	if w.began.IsZero() {
+		w.began = now
+	}
+	at := int64(now.Sub(w.began) / (w.Length / slices))
+	for w.current < at {
+		if at-w.current > slices+1 {
+			w.current = at - slices - 1
+		}
+		w.current++
+		c := &w.ring[w.current%(slices+1)]
+		w.sum.requests -= c.requests
+		w.sum.extras -= c.extras
+		*c = counts{}
+	}
+}
--- /dev/null
+++ b/core/request/zlrelay/records.go
@@ -0,0 +1,34 @@
+package zlrelay
+
+import (
+	"bytes"
+	"slices"
+)
+
+// recordSize is the length of one record in bytes.
+const recordSize = 16
+
+// greatest returns the k greatest records of the parts, falling; what is left
+// of a part after its last whole record is no record.
+func greatest(parts [][]byte, k int) []byte {
+	n := 0
+	for _, p := range parts {
+		n += len(p) / recordSize
+	}
+	all := make([][]byte, 0, n)
+	for _, p := range parts {
+		for len(p) >= recordSize {
+			all = append(all, p[:recordSize])
+			p = p[recordSize:]
+		}
+	}
+	slices.SortFunc(all, func(a, b []byte) int {
+		return bytes.Compare(b, a)
+	})
+	all = all[:min(k, len(all))]
+	out := make([]byte, 0, len(all)*recordSize)
+	for _, record := range all {
+		out = append(out, record...)
+	}
+	return out
+}
--- /dev/null
+++ b/core/request/zlrelay/run.go
@@ -0,0 +1,224 @@
+package zlrelay
+
+import (
+	"context"
+	"time"
+
+	"zinnialock/core/process/zldecision"
+	"zinnialock/core/process/zlplace"
+	"zinnialock/core/process/zlquantile"
+	"zinnialock/core/process/zlunit"
+	"zinnialock/core/version/zlregistry"
+	"zinnialock/core/version/zltable"
+)
+
+const (
+	// answerShare is the part of the objective after which an answer that may
+	// lack parts goes out; the rest is the way to the caller and back.
+	answerShare = 0.85
+	// waitShare is the part of the objective for which a request waits for a
+	// place before it is turned away; the platform's pages call a refusal
+	// within it early.
+	waitShare = 0.22
+	// limitMargin is the time before the caller's deadline at which a request
+	// ends, for the way back.
+	limitMargin = 5 * time.Millisecond
+	// lookAgain is how often a place is looked for without a sign.
+	lookAgain = 20 * time.Millisecond
+	// sendsMost bounds what one part sends, refusals included.
+	sendsMost = 4
+	// budgetUse is the part of the bound on second sends that is used, since
+	// VMs count windows that begin at different moments.
+	budgetUse = 0.9
+)
+
+// run is one request under way. Its fields belong to the goroutine of serve.
+type run struct {
+	relay   *Relay
+	view    *zlregistry.View
+	route   *zltable.Route
+	req     *Request
+	ctx     context.Context
+	cancel  context.CancelFunc
+	profile *zlquantile.Tracker
+	parts   []part
+	results chan result
+	nudges  chan struct{}
+	// answerBy is when an answer that lacks parts goes out; placeBy when a
+	// request that was not sent is turned away; limit when it ends.
+	answerBy time.Time
+	placeBy  time.Time
+	limit    time.Time
+	timedBy  zldecision.Reason
+	sends    int
+	expected time.Duration
+	delay    time.Duration
+}
+
+// result is how an attempt ended.
+type result struct {
+	attempt *attempt
+	reply   Reply
+}
+
+func (r *Relay) start(ctx context.Context, v *zlregistry.View, route *zltable.Route, req *Request) *run {
+	x := &run{
+		relay:    r,
+		view:     v,
+		route:    route,
+		req:      req,
+		profile:  r.profile(route),
+		nudges:   make(chan struct{}, 1),
+		answerBy: req.Received.Add(time.Duration(answerShare * float64(route.Objective))),
+		placeBy:  req.Received.Add(time.Duration(waitShare * float64(route.Objective))),
+		limit:    req.Received.Add(route.Timeout),
+		timedBy:  zldecision.ReasonTimeout,
+	}
+	x.ctx, x.cancel = context.WithCancel(ctx)
+	if end := req.Deadline.Add(-limitMargin); !req.Deadline.IsZero() && (end.Before(x.limit) || route.Timeout <= 0) {
+		x.limit = end
+		x.timedBy = zldecision.ReasonDeadline
+	}
+	if x.answerBy.After(x.limit) {
+		x.answerBy = x.limit
+	}
+	services := route.Shards
+	if !route.Scattered() {
+		services = []zlunit.Service{r.target(v.Table, route)}
+	}
+	x.parts = make([]part, len(services))
+	for i, s := range services {
+		x.parts[i] = part{
+			run:     x,
+			service: s,
+			window:  r.window(s),
+		}
+	}
+	x.results = make(chan result, len(services)*sendsMost)
+	return x
+}
+
+func (x *run) serve() Answer {
+	defer x.finish()
+	now := x.relay.Timer.Now()
+	for i := range x.parts {
+		x.parts[i].window.Request(now)
+	}
+	if x.route.Scattered() {
+		if s, ok := x.reachable(); !ok {
+			return x.relay.refuse(x.view, x.req, x.route, zldecision.ReasonTooFewShards, s)
+		}
+	}
+	x.times(now)
+	alarm := x.relay.Timer.After(time.Hour)
+	defer alarm.Stop()
+	for {
+		if a := x.step(x.relay.Timer.Now()); a != nil {
+			return a
+		}
+		alarm.Reset(max(x.next().Sub(x.relay.Timer.Now()), 0))
+		select {
+		case res := <-x.results:
+			x.take(res)
+			x.drain()
+		case <-x.nudges:
+		case <-alarm.C:
+		case <-x.ctx.Done():
+			return x.left()
+		}
+	}
+}
+
+// drain takes the results that are there already.
+func (x *run) drain() {
+	for {
+		select {
+		case res := <-x.results:
+			x.take(res)
+		default:
+			return
+		}
+	}
+}
+
+// reachable reports whether enough shards have a replica that may serve; if
+// not, it names one that has none.
+func (x *run) reachable() (zlunit.Service, bool) {
+	n := 0
+	var without zlunit.Service
+	for i := range x.parts {
+		if zlplace.Any(x.view, x.parts[i].service) {
+			n++
+		} else {
+			without = x.parts[i].service
+		}
+	}
+	return without, n >= x.route.LeastParts()
+}
+
+// nudge wakes the run; it does not block.
+func (x *run) nudge() {
+	select {
+	case x.nudges <- struct{}{}:
+	default:
+	}
+}
+
+// step does what is due and returns the answer once there is one.
+func (x *run) step(now time.Time) Answer {
+	if now.Before(x.limit) {
+		for i := range x.parts {
+			x.parts[i].step(now)
+		}
+	}
+	if x.route.Scattered() {
+		return x.settleParts(now)
+	}
+	return x.settleOne(now)
+}
+
+// next is when step is to be called at the latest.
+func (x *run) next() time.Time {
+	next := x.limit
+	if x.route.Scattered() && x.answerBy.Before(next) && x.relay.Timer.Now().Before(x.answerBy) {
+		next = x.answerBy
+	}
+	for i := range x.parts {
+		if at := x.parts[i].next(); !at.IsZero() && at.Before(next) {
+			next = at
+		}
+	}
+	return next
+}
+
+func (x *run) finish() {
+	x.cancel()
+	for i := range x.parts {
+		x.parts[i].leave()
+	}
+}
+
+func (x *run) left() Answer {
+	x.relay.note(&zldecision.Failed{
+		Subject: x.subject(),
+		Reason:  zldecision.ReasonCallerLeft,
+		Sends:   x.sends,
+		Parts:   x.good(),
+	})
+	return nil
+}
+
+func (x *run) subject() zldecision.Subject {
+	return x.relay.subject(x.view, x.req, x.route)
+}
+
+// good is how many parts are in.
+func (x *run) good() int {
+	n := 0
+	for i := range x.parts {
+		if x.parts[i].whole != nil {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/core/version/zlcensus/zlcensus.go
@@ -0,0 +1,144 @@
+// Package zlcensus counts the VMs that share the replicas, since each may use
+// only its part of what the replicas and the budgets bear. Each VM keeps one
+// entry in the platform's store and looks at all of them now and then.
+package zlcensus
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"zinnialock/core/process/zldecision"
+	"zinnialock/core/process/zltimer"
+	"zinnialock/core/process/zlunit"
+)
+
+const (
+	// firstLook is how long after the start the entries are counted first, so
+	// that VMs which start together see each other.
+	firstLook = 2 * time.Second
+	// lookEach is the time between counts; a lagging list does.
+	lookEach = 15 * time.Second
+	// renewEach is the time between writes of an unchanged entry.
+	renewEach = time.Minute
+	// staleAfter is how long an entry counts that is not renewed.
+	staleAfter = 3 * renewEach
+	// spread lengthens each wait by up to this share.
+	spread = 0.3
+	// Assumed is how many VMs are assumed before the first count.
+	Assumed = 10
+)
+
+// Entry is what one VM wrote of itself.
+type Entry struct {
+	VM zlunit.VM
+	// Revision grows with each write.
+	Revision uint64
+}
+
+// Store keeps the entries.
+type Store interface {
+	// Announce writes this VM's entry.
+	Announce(ctx context.Context) error
+	// Withdraw removes it.
+	Withdraw(ctx context.Context) error
+	// Entries lists all; a list that is not fresh may lag by seconds.
+	Entries(ctx context.Context, fresh bool) ([]Entry, error)
+}
+
+// Census counts. Exported fields must be set before Run; Sink may be nil.
+type Census struct {
+	Timer *zltimer.Service
+	Store Store
+	Sink  zldecision.Sink
+	// Changed is called with each new count.
+	Changed func(vms int)
+	Done    <-chan struct{}
+
+	seen    map[zlunit.VM]sight
+	count   atomic.Int64
+	written time.Time
+}
+
+type sight struct {
+	revision uint64
+	at       time.Time
+}
+
+// Run counts until Done is closed and withdraws the entry then.
+func (c *Census) Run() {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	c.seen = map[zlunit.VM]sight{}
+	c.announce(ctx)
+	fresh := true
+	wait := firstLook
+	for c.Timer.Sleep(c.Done, wait) {
+		if c.Timer.Now().Sub(c.written) >= renewEach {
+			c.announce(ctx)
+		}
+		if c.look(ctx, fresh) {
+			fresh = false
+			wait = lookEach
+		} else {
+			wait = firstLook
+		}
+		wait += time.Duration(float64(wait) * spread * float64(time.Now().UnixNano()%1000) / 1000)
+	}
+	if err := c.Store.Withdraw(ctx); err != nil {
+		c.failed("withdraw", err)
+	}
+}
+
+func (c *Census) announce(ctx context.Context) {
+	if err := c.Store.Announce(ctx); err != nil {
+		c.failed("announce", err)
+		return
+	}
+	c.written = c.Timer.Now()
+}
+
+func (c *Census) look(ctx context.Context, fresh bool) bool {
+	entries, err := c.Store.Entries(ctx, fresh)
+	if err != nil {
+		c.failed("count", err)
+		return false
+	}
+	now := c.Timer.Now()
+	n := 0
+	for _, e := range entries {
+		s, ok := c.seen[e.VM]
+		if !ok || e.Revision > s.revision {
+			s = sight{
+				revision: e.Revision,
+				at:       now,
+			}
+			c.seen[e.VM] = s
+		}
+		if now.Sub(s.at) < staleAfter {
+			n++
+		}
+	}
+	n = max(n, 1)
+	if int64(n) != c.count.Swap(int64(n)) {
+		if c.Sink != nil {
+			c.Sink.Note(&zldecision.Belief{
+				Topic:   "census",
+				What:    "counted",
+				Version: uint64(n),
+			})
+		}
+		c.Changed(n)
+	}
+	return true
+}
+
+func (c *Census) failed(what string, err error) {
+	if c.Sink != nil {
+		c.Sink.Note(&zldecision.Dependency{
+			Name:  "census",
+			State: "failed",
+			Why:   what + ": " + err.Error(),
+		})
+	}
+}
--- /dev/null
+++ b/core/version/zlfollow/zlfollow.go
@@ -0,0 +1,357 @@
+// Package zlfollow keeps the registry's book up to date from the platform's
+// store: it lists, watches, begins anew when history is gone, and calls a store
+// that does not answer no more often than it must.
+package zlfollow
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"zinnialock/core/process/zldecision"
+	"zinnialock/core/process/zltimer"
+	"zinnialock/core/process/zlunit"
+	"zinnialock/core/version/zlregistry"
+	"zinnialock/core/version/zltable"
+)
+
+const (
+	// watchWait is how long one watch waits at the store, which allows 30 s.
+	watchWait = 29 * time.Second
+	// rearmTable, rearmReplicas and rearmOut space the calls of a topic in
+	// which much changes. Each is the age that news may have: well under the
+	// bounds of the platform's settings (3 s for routes and drains, 5 s for
+	// data centres), with room for one call that fails.
+	rearmTable    = 800 * time.Millisecond
+	rearmReplicas = 800 * time.Millisecond
+	rearmOut      = 1500 * time.Millisecond
+	// probeLeast and probeMost are the time between calls to a store that does
+	// not answer; one call of all topics is the probe.
+	probeLeast = 400 * time.Millisecond
+	probeMost  = 800 * time.Millisecond
+	// emptyPause is the time to the next look where nothing was written yet.
+	emptyPause = 700 * time.Millisecond
+)
+
+// Topic is a kind of news.
+type Topic int
+
+// The topics.
+const (
+	TopicTable Topic = iota
+	TopicReplicas
+	TopicOut
+)
+
+// String implements fmt.Stringer.
+func (t Topic) String() string {
+	switch t {
+	case TopicTable:
+		return "table"
+	case TopicReplicas:
+		return "replicas"
+	case TopicOut:
+		return "outOfService"
+	default:
+		return "unknown"
+	}
+}
+
+// Item is one of *TableItem, *ReplicaItem and *OutItem.
+type Item interface {
+	item()
+}
+
+// TableItem is a version of the routes; Table is nil if it could not be read.
+type TableItem struct {
+	Table *zltable.Table
+}
+
+// ReplicaItem is an entry of a replica. Replica is nil if it is gone or names
+// none that can be used.
+type ReplicaItem struct {
+	ID      zlunit.Upstream
+	Replica *zlregistry.Replica
+}
+
+// OutItem marks a data centre.
+type OutItem struct {
+	DataCentre zlunit.DataCentre
+	// In tells that the mark was taken away.
+	In bool
+}
+
+func (*TableItem) item()   {}
+func (*ReplicaItem) item() {}
+func (*OutItem) item()     {}
+
+// Page is a part of a list, or the news of a watch.
+type Page struct {
+	Items    []Item
+	Revision uint64
+	// Next is where the list goes on, or empty.
+	Next string
+}
+
+// ErrHistoryGone tells that a watch asked for changes that are not kept.
+var ErrHistoryGone = errors.New("zlfollow: history is gone")
+
+// Store is the platform's store. Both calls end by themselves.
+type Store interface {
+	List(ctx context.Context, t Topic, after string) (*Page, error)
+	Watch(ctx context.Context, t Topic, revision uint64, wait time.Duration) (*Page, error)
+}
+
+// Follower follows all topics. Exported fields must be set before Run; Sink may
+// be nil.
+type Follower struct {
+	Timer *zltimer.Service
+	Book  *zlregistry.Book
+	Store Store
+	Sink  zldecision.Sink
+	Done  <-chan struct{}
+
+	mu sync.Mutex
+	// lostAt is when the store was first not to be had, or zero.
+	lostAt time.Time
+	// probeAt is when one topic may try a lost store again.
+	probeAt time.Time
+	calls   int
+}
+
+// Calls is how many calls were made.
+func (f *Follower) Calls() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.calls
+}
+
+// Run follows until Done is closed.
+func (f *Follower) Run() {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	var group sync.WaitGroup
+	for _, t := range []Topic{TopicTable, TopicReplicas, TopicOut} {
+		group.Go(func() {
+			f.follow(ctx, t)
+		})
+	}
+	<-f.Done
+	cancel()
+	group.Wait()
+}
+
+func (t Topic) rearm() time.Duration {
+	switch t {
+	case TopicReplicas:
+		return rearmReplicas
+	case TopicOut:
+		return rearmOut
+	default:
+		return rearmTable
+	}
+}
+
+func (f *Follower) follow(ctx context.Context, t Topic) {
+	listed := false
+	revision := uint64(0)
+	for ctx.Err() == nil {
+		if !f.admitted() {
+			f.Timer.Sleep(f.Done, probeLeast/4)
+			continue
+		}
+		began := f.Timer.Now()
+		var err error
+		var pause time.Duration
+		if listed {
+			revision, pause, err = f.watch(ctx, t, revision)
+		} else {
+			revision, pause, err = f.list(ctx, t)
+			listed = err == nil && pause == 0
+		}
+		if errors.Is(err, ErrHistoryGone) {
+			listed = false
+			f.dependency("history", "lost", t.String(), 0)
+			continue
+		}
+		if ctx.Err() != nil {
+			return
+		}
+		f.outcome(t, err, f.Timer.Now().Sub(began))
+		f.Timer.Sleep(f.Done, pause)
+	}
+}
+
+// admitted reports whether a call may be made now. While the store is lost,
+// that is one call of all topics each probe time.
+func (f *Follower) admitted() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.calls++
+	if f.lostAt.IsZero() {
+		return true
+	}
+	now := f.Timer.Now()
+	if now.Before(f.probeAt) {
+		f.calls--
+		return false
+	}
+	f.probeAt = now.Add(probeTime())
+	return true
+}
+
+func probeTime() time.Duration {
+	return probeLeast + time.Duration(rand.Float64()*float64(probeMost-probeLeast))
+}
+
+func (f *Follower) outcome(t Topic, err error, took time.Duration) {
+	now := f.Timer.Now()
+	f.mu.Lock()
+	lostAt := f.lostAt
+	if err == nil {
+		f.lostAt = time.Time{}
+	} else {
+		if f.lostAt.IsZero() {
+			f.lostAt = now
+		}
+		f.probeAt = now.Add(probeTime())
+	}
+	f.mu.Unlock()
+	switch {
+	case err != nil && lostAt.IsZero():
+		f.Book.Trouble()
+		f.dependency("store", "lost", t.String()+": "+err.Error(), took)
+	case err == nil && !lostAt.IsZero():
+		f.Book.Well()
+		f.dependency("store", "regained", t.String(), now.Sub(lostAt))
+	}
+}
+
+func (f *Follower) dependency(name, state, why string, out time.Duration) {
+	if f.Sink != nil {
+		f.Sink.Note(&zldecision.Dependency{
+			Name:  name,
+			State: state,
+			Why:   why,
+			Out:   out,
+		})
+	}
+}
+
+// list reads a topic anew. A pause other than 0 asks to list again after it.
+func (f *Follower) list(ctx context.Context, t Topic) (uint64, time.Duration, error) {
+	at := f.Timer.Now()
+	var items []Item
+	revision := uint64(0)
+	after := ""
+	for {
+		page, err := f.Store.List(ctx, t, after)
+		if err != nil {
+			return 0, 0, err
+		}
+		items = append(items, page.Items...)
+		if after == "" {
+			// Changes between the pages come again with the watch.
+			revision = page.Revision
+		}
+		if page.Next == "" {
+			break
+		}
+		after = page.Next
+	}
+	f.replace(t, items, at)
+	if t == TopicTable && len(items) == 0 {
+		return revision, emptyPause, nil
+	}
+	return revision, 0, nil
+}
+
+func (f *Follower) watch(ctx context.Context, t Topic, revision uint64) (uint64, time.Duration, error) {
+	page, err := f.Store.Watch(ctx, t, revision, watchWait)
+	if err != nil {
+		return revision, 0, err
+	}
+	at := f.Timer.Now()
+	if len(page.Items) == 0 {
+		f.confirm(t, at)
+		return max(revision, page.Revision), 0, nil
+	}
+	f.apply(t, page.Items, at)
+	return max(revision, page.Revision), t.rearm(), nil
+}
+
+func (f *Follower) confirm(t Topic, at time.Time) {
+	switch t {
+	case TopicTable:
+		f.Book.Confirm(time.Time{}, at, time.Time{})
+	case TopicReplicas:
+		f.Book.Confirm(at, time.Time{}, time.Time{})
+	case TopicOut:
+		f.Book.Confirm(time.Time{}, time.Time{}, at)
+	}
+}
+
+func (f *Follower) replace(t Topic, items []Item, at time.Time) {
+	switch t {
+	case TopicTable:
+		f.tables(items, at)
+	case TopicReplicas:
+		var all []zlregistry.Replica
+		for _, i := range items {
+			if r, ok := i.(*ReplicaItem); ok && r.Replica != nil {
+				all = append(all, *r.Replica)
+			}
+		}
+		f.Book.Replace(all, at)
+	case TopicOut:
+		f.marks(map[zlunit.DataCentre]bool{}, items, at)
+	}
+}
+
+func (f *Follower) apply(t Topic, items []Item, at time.Time) {
+	switch t {
+	case TopicTable:
+		f.tables(items, at)
+	case TopicReplicas:
+		changes := make([]zlregistry.Change, 0, len(items))
+		for _, i := range items {
+			if r, ok := i.(*ReplicaItem); ok {
+				changes = append(changes, zlregistry.Change{
+					ID:      r.ID,
+					Replica: r.Replica,
+				})
+			}
+		}
+		f.Book.Apply(changes, at)
+	case TopicOut:
+		out := map[zlunit.DataCentre]bool{}
+		for dc := range f.Book.View().Out {
+			out[dc] = true
+		}
+		f.marks(out, items, at)
+	}
+}
+
+func (f *Follower) tables(items []Item, at time.Time) {
+	for _, i := range items {
+		if table, ok := i.(*TableItem); ok && table.Table != nil {
+			f.Book.SetTable(table.Table, at)
+		}
+	}
+}
+
+func (f *Follower) marks(out map[zlunit.DataCentre]bool, items []Item, at time.Time) {
+	for _, i := range items {
+		mark, ok := i.(*OutItem)
+		switch {
+		case !ok:
+		case mark.In:
+			delete(out, mark.DataCentre)
+		default:
+			out[mark.DataCentre] = true
+		}
+	}
+	f.Book.SetOut(out, at)
+}
