--- a/core/version/zlfollow/zlfollow.go
+++ b/core/version/zlfollow/zlfollow.go
@@ -179,6 +179,11 @@
 		if ctx.Err() != nil {
 			return
 		}
+		if err != nil {
+			// A watch that was cut may have missed changes that the store
+			// does not keep; only a list is sure to have them.
+			listed = false
+		}
 		f.outcome(t, err, f.Timer.Now().Sub(began))
 		f.Timer.Sleep(f.Done, pause)
 	}
