An overdue request goes on as the probe of its paused replica

Change: the first overdue request of a replica goes on for up to 400 ms after its answer is not needed; its end clears the mark.

--- a/core/process/zlplace/record.go
+++ b/core/process/zlplace/record.go
@@ -13,8 +13,9 @@
 	// fade is the time without news after which what speaks against a replica
 	// halves, so that it is tried again.
 	fade = time.Second
-	// slowest bounds how many times slower than usual a replica is counted.
-	slowest = 16
+	// slowest bounds how many times slower than usual one answer counts, so that
+	// a pause does not look like a slow replica for long.
+	slowest = 6
 	// failMemory is how long one failure counts in full: the time in which a
 	// replica that is restarted is seen to be gone.
 	failMemory = 300 * time.Millisecond
@@ -32,11 +33,10 @@
 	failed time.Time
 	// away is until when the replica asked to be left alone.
 	away time.Time
-	// overdue tells that a request waits past its time and nothing was
-	// answered since.
-	overdue   bool
-	overdueAt time.Time
-	cold      coldBudget
+	// probe is the first request that waits past its time; until it ends or
+	// another is answered, the replica counts as paused.
+	probe *Flight
+	cold  coldBudget
 }
 
 // Flight is one request on its way to a replica. Nudge must not block.
@@ -95,7 +95,7 @@
 		pace:     r.halve(r.pace, now, 1),
 		faults:   r.halve(r.faults, now, 0),
 		failed:   !r.failed.IsZero() && now.Sub(r.failed) < failMemory,
-		overdue:  r.overdue,
+		overdue:  r.probe != nil,
 		away:     now.Before(r.away),
 	}
 }
@@ -107,17 +107,16 @@
 	f.sent = now
 }
 
-// Overdue tells that the flight waits longer than it should; the others at the
-// same replica are nudged.
-func (f *Flight) Overdue(now time.Time) {
+// Overdue tells that the flight waits longer than it should. The first at a
+// replica becomes its probe, and the others there are nudged.
+func (f *Flight) Overdue() {
 	r := f.record
 	r.mu.Lock()
-	if r.overdue {
+	if _, under := r.flights[f]; r.probe != nil || !under {
 		r.mu.Unlock()
 		return
 	}
-	r.overdue = true
-	r.overdueAt = now
+	r.probe = f
 	nudges := make([]func(), 0, len(r.flights))
 	for other := range r.flights {
 		if other != f && other.Nudge != nil {
@@ -130,11 +129,18 @@
 	}
 }
 
+// IsProbe reports whether the end of the flight tells that its replica is back.
+func (f *Flight) IsProbe() bool {
+	f.record.mu.Lock()
+	defer f.record.mu.Unlock()
+	return f.record.probe == f
+}
+
 // ReplicaOverdue reports whether some request at the replica is overdue.
 func (f *Flight) ReplicaOverdue() bool {
 	f.record.mu.Lock()
 	defer f.record.mu.Unlock()
-	return f.record.overdue
+	return f.record.probe != nil
 }
 
 // Done ends a flight. Expected is what such a request usually takes, or 0;
@@ -143,9 +149,15 @@
 	r := f.record
 	r.mu.Lock()
 	delete(r.flights, f)
+	if r.probe == f {
+		r.probe = nil
+		if outcome != OutcomeServed {
+			r.failed = now
+		}
+	}
 	switch outcome {
 	case OutcomeServed:
-		r.overdue = false
+		r.probe = nil
 		r.sample(now, 0)
 		if expected > 0 && !f.sent.IsZero() {
 			r.step(now, float64(now.Sub(f.sent))/float64(expected))
--- a/core/request/zlrelay/part.go
+++ b/core/request/zlrelay/part.go
@@ -45,6 +45,11 @@
 	attemptAbandoned
 )
 
+// probeTime is how long a request that marks a paused replica may go on after
+// its answer is no longer needed: over twice the pauses of the platform's pages
+// (150 ms).
+const probeTime = 400 * time.Millisecond
+
 // attempt is one send to one replica.
 type attempt struct {
 	part   *part
@@ -78,7 +83,7 @@
 	if !a.overdue && a.isOverdue(now) {
 		a.overdue = true
 		if !now.Before(a.due) {
-			a.spot.Flight.Overdue(now)
+			a.spot.Flight.Overdue()
 		}
 	}
 	if a.overdue && (p.lookAt.IsZero() || !now.Before(p.lookAt)) {
@@ -237,7 +242,7 @@
 
 func (p *part) launch(now time.Time, spot *zlplace.Spot, counted bool) {
 	x := p.run
-	ctx, cancel := context.WithCancel(x.ctx)
+	ctx, cancel := context.WithCancel(context.WithoutCancel(x.ctx))
 	a := &attempt{
 		part:    p,
 		spot:    spot,
@@ -307,6 +312,16 @@
 	return a.state.CompareAndSwap(attemptPending, attemptAbandoned)
 }
 
+// release ends an attempt that is no longer needed. One that marks a paused
+// replica goes on for a while, since its end tells that the pause is over.
+func (a *attempt) release() {
+	if a.spot.Flight.IsProbe() {
+		a.part.run.relay.Timer.Call(probeTime, a.cancel)
+		return
+	}
+	a.cancel()
+}
+
 // forgo ends an attempt that was abandoned: it neither arrived nor ran.
 func (p *part) forgo(a *attempt) {
 	a.cancel()
--- a/core/request/zlrelay/run.go
+++ b/core/request/zlrelay/run.go
@@ -39,7 +39,6 @@
 	route   *zltable.Route
 	req     *Request
 	ctx     context.Context
-	cancel  context.CancelFunc
 	profile *zlquantile.Tracker
 	parts   []part
 	results chan result
@@ -64,6 +63,7 @@
 func (r *Relay) start(ctx context.Context, v *zlregistry.View, route *zltable.Route, req *Request) *run {
 	x := &run{
 		relay:    r,
+		ctx:      ctx,
 		view:     v,
 		route:    route,
 		req:      req,
@@ -74,7 +74,6 @@
 		limit:    req.Received.Add(route.Timeout),
 		timedBy:  zldecision.ReasonTimeout,
 	}
-	x.ctx, x.cancel = context.WithCancel(ctx)
 	if end := req.Deadline.Add(-limitMargin); !req.Deadline.IsZero() && (end.Before(x.limit) || route.Timeout <= 0) {
 		x.limit = end
 		x.timedBy = zldecision.ReasonDeadline
@@ -192,13 +191,18 @@
 }
 
 func (x *run) finish() {
-	x.cancel()
 	for i := range x.parts {
-		x.parts[i].leave()
+		x.parts[i].settle()
 	}
 }
 
+// left ends the work of a caller who is gone.
 func (x *run) left() Answer {
+	for i := range x.parts {
+		for _, a := range x.parts[i].live {
+			a.cancel()
+		}
+	}
 	x.relay.note(&zldecision.Failed{
 		Subject: x.subject(),
 		Reason:  zldecision.ReasonCallerLeft,
