Pulses show whether the store answers; a watch that it took while out is not trusted

Ruled out: silent connection (probes of the connection were answered), history dropped. Replaces the probing by full calls.

--- a/core/version/zlfollow/zlfollow.go
+++ b/core/version/zlfollow/zlfollow.go
@@ -27,10 +27,14 @@
 	rearmTable    = 800 * time.Millisecond
 	rearmReplicas = 800 * time.Millisecond
 	rearmOut      = 1500 * time.Millisecond
-	// probeLeast and probeMost are the time between calls to a store that does
-	// not answer; one call of all topics is the probe.
-	probeLeast = 400 * time.Millisecond
-	probeMost  = 800 * time.Millisecond
+	// pulseEach is the time between pulses, which tell that the store still
+	// answers: a watch that it took in an outage may never return, and after
+	// an outage news is due within the contact window (4 s) and the bound (3 s).
+	pulseEach = 1500 * time.Millisecond
+	// probeLeast and probeMost are the time between pulses to a store that
+	// does not answer.
+	probeLeast = 300 * time.Millisecond
+	probeMost  = 600 * time.Millisecond
 	// emptyPause is the time to the next look where nothing was written yet.
 	emptyPause = 700 * time.Millisecond
 )
@@ -98,8 +102,10 @@
 // ErrHistoryGone tells that a watch asked for changes that are not kept.
 var ErrHistoryGone = errors.New("zlfollow: history is gone")
 
-// Store is the platform's store. Both calls end by themselves.
+// Store is the platform's store. All calls end by themselves.
 type Store interface {
+	// Pulse makes the cheapest call that shows whether the store answers.
+	Pulse(ctx context.Context) error
 	List(ctx context.Context, t Topic, after string) (*Page, error)
 	Watch(ctx context.Context, t Topic, revision uint64, wait time.Duration) (*Page, error)
 }
@@ -114,35 +120,122 @@
 	Done  <-chan struct{}
 
 	mu sync.Mutex
-	// lostAt is when the store was first not to be had, or zero.
+	// lostAt is when the store was first not to be had, or zero; back is
+	// closed when it is had again, and epoch ends when it is lost.
 	lostAt time.Time
-	// probeAt is when one topic may try a lost store again.
-	probeAt time.Time
-	calls   int
-}
-
-// Calls is how many calls were made.
-func (f *Follower) Calls() int {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.calls
+	back   chan struct{}
+	epoch  context.Context
+	end    context.CancelFunc
 }
 
 // Run follows until Done is closed.
 func (f *Follower) Run() {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
+	f.mu.Lock()
+	f.epoch, f.end = context.WithCancel(ctx)
+	f.mu.Unlock()
 	var group sync.WaitGroup
 	for _, t := range []Topic{TopicTable, TopicReplicas, TopicOut} {
 		group.Go(func() {
-			f.follow(ctx, t)
+			f.follow(t)
 		})
 	}
+	group.Go(func() {
+		f.pulse(ctx)
+	})
 	<-f.Done
 	cancel()
 	group.Wait()
 }
 
+func (f *Follower) closed() bool {
+	select {
+	case <-f.Done:
+		return true
+	default:
+		return false
+	}
+}
+
+// pulse watches over the store itself.
+func (f *Follower) pulse(ctx context.Context) {
+	for {
+		wait := pulseEach
+		if f.lost() {
+			wait = probeLeast + time.Duration(rand.Float64()*float64(probeMost-probeLeast))
+		}
+		if !f.Timer.Sleep(f.Done, wait) {
+			return
+		}
+		err := f.Store.Pulse(ctx)
+		switch {
+		case ctx.Err() != nil:
+			return
+		case err != nil:
+			f.lose("pulse", err)
+		default:
+			f.regain(ctx)
+		}
+	}
+}
+
+func (f *Follower) lost() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return !f.lostAt.IsZero()
+}
+
+// lose ends what waits at the store.
+func (f *Follower) lose(why string, err error) {
+	f.mu.Lock()
+	if !f.lostAt.IsZero() {
+		f.mu.Unlock()
+		return
+	}
+	f.lostAt = f.Timer.Now()
+	f.back = make(chan struct{})
+	end := f.end
+	f.mu.Unlock()
+	end()
+	f.Book.Trouble()
+	f.dependency("store", "lost", why+": "+err.Error(), 0)
+}
+
+// regain begins anew with all topics.
+func (f *Follower) regain(ctx context.Context) {
+	f.mu.Lock()
+	if f.lostAt.IsZero() {
+		f.mu.Unlock()
+		return
+	}
+	out := f.Timer.Now().Sub(f.lostAt)
+	f.lostAt = time.Time{}
+	f.epoch, f.end = context.WithCancel(ctx)
+	close(f.back)
+	f.mu.Unlock()
+	f.Book.Well()
+	f.dependency("store", "regained", "pulse", out)
+}
+
+// admitted waits until the store is had and returns the context of its epoch,
+// or nil once the follower ends.
+func (f *Follower) admitted() context.Context {
+	for !f.closed() {
+		f.mu.Lock()
+		epoch, back, lost := f.epoch, f.back, !f.lostAt.IsZero()
+		f.mu.Unlock()
+		if !lost {
+			return epoch
+		}
+		select {
+		case <-back:
+		case <-f.Done:
+		}
+	}
+	return nil
+}
+
 func (t Topic) rearm() time.Duration {
 	switch t {
 	case TopicReplicas:
@@ -154,86 +247,39 @@
 	}
 }
 
-func (f *Follower) follow(ctx context.Context, t Topic) {
+func (f *Follower) follow(t Topic) {
 	listed := false
 	revision := uint64(0)
-	for ctx.Err() == nil {
-		if !f.admitted() {
-			f.Timer.Sleep(f.Done, probeLeast/4)
-			continue
+	for {
+		ctx := f.admitted()
+		if ctx == nil {
+			return
 		}
-		began := f.Timer.Now()
 		var err error
 		var pause time.Duration
 		if listed {
 			revision, pause, err = f.watch(ctx, t, revision)
 		} else {
 			revision, pause, err = f.list(ctx, t)
-			listed = err == nil && pause == 0
 		}
-		if errors.Is(err, ErrHistoryGone) {
+		switch {
+		case ctx.Err() != nil:
 			listed = false
-			f.dependency("history", "lost", t.String(), 0)
 			continue
-		}
-		if ctx.Err() != nil {
-			return
-		}
-		if err != nil {
-			// A watch that was cut may have missed changes that the store
-			// does not keep; only a list is sure to have them.
+		case err != nil && listed:
+			// A watch that ended badly may have missed changes that the
+			// store does not keep; only a list is sure to have them.
+			f.dependency("watch", "lost", t.String()+": "+err.Error(), 0)
 			listed = false
+		case err != nil:
+			f.lose(t.String(), err)
+		default:
+			listed = listed || pause == 0
 		}
-		f.outcome(t, err, f.Timer.Now().Sub(began))
 		f.Timer.Sleep(f.Done, pause)
 	}
 }
 
-// admitted reports whether a call may be made now. While the store is lost,
-// that is one call of all topics each probe time.
-func (f *Follower) admitted() bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.calls++
-	if f.lostAt.IsZero() {
-		return true
-	}
-	now := f.Timer.Now()
-	if now.Before(f.probeAt) {
-		f.calls--
-		return false
-	}
-	f.probeAt = now.Add(probeTime())
-	return true
-}
-
-func probeTime() time.Duration {
-	return probeLeast + time.Duration(rand.Float64()*float64(probeMost-probeLeast))
-}
-
-func (f *Follower) outcome(t Topic, err error, took time.Duration) {
-	now := f.Timer.Now()
-	f.mu.Lock()
-	lostAt := f.lostAt
-	if err == nil {
-		f.lostAt = time.Time{}
-	} else {
-		if f.lostAt.IsZero() {
-			f.lostAt = now
-		}
-		f.probeAt = now.Add(probeTime())
-	}
-	f.mu.Unlock()
-	switch {
-	case err != nil && lostAt.IsZero():
-		f.Book.Trouble()
-		f.dependency("store", "lost", t.String()+": "+err.Error(), took)
-	case err == nil && !lostAt.IsZero():
-		f.Book.Well()
-		f.dependency("store", "regained", t.String(), now.Sub(lostAt))
-	}
-}
-
 func (f *Follower) dependency(name, state, why string, out time.Duration) {
 	if f.Sink != nil {
 		f.Sink.Note(&zldecision.Dependency{
