--- /dev/null
+++ b/core/version/zlfollow/zlfollow_test.go
@@ -0,0 +1,190 @@
+package zlfollow
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"zinnialock/core/process/zltimer"
+	"zinnialock/core/process/zlunit"
+	"zinnialock/core/version/zlregistry"
+	"zinnialock/core/version/zltable"
+)
+
+// configBound and contactWindow are the platform's own: news is in force within
+// the first, and after trouble within both.
+const (
+	configBound   = 3 * time.Second
+	contactWindow = 4 * time.Second
+)
+
+func version(n zltable.Version) *TableItem {
+	return &TableItem{
+		Table: zltable.New(n, nil, nil, zltable.Limits{}),
+	}
+}
+
+func entry(id string, seq uint64, draining bool) *ReplicaItem {
+	return &ReplicaItem{
+		ID: zlunit.Upstream(id),
+		Replica: &zlregistry.Replica{
+			ID:       zlunit.Upstream(id),
+			Service:  "finder",
+			Address:  "a",
+			Born:     1,
+			Seq:      seq,
+			Draining: draining,
+		},
+	}
+}
+
+func follow(t *testing.T, run func(s *fakeStore, b *zlregistry.Book)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		timer := &zltimer.Service{}
+		s := newFakeStore()
+		b := &zlregistry.Book{
+			Timer: timer,
+		}
+		done := make(chan struct{})
+		f := &Follower{
+			Timer: timer,
+			Book:  b,
+			Store: s,
+			Done:  done,
+		}
+		s.put(TopicTable, "main", version(1))
+		s.put(TopicReplicas, "a", entry("a", 1, false))
+		s.put(TopicReplicas, "b", entry("b", 1, false))
+		ended := make(chan struct{})
+		go func() {
+			f.Run()
+			close(ended)
+		}()
+		go timer.Subscribe(done, 250*time.Millisecond, 0, b.Expire)
+		time.Sleep(time.Second)
+		run(s, b)
+		close(done)
+		<-ended
+	})
+}
+
+func usable(b *zlregistry.Book) int {
+	return len(b.View().Replicas["finder"])
+}
+
+func TestNewsIsInForceInTime(t *testing.T) {
+	follow(t, func(s *fakeStore, b *zlregistry.Book) {
+		s.put(TopicTable, "main", version(2))
+		s.put(TopicReplicas, "a", entry("a", 2, true))
+		time.Sleep(configBound / 2)
+		if v := b.View(); v.Table.Version != 2 || usable(b) != 1 {
+			t.Fatalf("version %d, %d replicas", v.Table.Version, usable(b))
+		}
+	})
+}
+
+// The store hears changes while watches do not, drops them and cuts the
+// watches.
+func TestCutWatchIsFollowedByAList(t *testing.T) {
+	follow(t, func(s *fakeStore, b *zlregistry.Book) {
+		s.set(func() { s.deaf = true }, false)
+		s.put(TopicTable, "main", version(2))
+		s.put(TopicReplicas, "a", entry("a", 2, true))
+		s.set(func() { s.deaf = false }, true)
+		time.Sleep(configBound / 2)
+		if v := b.View(); v.Table.Version != 2 || usable(b) != 1 {
+			t.Fatalf("version %d, %d replicas", v.Table.Version, usable(b))
+		}
+	})
+}
+
+// A watch that was sent while the store was silent never returns.
+func TestWatchTakenInAnOutageIsNotTrusted(t *testing.T) {
+	follow(t, func(s *fakeStore, b *zlregistry.Book) {
+		s.set(func() { s.swallow = true }, true)
+		time.Sleep(4 * time.Second)
+		s.set(func() { s.swallow = false }, false)
+		time.Sleep(contactWindow)
+		s.put(TopicTable, "main", version(2))
+		s.put(TopicReplicas, "a", entry("a", 2, true))
+		time.Sleep(configBound)
+		if v := b.View(); v.Table.Version != 2 || usable(b) != 1 {
+			t.Fatalf("version %d, %d replicas", v.Table.Version, usable(b))
+		}
+	})
+}
+
+func TestLostStoreIsOnlyPulsed(t *testing.T) {
+	follow(t, func(s *fakeStore, _ *zlregistry.Book) {
+		s.set(func() { s.down = true }, true)
+		time.Sleep(2 * time.Second)
+		pulses, lists := s.calls()
+		time.Sleep(6 * time.Second)
+		morePulses, moreLists := s.calls()
+		if n := morePulses - pulses; n < 10 || n > 20 {
+			t.Errorf("%d pulses in 6 s", n)
+		}
+		if n := moreLists - lists; n != 0 {
+			t.Errorf("%d lists while the store is down", n)
+		}
+	})
+}
+
+// Entries lapse while the store is out and are back within two seconds of its
+// return; what is still missing then is gone.
+func TestEntriesMissingAfterAnOutageAreHeldForTwoSeconds(t *testing.T) {
+	follow(t, func(s *fakeStore, b *zlregistry.Book) {
+		s.set(func() { s.down = true }, true)
+		time.Sleep(5 * time.Second)
+		s.remove(TopicReplicas, "a", &ReplicaItem{
+			ID: "a",
+		})
+		s.remove(TopicReplicas, "b", &ReplicaItem{
+			ID: "b",
+		})
+		s.set(func() { s.down = false }, false)
+		time.Sleep(time.Second)
+		if usable(b) != 2 {
+			t.Fatalf("%d replicas a second after the return, want both", usable(b))
+		}
+		s.put(TopicReplicas, "b", entry("b", 9, false))
+		time.Sleep(configBound)
+		if usable(b) != 1 {
+			t.Fatalf("%d replicas, want the one that came back", usable(b))
+		}
+	})
+}
+
+func TestOldEntriesChangeNothing(t *testing.T) {
+	follow(t, func(s *fakeStore, b *zlregistry.Book) {
+		s.put(TopicReplicas, "a", entry("a", 5, true))
+		time.Sleep(time.Second)
+		s.put(TopicReplicas, "a", entry("a", 4, false))
+		time.Sleep(time.Second)
+		if usable(b) != 1 {
+			t.Fatalf("%d replicas after an old entry of a leaving one", usable(b))
+		}
+		s.remove(TopicReplicas, "b", &ReplicaItem{
+			ID: "b",
+		})
+		time.Sleep(time.Second)
+		s.put(TopicReplicas, "b", entry("b", 1, false))
+		time.Sleep(time.Second)
+		if usable(b) != 0 {
+			t.Fatalf("%d replicas after a late entry of one that is gone", usable(b))
+		}
+	})
+}
+
+func TestVersionsOnlyGrow(t *testing.T) {
+	follow(t, func(s *fakeStore, b *zlregistry.Book) {
+		s.put(TopicTable, "main", version(5))
+		time.Sleep(time.Second)
+		s.put(TopicTable, "main", version(3))
+		time.Sleep(time.Second)
+		if v := b.View().Table.Version; v != 5 {
+			t.Fatalf("version %d", v)
+		}
+	})
+}
