--- a/core/version/zlfollow/zlfollow_test.go
+++ b/core/version/zlfollow/zlfollow_test.go
@@ -102,14 +102,17 @@
 // A watch that was sent while the store was silent never returns.
 func TestWatchTakenInAnOutageIsNotTrusted(t *testing.T) {
 	follow(t, func(s *fakeStore, b *zlregistry.Book) {
-		s.set(func() { s.swallow = true }, true)
+		s.put(TopicTable, "main", version(2))
+		s.put(TopicReplicas, "b", entry("b", 2, false))
+		time.Sleep(rearmTable / 2)
+		s.set(func() { s.swallow = true }, false)
 		time.Sleep(4 * time.Second)
 		s.set(func() { s.swallow = false }, false)
 		time.Sleep(contactWindow)
-		s.put(TopicTable, "main", version(2))
+		s.put(TopicTable, "main", version(3))
 		s.put(TopicReplicas, "a", entry("a", 2, true))
 		time.Sleep(configBound)
-		if v := b.View(); v.Table.Version != 2 || usable(b) != 1 {
+		if v := b.View(); v.Table.Version != 3 || usable(b) != 1 {
 			t.Fatalf("version %d, %d replicas", v.Table.Version, usable(b))
 		}
 	})
