A replica whose address answers for another is not asked again

Ruled out: the count of VMs (6), second sends for pulp-ledger's own requests. Change: such an answer keeps the life of the replica from being chosen for 30 s. With it come the refusals' weight in placing and a level of what a replica bears.

--- a/core/process/zlplace/record.go
+++ b/core/process/zlplace/record.go
@@ -16,6 +16,17 @@
 	// slowest bounds how many times slower than usual one answer counts, so that
 	// a pause does not look like a slow replica for long.
 	slowest = 6
+	// levelCut and levelGrowth lower the level of what a replica bears after a
+	// refusal, and raise it by about one for each round of answers.
+	levelCut    = 0.7
+	levelGrowth = 1.0
+	// refusedFault is what a refusal counts against a failure: it costs a second
+	// send, and tells at once.
+	refusedFault = 0.5
+	// movedTime is how long a replica is left alone whose address answered for
+	// another. What comes back under the old name is a new life with a record
+	// of its own, so this only bounds the memory of a wrong answer.
+	movedTime = 30 * time.Second
 	// failMemory is how long one failure counts in full: the time in which a
 	// replica that is restarted is seen to be gone.
 	failMemory = 300 * time.Millisecond
@@ -33,9 +44,14 @@
 	failed time.Time
 	// away is until when the replica asked to be left alone.
 	away time.Time
+	// moved is until when the address is known to belong to another replica.
+	moved time.Time
 	// probe is the first request that waits past its time; until it ends or
 	// another is answered, the replica counts as paused.
 	probe *Flight
+	// level is how many requests from here the replica bears without refusing
+	// any; 0 means that it never refused one.
+	level float64
 	cold  coldBudget
 }
 
@@ -61,6 +77,8 @@
 	OutcomeFailed
 	// OutcomeRefused is a proven not run.
 	OutcomeRefused
+	// OutcomeMoved tells that another replica has the address.
+	OutcomeMoved
 	// OutcomeUnreached tells that no connection was to be had.
 	OutcomeUnreached
 	// OutcomeGivenUp tells that the sender stopped waiting.
@@ -80,11 +98,14 @@
 // standing is what speaks against one more request.
 type standing struct {
 	inFlight int
-	pace     float64
-	faults   float64
-	failed   bool
-	overdue  bool
-	away     bool
+	// level is the most in flight from here, or 0 for no bound.
+	level   float64
+	pace    float64
+	faults  float64
+	failed  bool
+	overdue bool
+	away    bool
+	moved   bool
 }
 
 func (r *Record) standing(now time.Time) standing {
@@ -92,11 +113,13 @@
 	defer r.mu.Unlock()
 	return standing{
 		inFlight: len(r.flights),
+		level:    r.level,
 		pace:     r.halve(r.pace, now, 1),
 		faults:   r.halve(r.faults, now, 0),
 		failed:   !r.failed.IsZero() && now.Sub(r.failed) < failMemory,
 		overdue:  r.probe != nil,
 		away:     now.Before(r.away),
+		moved:    now.Before(r.moved),
 	}
 }
 
@@ -148,6 +171,7 @@
 func (f *Flight) Done(now time.Time, outcome Outcome, expected, hint time.Duration) {
 	r := f.record
 	r.mu.Lock()
+	inFlight := len(r.flights)
 	delete(r.flights, f)
 	if r.probe == f {
 		r.probe = nil
@@ -158,6 +182,9 @@
 	switch outcome {
 	case OutcomeServed:
 		r.probe = nil
+		if r.level > 0 {
+			r.level += levelGrowth / r.level
+		}
 		r.sample(now, 0)
 		if expected > 0 && !f.sent.IsZero() {
 			r.step(now, float64(now.Sub(f.sent))/float64(expected))
@@ -165,7 +192,11 @@
 	case OutcomeFailed, OutcomeUnreached:
 		r.failed = now
 		r.sample(now, 1)
+	case OutcomeMoved:
+		r.moved = now.Add(movedTime)
 	case OutcomeRefused:
+		r.sample(now, refusedFault)
+		r.level = max(float64(inFlight)*levelCut, 1)
 		if until := now.Add(max(hint, failMemory/3)); until.After(r.away) {
 			r.away = until
 		}
--- a/core/process/zlplace/zlplace.go
+++ b/core/process/zlplace/zlplace.go
@@ -136,7 +136,10 @@
 			cold:   e.Cold(now),
 		}
 		c.stand = c.record.standing(now)
-		if c.stand.inFlight >= room || (w.Spare && !c.good()) {
+		if c.stand.moved {
+			continue
+		}
+		if c.stand.inFlight >= c.stand.room(room) || (w.Spare && !c.good()) {
 			result = NoRoom
 			continue
 		}
@@ -165,6 +168,14 @@
 	return false
 }
 
+// room is how many requests may be in flight from here, at most n.
+func (s *standing) room(n int) int {
+	if s.level > 0 {
+		return min(n, int(s.level))
+	}
+	return n
+}
+
 func (c *candidate) good() bool {
 	return !c.stand.overdue && !c.stand.failed && !c.stand.away && !c.cold
 }
--- a/core/request/zlrelay/part.go
+++ b/core/request/zlrelay/part.go
@@ -33,9 +33,11 @@
 	arrivals   int
 	mayHaveRun int
 	sends      int
-	why        zldecision.Reason
-	waiter     *zlplace.Waiter
-	lookAt     time.Time
+	// starved tells that the budget did not bear a second send.
+	starved bool
+	why     zldecision.Reason
+	waiter  *zlplace.Waiter
+	lookAt  time.Time
 }
 
 // The states of an attempt.
@@ -159,10 +161,7 @@
 	x := p.run
 	extra := p.arrivals > 0 || spare
 	if extra && !p.window.Take(now, x.reserve()) {
-		p.held(why, from)
-		if !spare {
-			p.lose(zldecision.ReasonNoBudget)
-		}
+		p.starve(now, why, from, spare)
 		return
 	}
 	spot, result := x.relay.Placer.Place(x.relay.Book.View(), now, &zlplace.Want{
@@ -200,14 +199,25 @@
 	}
 }
 
-// held notes a second send that the budget does not bear.
-func (p *part) held(why zldecision.Reason, from zlunit.Upstream) {
+// starve notes a second send that the budget does not bear. Where nothing else
+// is under way, it is asked again until the answer is due.
+func (p *part) starve(now time.Time, why zldecision.Reason, from zlunit.Upstream, spare bool) {
+	if !spare {
+		p.lookAt = now.Add(lookAgain)
+		if !now.Before(p.run.placeEnd()) {
+			p.lose(zldecision.ReasonNoBudget)
+		}
+	}
+	if p.starved {
+		return
+	}
+	p.starved = true
 	p.run.relay.note(&zldecision.Held{
 		Subject: p.run.subject(),
 		Reason:  why,
 		Service: p.service,
 		From:    from,
-		Budget:  p.window.Left(p.run.relay.Timer.Now()),
+		Budget:  p.window.Left(now),
 	})
 }
 
@@ -350,8 +360,11 @@
 	case *NotRun:
 		hint = rep.Hint
 		outcome = zlplace.OutcomeRefused
-		if !rep.Arrived {
+		switch {
+		case !rep.Arrived:
 			outcome = zlplace.OutcomeUnreached
+		case rep.Reason == zldecision.ReasonWrongReplica:
+			outcome = zlplace.OutcomeMoved
 		}
 	case *Broken:
 		outcome = zlplace.OutcomeFailed
--- a/core/request/zlrelay/run.go
+++ b/core/request/zlrelay/run.go
@@ -155,6 +155,14 @@
 	return without, n >= x.route.LeastParts()
 }
 
+// placeEnd is until when a place, or the budget for one, is waited for.
+func (x *run) placeEnd() time.Time {
+	if x.route.Scattered() {
+		return x.answerBy
+	}
+	return x.placeBy
+}
+
 // nudge wakes the run; it does not block.
 func (x *run) nudge() {
 	select {
