An answer that lacks parts goes out in time for the caller's way

Ruled out: processing (0.004 of a core). Change: the objective's end less the ways (two, or four with a new connection) and 4 ms.

--- a/core/request/zlrelay/run.go
+++ b/core/request/zlrelay/run.go
@@ -13,9 +13,10 @@
 )
 
 const (
-	// answerShare is the part of the objective after which an answer that may
-	// lack parts goes out; the rest is the way to the caller and back.
-	answerShare = 0.85
+	// answerMargin is the time before the objective's end at which an answer
+	// that may lack parts goes out, besides what is on the way: late timers,
+	// merging and writing.
+	answerMargin = 4 * time.Millisecond
 	// waitShare is the part of the objective for which a request waits for a
 	// place before it is turned away; the platform's pages call a refusal
 	// within it early.
@@ -69,7 +70,7 @@
 		req:      req,
 		profile:  r.profile(route),
 		nudges:   make(chan struct{}, 1),
-		answerBy: req.Received.Add(time.Duration(answerShare * float64(route.Objective))),
+		answerBy: req.Received.Add(route.Objective - req.OnTheWay - answerMargin),
 		placeBy:  req.Received.Add(time.Duration(waitShare * float64(route.Objective))),
 		limit:    req.Received.Add(route.Timeout),
 		timedBy:  zldecision.ReasonTimeout,
--- a/core/request/zlrelay/zlrelay.go
+++ b/core/request/zlrelay/zlrelay.go
@@ -40,6 +40,9 @@
 	Received time.Time
 	// Deadline is when the caller stops waiting; zero means never.
 	Deadline time.Time
+	// OnTheWay is what the caller's wait has besides the time here: the ways
+	// to and back, and the making of a connection.
+	OnTheWay time.Duration
 }
 
 // Call is one send to a replica.
--- a/io/request/zlserver/zlserver.go
+++ b/io/request/zlserver/zlserver.go
@@ -55,6 +55,7 @@
 	server := &http.Server{
 		Handler:           http.HandlerFunc(s.serve),
 		ConnState:         s.track,
+		ConnContext:       withCount,
 		MaxHeaderBytes:    headerLimit,
 		ReadHeaderTimeout: headerTime,
 		IdleTimeout:       -1,
@@ -82,6 +83,20 @@
 	s.Handler.ServeHTTP(w, r)
 }
 
+type countKey struct{}
+
+// withCount gives each connection a count of its requests.
+func withCount(ctx context.Context, _ net.Conn) context.Context {
+	return context.WithValue(ctx, countKey{}, new(atomic.Int64))
+}
+
+// IsFirst reports whether a request is the first of its caller's connection,
+// which the caller made for it. It is to be asked once for each request.
+func IsFirst(ctx context.Context) bool {
+	n, ok := ctx.Value(countKey{}).(*atomic.Int64)
+	return ok && n.Add(1) == 1
+}
+
 func (s *Server) track(c net.Conn, state http.ConnState) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
