--- a/core/process/zlspend/zlspend.go
+++ b/core/process/zlspend/zlspend.go
@@ -24,6 +24,9 @@
 	Share float64
 	// Slack is the second sends allowed besides, for this VM.
 	Slack float64
+	// Since is when this process began; the slack grows from then over the
+	// first window.
+	Since time.Time
 
 	mu      sync.Mutex
 	began   time.Time
@@ -90,7 +93,7 @@
 // allowed grows over the first window from nothing: a process that was
 // restarted does not know what its former life spent.
 func (w *Window) allowed(now time.Time) float64 {
-	age := min(float64(now.Sub(w.began))/float64(w.Length), 1)
+	age := min(float64(now.Sub(w.Since))/float64(w.Length), 1)
 	return float64(w.sum.requests)*w.Share + w.Slack*age
 }
 
--- a/core/request/zlrelay/zlrelay.go
+++ b/core/request/zlrelay/zlrelay.go
@@ -152,6 +152,8 @@
 	Sender   Sender
 	Sink     zldecision.Sink
 	Settings Settings
+	// Since is when this process began.
+	Since time.Time
 	// Random returns a number from 0 to below 1; nil means math/rand/v2.
 	Random func() float64
 
@@ -232,6 +234,7 @@
 			Length: r.Settings.BudgetWindow,
 			Share:  r.Settings.BudgetShare * budgetUse,
 			Slack:  r.Settings.BudgetSlack * budgetUse / float64(r.Placer.VMs()),
+			Since:  r.Since,
 		}
 		r.windows[s] = w
 	}
