--- a/core/request/zlrelay/part.go
+++ b/core/request/zlrelay/part.go
@@ -224,6 +224,10 @@
 // wait queues for a place.
 func (p *part) wait(now time.Time) {
 	x := p.run
+	if !now.Before(x.placeEnd()) {
+		p.lose(zldecision.ReasonNoRoom)
+		return
+	}
 	p.lookAt = now.Add(lookAgain)
 	if p.waiter != nil {
 		return
--- a/core/request/zlrelay/run.go
+++ b/core/request/zlrelay/run.go
@@ -158,7 +158,7 @@
 
 // placeEnd is until when a place, or the budget for one, is waited for.
 func (x *run) placeEnd() time.Time {
-	if x.route.Scattered() {
+	if x.sends > 0 && x.route.Scattered() {
 		return x.answerBy
 	}
 	return x.placeBy
--- a/core/request/zlrelay/settle.go
+++ b/core/request/zlrelay/settle.go
@@ -140,8 +140,6 @@
 		return x.fail(p.lost, false)
 	case !now.Before(x.limit):
 		return x.expire()
-	case p.waiter != nil && p.sends == 0 && !now.Before(x.placeBy):
-		return x.relay.refuse(x.view, x.req, x.route, zldecision.ReasonNoRoom, p.service)
 	default:
 		return nil
 	}
--- a/core/version/zlregistry/book.go
+++ b/core/version/zlregistry/book.go
@@ -55,7 +55,6 @@
 	known    map[zlunit.Upstream]*Entry
 	dead     map[zlunit.Upstream]tombstone
 	missing  map[zlunit.Upstream]bool
-	seeded   bool
 	badSince time.Time
 	goodAt   time.Time
 	notices  []Notice
@@ -178,7 +177,6 @@
 			b.remove(id)
 		}
 	}
-	b.seeded = true
 	b.publish(at)
 }
 
@@ -237,9 +235,6 @@
 	switch {
 	case old == nil || old.Born != r.Born || old.Address != r.Address:
 		b.note(string(r.ID), "added", r.Service)
-		if e.ColdUntil.IsZero() && b.seeded {
-			e.ColdUntil = b.coldEnd(r.Service, now)
-		}
 	default:
 		e.Since = old.Since
 		if e.ColdUntil.IsZero() || (r.Seq == old.Seq && r.ColdFor == old.ColdFor) {
@@ -252,15 +247,6 @@
 	b.known[r.ID] = e
 }
 
-// coldEnd is until when a life that began while this process watched is cold.
-func (b *Book) coldEnd(s zlunit.Service, now time.Time) time.Time {
-	v := b.view.Load()
-	if v == nil || v.Table == nil {
-		return time.Time{}
-	}
-	return now.Add(v.Table.Services[s].ColdFor)
-}
-
 // remove drops an entry, or holds it while the platform's outage may be why it
 // is missing.
 func (b *Book) remove(id zlunit.Upstream) {
