Enough shards must have room at once; the level of a replica follows the time taken

Ruled out: the budget of second sends (held 500 of 2,700), processor time. Room is a level for each replica that falls when an answer takes over half of the objective, once for what was under way together, and rises with answers in time.

--- a/core/process/zlplace/record.go
+++ b/core/process/zlplace/record.go
@@ -50,9 +50,11 @@
 	// another is answered, the replica counts as paused.
 	probe *Flight
 	// level is how many requests from here the replica bears without refusing
-	// any; 0 means that it never refused one.
+	// any or taking too long; 0 means that it always did.
 	level float64
-	cold  coldBudget
+	// lowered is when the level was last lowered.
+	lowered time.Time
+	cold    coldBudget
 }
 
 // Flight is one request on its way to a replica. Nudge must not block.
@@ -63,6 +65,8 @@
 
 	record *Record
 	group  *group
+	// target is the time within which the answer is of use.
+	target time.Duration
 	sent   time.Time
 }
 
@@ -182,9 +186,7 @@
 	switch outcome {
 	case OutcomeServed:
 		r.probe = nil
-		if r.level > 0 {
-			r.level += levelGrowth / r.level
-		}
+		r.adapt(now, f, inFlight)
 		r.sample(now, 0)
 		if expected > 0 && !f.sent.IsZero() {
 			r.step(now, float64(now.Sub(f.sent))/float64(expected))
@@ -196,11 +198,12 @@
 		r.moved = now.Add(movedTime)
 	case OutcomeRefused:
 		r.sample(now, refusedFault)
-		r.level = max(float64(inFlight)*levelCut, 1)
+		r.lower(now, f, inFlight)
 		if until := now.Add(max(hint, failMemory/3)); until.After(r.away) {
 			r.away = until
 		}
 	case OutcomeGivenUp:
+		r.adapt(now, f, inFlight)
 		if expected > 0 && !f.sent.IsZero() && now.Sub(f.sent) > 2*expected {
 			r.step(now, float64(now.Sub(f.sent))/float64(expected))
 		}
@@ -209,6 +212,33 @@
 	f.group.freed()
 }
 
+// adapt raises the level after an answer in time and lowers it after one that
+// took too long, once for all that were under way together.
+func (r *Record) adapt(now time.Time, f *Flight, inFlight int) {
+	if f.sent.IsZero() || f.target <= 0 {
+		return
+	}
+	if now.Sub(f.sent) > f.target {
+		r.lower(now, f, inFlight)
+		return
+	}
+	if r.level > 0 {
+		r.level += levelGrowth / r.level
+	}
+}
+
+func (r *Record) lower(now time.Time, f *Flight, inFlight int) {
+	if f.sent.Before(r.lowered) {
+		return
+	}
+	r.lowered = now
+	level := float64(inFlight)
+	if r.level > 0 {
+		level = min(level, r.level)
+	}
+	r.level = max(level*levelCut, 1)
+}
+
 func (r *Record) step(now time.Time, ratio float64) {
 	was := r.halve(r.pace, now, 1)
 	r.pace = was + smoothing*(min(ratio, slowest)-was)
--- a/core/process/zlplace/wait.go
+++ b/core/process/zlplace/wait.go
@@ -83,3 +83,10 @@
 		nudge()
 	}
 }
+
+// yields reports whether someone more urgent waits.
+func (g *group) yields(priority int) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return len(g.waiters) > 0 && g.waiters[0].Priority < priority
+}
--- a/core/process/zlplace/zlplace.go
+++ b/core/process/zlplace/zlplace.go
@@ -95,6 +95,8 @@
 	Skip []zlunit.Upstream
 	// Spare work is not needed; only a replica in good standing gets it.
 	Spare bool
+	// Target is the time within which the answer is of use; 0 means any.
+	Target time.Duration
 	// Nudge is called when another request there is overdue.
 	Nudge func()
 }
@@ -158,6 +160,25 @@
 	return nil, result
 }
 
+// Room reports whether a request of the given priority would find a place at a
+// service now, without taking it from one that is more urgent and waits.
+func (p *Placer) Room(v *zlregistry.View, now time.Time, s zlunit.Service, priority int) bool {
+	if p.groupOf(s).yields(priority) {
+		return false
+	}
+	room := p.ConnectionShare(v.Table.Services[s])
+	for _, e := range v.Replicas[s] {
+		if v.Out[e.DataCentre] {
+			continue
+		}
+		stand := p.recordOf(e).standing(now)
+		if !stand.moved && stand.inFlight < stand.room(room) {
+			return true
+		}
+	}
+	return false
+}
+
 // Any reports whether some replica of a service may get work.
 func Any(v *zlregistry.View, s zlunit.Service) bool {
 	for _, e := range v.Replicas[s] {
@@ -237,6 +258,7 @@
 		Nudge:  w.Nudge,
 		record: c.record,
 		group:  p.groupOf(w.Service),
+		target: w.Target,
 	}
 	c.record.mu.Lock()
 	if c.record.flights == nil {
--- a/core/request/zlrelay/part.go
+++ b/core/request/zlrelay/part.go
@@ -168,6 +168,7 @@
 		Service: p.service,
 		Skip:    p.tried,
 		Spare:   spare,
+		Target:  x.target,
 		Nudge:   x.nudge,
 	})
 	if result == zlplace.Placed {
--- a/core/request/zlrelay/run.go
+++ b/core/request/zlrelay/run.go
@@ -53,6 +53,10 @@
 	sends    int
 	expected time.Duration
 	delay    time.Duration
+	// target is the time in which an answer of a replica is of use.
+	target time.Duration
+	// admitted tells that enough parts had a place at once.
+	admitted bool
 }
 
 // result is how an attempt ended.
@@ -174,6 +178,14 @@
 
 // step does what is due and returns the answer once there is one.
 func (x *run) step(now time.Time) Answer {
+	if !x.admitted {
+		if s, ok := x.admit(now); !ok {
+			if now.Before(x.placeBy) {
+				return nil
+			}
+			return x.relay.refuse(x.view, x.req, x.route, zldecision.ReasonNoRoom, s)
+		}
+	}
 	if now.Before(x.limit) {
 		for i := range x.parts {
 			x.parts[i].step(now)
@@ -185,9 +197,39 @@
 	return x.settleOne(now)
 }
 
+// admit reports whether enough shards have room now, so that the work of the
+// others is not done for an answer that comes too late or never. It answers the
+// pattern in which several shards bear less than they are asked: without it all
+// requests wait for them and all are late. If not, it names a shard without room.
+func (x *run) admit(now time.Time) (zlunit.Service, bool) {
+	if !x.route.Scattered() {
+		x.admitted = true
+		return "", true
+	}
+	room := 0
+	var without *part
+	for i := range x.parts {
+		p := &x.parts[i]
+		if x.relay.Placer.Room(x.view, now, p.service, x.route.Priority) {
+			room++
+		} else if zlplace.Any(x.view, p.service) {
+			without = p
+		}
+	}
+	if room >= x.route.LeastParts() || without == nil {
+		x.admitted = true
+		return "", true
+	}
+	without.wait(now)
+	return without.service, false
+}
+
 // next is when step is to be called at the latest.
 func (x *run) next() time.Time {
 	next := x.limit
+	if !x.admitted && x.placeBy.Before(next) {
+		next = x.placeBy
+	}
 	if x.route.Scattered() && x.answerBy.Before(next) && x.relay.Timer.Now().Before(x.answerBy) {
 		next = x.answerBy
 	}
--- a/core/request/zlrelay/settle.go
+++ b/core/request/zlrelay/settle.go
@@ -19,6 +19,9 @@
 	// dueShare bounds the time to overdue as a share of the objective, so that
 	// a second send can still make it.
 	dueShare = 0.4
+	// targetShare is the part of the objective in which the answer of a replica
+	// is of use: half, so that a queue does not take the time of a second send.
+	targetShare = 0.5
 	// dueLeast is the least time to overdue: a few times a round trip between
 	// data centres.
 	dueLeast = 6 * time.Millisecond
@@ -37,6 +40,7 @@
 // times sets what an answer usually takes and when one is overdue.
 func (x *run) times(now time.Time) {
 	objective := x.route.Objective
+	x.target = time.Duration(targetShare * float64(objective))
 	x.expected = objective / 8
 	if d, ok := x.profile.Quantile(now, 0.5); ok {
 		x.expected = d
