Early refusals are early for the caller; the budget goes to parts with nothing under way

Ruled out: levels (target share 0.5, 0.35 and 0.25 within noise; 0.35 taken). Change: the wait ends at a quarter of the objective less the ways and 2 ms; a send for a part with nothing under way may use the whole budget, one beside another leaves 0.15 of it (few parts missing) or 0.5 (many).

--- a/core/request/zlrelay/part.go
+++ b/core/request/zlrelay/part.go
@@ -160,7 +160,7 @@
 func (p *part) place(now time.Time, why zldecision.Reason, from zlunit.Upstream, spare bool) {
 	x := p.run
 	extra := p.arrivals > 0 || spare
-	if extra && !p.window.Take(now, x.reserve()) {
+	if extra && !p.window.Take(now, x.reserve(spare)) {
 		p.starve(now, why, from, spare)
 		return
 	}
--- a/core/request/zlrelay/run.go
+++ b/core/request/zlrelay/run.go
@@ -17,10 +17,11 @@
 	// that may lack parts goes out, besides what is on the way: late timers,
 	// merging and writing.
 	answerMargin = 4 * time.Millisecond
-	// waitShare is the part of the objective for which a request waits for a
-	// place before it is turned away; the platform's pages call a refusal
-	// within it early.
-	waitShare = 0.22
+	// waitShare is the part of the objective within which a refusal is early, by
+	// the platform's pages; the ways to and back are part of it, and waitMargin
+	// is left for late timers.
+	waitShare  = 0.25
+	waitMargin = 2 * time.Millisecond
 	// limitMargin is the time before the caller's deadline at which a request
 	// ends, for the way back.
 	limitMargin = 5 * time.Millisecond
@@ -75,7 +76,7 @@
 		profile:  r.profile(route),
 		nudges:   make(chan struct{}, 1),
 		answerBy: req.Received.Add(route.Objective - req.OnTheWay - answerMargin),
-		placeBy:  req.Received.Add(time.Duration(waitShare * float64(route.Objective))),
+		placeBy:  req.Received.Add(max(time.Duration(waitShare*float64(route.Objective))-req.OnTheWay-waitMargin, 0)),
 		limit:    req.Received.Add(route.Timeout),
 		timedBy:  zldecision.ReasonTimeout,
 	}
--- a/core/request/zlrelay/settle.go
+++ b/core/request/zlrelay/settle.go
@@ -20,15 +20,17 @@
 	// a second send can still make it.
 	dueShare = 0.4
 	// targetShare is the part of the objective in which the answer of a replica
-	// is of use: half, so that a queue does not take the time of a second send.
-	targetShare = 0.5
+	// is of use: a third, so that a queue does not take the time of a second send.
+	targetShare = 0.35
 	// dueLeast is the least time to overdue: a few times a round trip between
 	// data centres.
 	dueLeast = 6 * time.Millisecond
-	// lastParts is how many missing parts are few: their second sends may use
-	// the whole budget, those of others leave spareReserve of it.
-	lastParts    = 2
-	spareReserve = 0.4
+	// lastParts is how many missing parts are few. A second send for one of them
+	// beside another that is under way leaves lastReserve of the budget, and one
+	// of many leaves manyReserve, to parts that have nothing under way.
+	lastParts   = 2
+	lastReserve = 0.15
+	manyReserve = 0.5
 	// backShare is the most of a caller's time left that Retry-After asks for;
 	// callers honour up to a third.
 	backShare = 0.3
@@ -51,8 +53,12 @@
 	}
 }
 
-// reserve is the share of the budget that a second send must leave.
-func (x *run) reserve() float64 {
+// reserve is the share of the budget that a second send must leave; spare tells
+// that another one is under way.
+func (x *run) reserve(spare bool) float64 {
+	if !spare {
+		return 0
+	}
 	open := 0
 	for i := range x.parts {
 		if x.parts[i].open() {
@@ -60,9 +66,9 @@
 		}
 	}
 	if open <= lastParts {
-		return 0
+		return lastReserve
 	}
-	return spareReserve
+	return manyReserve
 }
 
 // take notes how an attempt ended.
