Callers who were turned away go first among those who wait

Change: who has less of the time than callers of the route usually have ranks before others of the same priority, and a place is not taken from one of lower rank.

--- a/core/process/zlplace/wait.go
+++ b/core/process/zlplace/wait.go
@@ -11,8 +11,9 @@
 
 // Waiter waits for a place at a service. Its fields must be set before use.
 type Waiter struct {
-	Service  zlunit.Service
-	Priority int
+	Service zlunit.Service
+	// Rank orders those who wait; the lowest goes first.
+	Rank int
 	// Due is when the work stops being worth its full worth.
 	Due time.Time
 	// Nudge tells that there may be room; it must not block.
@@ -39,14 +40,14 @@
 	return g
 }
 
-// Wait adds a waiter: the more urgent go first, then those due sooner.
+// Wait adds a waiter: by rank, then those due sooner.
 func (p *Placer) Wait(w *Waiter) {
 	g := p.groupOf(w.Service)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	i, _ := slices.BinarySearchFunc(g.waiters, w, func(a, b *Waiter) int {
-		if a.Priority != b.Priority {
-			return cmp.Compare(a.Priority, b.Priority)
+		if a.Rank != b.Rank {
+			return cmp.Compare(a.Rank, b.Rank)
 		}
 		return a.Due.Compare(b.Due)
 	})
@@ -84,9 +85,9 @@
 	}
 }
 
-// yields reports whether someone more urgent waits.
-func (g *group) yields(priority int) bool {
+// yields reports whether someone of a lower rank waits.
+func (g *group) yields(rank int) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return len(g.waiters) > 0 && g.waiters[0].Priority < priority
+	return len(g.waiters) > 0 && g.waiters[0].Rank < rank
 }
--- a/core/process/zlplace/zlplace.go
+++ b/core/process/zlplace/zlplace.go
@@ -160,10 +160,10 @@
 	return nil, result
 }
 
-// Room reports whether a request of the given priority would find a place at a
-// service now, without taking it from one that is more urgent and waits.
-func (p *Placer) Room(v *zlregistry.View, now time.Time, s zlunit.Service, priority int) bool {
-	if p.groupOf(s).yields(priority) {
+// Room reports whether a request of the given rank would find a place at a
+// service now, without taking it from one of a lower rank that waits.
+func (p *Placer) Room(v *zlregistry.View, now time.Time, s zlunit.Service, rank int) bool {
+	if p.groupOf(s).yields(rank) {
 		return false
 	}
 	room := p.ConnectionShare(v.Table.Services[s])
--- a/core/process/zlplace/zlplace_test.go
+++ b/core/process/zlplace/zlplace_test.go
@@ -258,12 +258,12 @@
 func TestWaitersAreServedByUrgencyAndDueTime(t *testing.T) {
 	r := newRig()
 	var order []string
-	wait := func(name string, priority int, due time.Duration) *Waiter {
+	wait := func(name string, rank int, due time.Duration) *Waiter {
 		w := &Waiter{
-			Service:  "finder",
-			Priority: priority,
-			Due:      r.now.Add(due),
-			Nudge:    func() { order = append(order, name) },
+			Service: "finder",
+			Rank:    rank,
+			Due:     r.now.Add(due),
+			Nudge:   func() { order = append(order, name) },
 		}
 		r.Wait(w)
 		return w
--- a/core/request/zlrelay/part.go
+++ b/core/request/zlrelay/part.go
@@ -234,10 +234,10 @@
 		return
 	}
 	p.waiter = &zlplace.Waiter{
-		Service:  p.service,
-		Priority: x.route.Priority,
-		Due:      x.answerBy,
-		Nudge:    x.nudge,
+		Service: p.service,
+		Rank:    x.rank(),
+		Due:     x.answerBy,
+		Nudge:   x.nudge,
 	}
 	x.relay.Placer.Wait(p.waiter)
 }
--- a/core/request/zlrelay/run.go
+++ b/core/request/zlrelay/run.go
@@ -58,6 +58,8 @@
 	target time.Duration
 	// admitted tells that enough parts had a place at once.
 	admitted bool
+	// returning tells that the caller was turned away before.
+	returning bool
 }
 
 // result is how an attempt ended.
@@ -99,6 +101,7 @@
 			window:  r.window(s),
 		}
 	}
+	x.returning = r.isReturning(x.route, req)
 	x.results = make(chan result, len(services)*sendsMost)
 	return x
 }
@@ -211,7 +214,7 @@
 	var without *part
 	for i := range x.parts {
 		p := &x.parts[i]
-		if x.relay.Placer.Room(x.view, now, p.service, x.route.Priority) {
+		if x.relay.Placer.Room(x.view, now, p.service, x.rank()) {
 			room++
 		} else if zlplace.Any(x.view, p.service) {
 			without = p
@@ -225,6 +228,15 @@
 	return without.service, false
 }
 
+// rank orders those who wait for a place: the more urgent route first, then who
+// was turned away before, so that nobody is twice while others get in at once.
+func (x *run) rank() int {
+	if x.returning {
+		return 2 * x.route.Priority
+	}
+	return 2*x.route.Priority + 1
+}
+
 // next is when step is to be called at the latest.
 func (x *run) next() time.Time {
 	next := x.limit
--- a/core/request/zlrelay/zlrelay.go
+++ b/core/request/zlrelay/zlrelay.go
@@ -161,6 +161,7 @@
 	windows  map[zlunit.Service]*zlspend.Window
 	profiles map[profileKey]*zlquantile.Tracker
 	splits   map[zltable.RouteName]*split
+	usual    map[profileKey]time.Duration
 	running  atomic.Int64
 	sends    sync.WaitGroup
 }
@@ -257,13 +258,17 @@
 	top       int
 }
 
-// profile returns the recent times of answers of replicas to such requests.
-func (r *Relay) profile(route *zltable.Route) *zlquantile.Tracker {
-	key := profileKey{
+func keyOf(route *zltable.Route) profileKey {
+	return profileKey{
 		objective: route.Objective,
 		priority:  route.Priority,
 		top:       route.Top,
 	}
+}
+
+// profile returns the recent times of answers of replicas to such requests.
+func (r *Relay) profile(route *zltable.Route) *zlquantile.Tracker {
+	key := keyOf(route)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	t, ok := r.profiles[key]
