Little is reserved of few second sends

Ruled out: the sum over VMs (7,000 of 19,000 allowed). Change: the reserve counts what is allowed beyond 8.

--- a/core/process/zlspend/zlspend.go
+++ b/core/process/zlspend/zlspend.go
@@ -49,13 +49,18 @@
 	w.sum.requests++
 }
 
+// reserveFrom is up to how many allowed second sends nothing is reserved: with so
+// few, what is kept back is mostly not asked for before it lapses.
+const reserveFrom = 8
+
 // Take notes a second send and reports true, unless that would leave less than
-// reserve (a share of what is allowed).
+// reserve (a share of what is allowed beyond reserveFrom).
 func (w *Window) Take(now time.Time, reserve float64) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.turn(now)
-	if float64(w.sum.extras+1) > w.allowed(now)*(1-reserve) {
+	allowed := w.allowed(now)
+	if float64(w.sum.extras+1) > allowed-reserve*max(allowed-reserveFrom, 0) {
 		return false
 	}
 	w.ring[w.current%(slices+1)].extras++
--- a/core/process/zlspend/zlspend_test.go
+++ b/core/process/zlspend/zlspend_test.go
@@ -114,7 +114,7 @@
 	began := time.Unix(1000, 0)
 	w := &Window{
 		Length: length,
-		Slack:  10,
+		Slack:  28,
 		Since:  began.Add(-length),
 	}
 	n := 0
@@ -122,7 +122,7 @@
 		n++
 	}
 	w.Return(began)
-	if n != 5 || w.Left(began) != 6 {
-		t.Fatalf("%d taken with half reserved, %.0f left", n, w.Left(began))
+	if n != 18 || w.Left(began) != 11 {
+		t.Fatalf("%d taken with half of 20 reserved, %.0f left", n, w.Left(began))
 	}
 }
