News of the store travel between the VMs of a data centre

Weighed: a leader with a lease (writes, a gap at its end), lists that may lag (bounds), an order that each VM works out alone with the age of the others' confirmation.

--- a/core/version/zlcensus/zlcensus.go
+++ b/core/version/zlcensus/zlcensus.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync/atomic"
 	"time"
 
@@ -14,9 +15,9 @@
 )
 
 const (
-	// firstLook is how long after the start the entries are counted first, so
-	// that VMs which start together see each other.
-	firstLook = 2 * time.Second
+	// secondLook is how long after the first count the entries are counted
+	// again, so that VMs which start together see each other.
+	secondLook = 2 * time.Second
 	// lookEach is the time between counts; a lagging list does.
 	lookEach = 15 * time.Second
 	// renewEach is the time between writes of an unchanged entry.
@@ -31,7 +32,10 @@
 
 // Entry is what one VM wrote of itself.
 type Entry struct {
-	VM zlunit.VM
+	VM         zlunit.VM
+	DataCentre zlunit.DataCentre
+	// Address is where the VM takes messages of others.
+	Address string
 	// Revision grows with each write.
 	Revision uint64
 }
@@ -51,13 +55,18 @@
 	Timer *zltimer.Service
 	Store Store
 	Sink  zldecision.Sink
-	// Changed is called with each new count.
-	Changed func(vms int)
+	// First tells that the whole system starts for the first time: no VM has
+	// written an entry yet, and nobody waits for this one.
+	First bool
+	// Counted is called with the entries that count and the number of VMs to
+	// reckon with, at each look.
+	Counted func(all []Entry, vms int)
 	Done    <-chan struct{}
 
 	seen    map[zlunit.VM]sight
 	count   atomic.Int64
 	written time.Time
+	looks   int
 }
 
 type sight struct {
@@ -70,20 +79,22 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	c.seen = map[zlunit.VM]sight{}
+	fresh := !c.First
+	if fresh {
+		c.look(ctx, fresh)
+	}
 	c.announce(ctx)
-	fresh := true
-	wait := firstLook
+	wait := secondLook
 	for c.Timer.Sleep(c.Done, wait) {
-		if c.Timer.Now().Sub(c.written) >= renewEach {
+		if c.written.IsZero() || c.Timer.Now().Sub(c.written) >= renewEach {
 			c.announce(ctx)
 		}
+		wait = secondLook
 		if c.look(ctx, fresh) {
 			fresh = false
 			wait = lookEach
-		} else {
-			wait = firstLook
 		}
-		wait += time.Duration(float64(wait) * spread * float64(time.Now().UnixNano()%1000) / 1000)
+		wait += time.Duration(rand.Float64() * spread * float64(wait))
 	}
 	if err := c.Store.Withdraw(ctx); err != nil {
 		c.failed("withdraw", err)
@@ -105,7 +116,7 @@
 		return false
 	}
 	now := c.Timer.Now()
-	n := 0
+	var alive []Entry
 	for _, e := range entries {
 		s, ok := c.seen[e.VM]
 		if !ok || e.Revision > s.revision {
@@ -116,10 +127,15 @@
 			c.seen[e.VM] = s
 		}
 		if now.Sub(s.at) < staleAfter {
-			n++
+			alive = append(alive, e)
 		}
 	}
-	n = max(n, 1)
+	n := max(len(alive), 1)
+	if c.First && c.looks < 2 {
+		// VMs that started together may not all have written their entries.
+		n = max(n, Assumed)
+	}
+	c.looks++
 	if int64(n) != c.count.Swap(int64(n)) {
 		if c.Sink != nil {
 			c.Sink.Note(&zldecision.Belief{
@@ -128,8 +144,8 @@
 				Version: uint64(n),
 			})
 		}
-		c.Changed(n)
 	}
+	c.Counted(alive, n)
 	return true
 }
 
--- a/core/version/zlfollow/zlfollow.go
+++ b/core/version/zlfollow/zlfollow.go
@@ -18,8 +18,9 @@
 )
 
 const (
-	// watchWait is how long one watch waits at the store, which allows 30 s.
-	watchWait = 29 * time.Second
+	// watchWait is how long one watch waits at the store: less than the 20 s of
+	// history that it keeps, so that the next can go on from there.
+	watchWait = 15 * time.Second
 	// rearmTable, rearmReplicas and rearmOut space the calls of a topic in
 	// which much changes. Each is the age that news may have: well under the
 	// bounds of the platform's settings (3 s for routes and drains, 5 s for
@@ -30,7 +31,11 @@
 	// pulseEach is the time between pulses, which tell that the store still
 	// answers: a watch that it took in an outage may never return, and after
 	// an outage news is due within the contact window (4 s) and the bound (3 s).
-	pulseEach = 1500 * time.Millisecond
+	pulseEach = 500 * time.Millisecond
+	// feedLook is how often a VM that others feed looks whether they still do.
+	feedLook = 50 * time.Millisecond
+	// startLook is how often a VM without news looks whether it may ask.
+	startLook = 2 * time.Millisecond
 	// probeLeast and probeMost are the time between pulses to a store that
 	// does not answer.
 	probeLeast = 300 * time.Millisecond
@@ -47,8 +52,12 @@
 	TopicTable Topic = iota
 	TopicReplicas
 	TopicOut
+	topicCount
 )
 
+// Topics is how many topics there are.
+const Topics = int(topicCount)
+
 // String implements fmt.Stringer.
 func (t Topic) String() string {
 	switch t {
@@ -110,16 +119,32 @@
 	Watch(ctx context.Context, t Topic, revision uint64, wait time.Duration) (*Page, error)
 }
 
-// Follower follows all topics. Exported fields must be set before Run; Sink may
-// be nil.
+// Feed tells whether other VMs bring the news, so that this one need not ask.
+type Feed interface {
+	// Fed reports whether what this VM holds was confirmed by others lately, so
+	// that it need not ask; the one that asks for all is fed only while it has
+	// lost the store.
+	Fed(lost bool) bool
+	// MayAsk reports whether this VM is to ask the store for news itself.
+	MayAsk() bool
+}
+
+// Follower follows all topics. Exported fields must be set before Run; Sink,
+// Feed and Told may be nil.
 type Follower struct {
 	Timer *zltimer.Service
 	Book  *zlregistry.Book
 	Store Store
 	Sink  zldecision.Sink
 	Done  <-chan struct{}
-
-	mu sync.Mutex
+	Feed  Feed
+	// Told is called with what the store said, for other VMs.
+	Told func(t Topic, d *Delta)
+
+	topics [topicCount]topicState
+	mu     sync.Mutex
+	// pulsed is when the last pulse that was answered went out.
+	pulsed time.Time
 	// lostAt is when the store was first not to be had, or zero; back is
 	// closed when it is had again, and epoch ends when it is lost.
 	lostAt time.Time
@@ -161,13 +186,24 @@
 // pulse watches over the store itself.
 func (f *Follower) pulse(ctx context.Context) {
 	for {
+		lost := f.lost()
+		fed := f.Feed != nil && f.Feed.Fed(lost)
+		f.judge(lost && !fed)
+		if fed && f.Feed.Fed(false) {
+			f.regain(ctx, "others")
+			if !f.Timer.Sleep(f.Done, feedLook) {
+				return
+			}
+			continue
+		}
 		wait := pulseEach
-		if f.lost() {
+		if lost {
 			wait = probeLeast + time.Duration(rand.Float64()*float64(probeMost-probeLeast))
 		}
 		if !f.Timer.Sleep(f.Done, wait) {
 			return
 		}
+		at := f.Timer.Now()
 		err := f.Store.Pulse(ctx)
 		switch {
 		case ctx.Err() != nil:
@@ -175,11 +211,39 @@
 		case err != nil:
 			f.lose("pulse", err)
 		default:
-			f.regain(ctx)
+			f.mu.Lock()
+			f.pulsed = at
+			f.mu.Unlock()
+			f.regain(ctx, "pulse")
 		}
 	}
 }
 
+// judge tells the book whether the store is out. It is not while other VMs have
+// its news, however long this one has lost it.
+func (f *Follower) judge(out bool) {
+	if out {
+		f.Book.Trouble()
+	} else {
+		f.Book.Well()
+	}
+}
+
+// Confirmed is when the store last confirmed all that this VM holds, or zero.
+func (f *Follower) Confirmed() time.Time {
+	for i := range f.topics {
+		if !f.topics[i].isWatched() {
+			return time.Time{}
+		}
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.lostAt.IsZero() {
+		return time.Time{}
+	}
+	return f.pulsed
+}
+
 func (f *Follower) lost() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -198,12 +262,12 @@
 	end := f.end
 	f.mu.Unlock()
 	end()
-	f.Book.Trouble()
+	f.judge(f.Feed == nil || !f.Feed.Fed(true))
 	f.dependency("store", "lost", why+": "+err.Error(), 0)
 }
 
 // regain begins anew with all topics.
-func (f *Follower) regain(ctx context.Context) {
+func (f *Follower) regain(ctx context.Context, why string) {
 	f.mu.Lock()
 	if f.lostAt.IsZero() {
 		f.mu.Unlock()
@@ -214,8 +278,8 @@
 	f.epoch, f.end = context.WithCancel(ctx)
 	close(f.back)
 	f.mu.Unlock()
-	f.Book.Well()
-	f.dependency("store", "regained", "pulse", out)
+	f.judge(false)
+	f.dependency("store", "regained", why, out)
 }
 
 // admitted waits until the store is had and returns the context of its epoch,
@@ -248,33 +312,40 @@
 }
 
 func (f *Follower) follow(t Topic) {
-	listed := false
-	revision := uint64(0)
+	state := &f.topics[t]
 	for {
 		ctx := f.admitted()
 		if ctx == nil {
 			return
 		}
+		if f.Feed != nil && !f.Feed.MayAsk() {
+			state.unwatch()
+			look := feedLook
+			if !state.isListed() {
+				look = startLook
+			}
+			f.Timer.Sleep(f.Done, look)
+			continue
+		}
 		var err error
 		var pause time.Duration
+		listed := state.isListed()
 		if listed {
-			revision, pause, err = f.watch(ctx, t, revision)
+			pause, err = f.watch(ctx, t, state)
 		} else {
-			revision, pause, err = f.list(ctx, t)
+			pause, err = f.list(ctx, t, state)
 		}
 		switch {
 		case ctx.Err() != nil:
-			listed = false
+			state.unlist()
 			continue
 		case err != nil && listed:
 			// A watch that ended badly may have missed changes that the
 			// store does not keep; only a list is sure to have them.
 			f.dependency("watch", "lost", t.String()+": "+err.Error(), 0)
-			listed = false
+			state.unlist()
 		case err != nil:
 			f.lose(t.String(), err)
-		default:
-			listed = listed || pause == 0
 		}
 		f.Timer.Sleep(f.Done, pause)
 	}
@@ -292,45 +363,54 @@
 }
 
 // list reads a topic anew. A pause other than 0 asks to list again after it.
-func (f *Follower) list(ctx context.Context, t Topic) (uint64, time.Duration, error) {
+func (f *Follower) list(ctx context.Context, t Topic, state *topicState) (time.Duration, error) {
 	at := f.Timer.Now()
-	var items []Item
-	revision := uint64(0)
+	d := &Delta{
+		Full: true,
+	}
 	after := ""
 	for {
 		page, err := f.Store.List(ctx, t, after)
 		if err != nil {
-			return 0, 0, err
+			return 0, err
 		}
-		items = append(items, page.Items...)
+		d.Items = append(d.Items, page.Items...)
 		if after == "" {
 			// Changes between the pages come again with the watch.
-			revision = page.Revision
+			d.To = page.Revision
 		}
 		if page.Next == "" {
 			break
 		}
 		after = page.Next
 	}
-	f.replace(t, items, at)
-	if t == TopicTable && len(items) == 0 {
-		return revision, emptyPause, nil
+	if t == TopicTable && len(d.Items) == 0 {
+		return emptyPause, nil
 	}
-	return revision, 0, nil
+	state.mu.Lock()
+	state.listed = true
+	state.mu.Unlock()
+	f.take(t, d, at, true)
+	return 0, nil
 }
 
-func (f *Follower) watch(ctx context.Context, t Topic, revision uint64) (uint64, time.Duration, error) {
-	page, err := f.Store.Watch(ctx, t, revision, watchWait)
+func (f *Follower) watch(ctx context.Context, t Topic, state *topicState) (time.Duration, error) {
+	from := state.watch()
+	page, err := f.Store.Watch(ctx, t, from, watchWait)
 	if err != nil {
-		return revision, 0, err
+		return 0, err
 	}
 	at := f.Timer.Now()
 	if len(page.Items) == 0 {
 		f.confirm(t, at)
-		return max(revision, page.Revision), 0, nil
+		return 0, nil
 	}
-	f.apply(t, page.Items, at)
-	return max(revision, page.Revision), t.rearm(), nil
+	f.take(t, &Delta{
+		From:  from,
+		To:    page.Revision,
+		Items: page.Items,
+	}, at, true)
+	return t.rearm(), nil
 }
 
 func (f *Follower) confirm(t Topic, at time.Time) {
--- a/core/version/zltable/zltable.go
+++ b/core/version/zltable/zltable.go
@@ -91,9 +91,10 @@
 	Version  Version
 	Limits   Limits
 	Services map[zlunit.Service]Service
+	// Routes are all routes, in the operators' order.
+	Routes []Route
 
 	hosts map[string][]*Route
-	count int
 }
 
 // New returns a table of the given routes, in which the longest prefix goes
@@ -103,8 +104,8 @@
 		Version:  version,
 		Limits:   limits,
 		Services: make(map[zlunit.Service]Service, len(services)),
+		Routes:   routes,
 		hosts:    map[string][]*Route{},
-		count:    len(routes),
 	}
 	for i := range services {
 		t.Services[services[i].Name] = services[i]
@@ -137,8 +138,3 @@
 	}
 	return nil, false
 }
-
-// Len is how many routes the table has.
-func (t *Table) Len() int {
-	return t.count
-}
--- /dev/null
+++ b/io/version/zlcast/message.go
@@ -0,0 +1,153 @@
+package zlcast
+
+import (
+	"time"
+
+	"zinnialock/core/process/zlunit"
+	"zinnialock/core/version/zlfeed"
+	"zinnialock/core/version/zlfollow"
+	"zinnialock/core/version/zlregistry"
+	"zinnialock/core/version/zltable"
+
+	"github.com/fxamacker/cbor/v2"
+)
+
+// message is one datagram: a beat, and perhaps small news.
+type message struct {
+	VM        zlunit.VM               `cbor:"1,keyasint"`
+	AgeMicros int64                   `cbor:"2,keyasint"`
+	Revisions [zlfollow.Topics]uint64 `cbor:"3,keyasint"`
+	Topic     zlfollow.Topic          `cbor:"4,keyasint,omitempty"`
+	News      *delta                  `cbor:"5,keyasint,omitempty"`
+	Marks     []Mark                  `cbor:"6,keyasint,omitempty"`
+}
+
+// Mark tells that a replica is or is no longer in a pause.
+type Mark struct {
+	Upstream zlunit.Upstream `cbor:"1,keyasint"`
+	Born     int64           `cbor:"2,keyasint,omitempty"`
+	Service  zlunit.Service  `cbor:"3,keyasint"`
+	Over     bool            `cbor:"4,keyasint,omitempty"`
+}
+
+// delta is a zlfollow.Delta as it travels.
+type delta struct {
+	From     uint64        `cbor:"1,keyasint"`
+	To       uint64        `cbor:"2,keyasint"`
+	Full     bool          `cbor:"3,keyasint,omitempty"`
+	Table    *tableNews    `cbor:"4,keyasint,omitempty"`
+	Replicas []replicaNews `cbor:"5,keyasint,omitempty"`
+	Marks    []outNews     `cbor:"6,keyasint,omitempty"`
+}
+
+type tableNews struct {
+	Version  zltable.Version   `cbor:"1,keyasint"`
+	Routes   []zltable.Route   `cbor:"2,keyasint"`
+	Services []zltable.Service `cbor:"3,keyasint"`
+	Limits   zltable.Limits    `cbor:"4,keyasint"`
+}
+
+type replicaNews struct {
+	ID      zlunit.Upstream     `cbor:"1,keyasint"`
+	Replica *zlregistry.Replica `cbor:"2,keyasint,omitempty"`
+}
+
+type outNews struct {
+	DataCentre zlunit.DataCentre `cbor:"1,keyasint"`
+	In         bool              `cbor:"2,keyasint,omitempty"`
+}
+
+const (
+	// maxItems bounds the lists of one message: the replicas and routes of the
+	// size to design for.
+	maxItems = 16384
+	maxDepth = 12
+)
+
+var decoder = mustDecoder()
+
+func mustDecoder() cbor.DecMode {
+	mode, err := cbor.DecOptions{
+		MaxArrayElements: maxItems,
+		MaxMapPairs:      maxItems,
+		MaxNestedLevels:  maxDepth,
+	}.DecMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}
+
+func toWire(d *zlfollow.Delta) *delta {
+	out := &delta{
+		From: d.From,
+		To:   d.To,
+		Full: d.Full,
+	}
+	for _, i := range d.Items {
+		switch i := i.(type) {
+		case *zlfollow.TableItem:
+			out.addTable(i.Table)
+		case *zlfollow.ReplicaItem:
+			out.Replicas = append(out.Replicas, replicaNews{
+				ID:      i.ID,
+				Replica: i.Replica,
+			})
+		case *zlfollow.OutItem:
+			out.Marks = append(out.Marks, outNews{
+				DataCentre: i.DataCentre,
+				In:         i.In,
+			})
+		}
+	}
+	return out
+}
+
+// addTable keeps the newest table.
+func (d *delta) addTable(t *zltable.Table) {
+	if t == nil || (d.Table != nil && d.Table.Version >= t.Version) {
+		return
+	}
+	d.Table = &tableNews{
+		Version: t.Version,
+		Routes:  t.Routes,
+		Limits:  t.Limits,
+	}
+	for _, s := range t.Services {
+		d.Table.Services = append(d.Table.Services, s)
+	}
+}
+
+func fromWire(d *delta) *zlfollow.Delta {
+	out := &zlfollow.Delta{
+		From: d.From,
+		To:   d.To,
+		Full: d.Full,
+	}
+	if t := d.Table; t != nil {
+		out.Items = append(out.Items, &zlfollow.TableItem{
+			Table: zltable.New(t.Version, t.Routes, t.Services, t.Limits),
+		})
+	}
+	for _, r := range d.Replicas {
+		out.Items = append(out.Items, &zlfollow.ReplicaItem{
+			ID:      r.ID,
+			Replica: r.Replica,
+		})
+	}
+	for _, m := range d.Marks {
+		out.Items = append(out.Items, &zlfollow.OutItem{
+			DataCentre: m.DataCentre,
+			In:         m.In,
+		})
+	}
+	return out
+}
+
+func (m *message) beat() *zlfeed.Beat {
+	return &zlfeed.Beat{
+		VM:        m.VM,
+		Age:       time.Duration(m.AgeMicros) * time.Microsecond,
+		Revisions: m.Revisions,
+	}
+}
