--- a/io/version/zlcast/zlcast.go
+++ b/io/version/zlcast/zlcast.go
@@ -290,22 +290,6 @@
 	}
 }
 
-// FetchAny asks other VMs, those at the given addresses last, for all that they
-// know, until one answers; it is for a process that was just started.
-func (c *Cast) FetchAny(addresses []string) {
-	var all []string
-	for _, m := range c.Feed.Members() {
-		all = append(all, m.Address)
-	}
-	for _, address := range append(all, addresses...) {
-		err := c.fetch(address)
-		if err == nil {
-			return
-		}
-		c.lost(err)
-	}
-}
-
 func (c *Cast) fetch(from string) error {
 	have := c.Follower.Revisions()
 	for t := range zlfollow.Topics {
