Rare samples tell more of a replica's pace

Ruled out: the budget (held 354 of 8,700). Change: the weight of a sample grows with the time since the last; what speaks against a replica halves in 2 s instead of 1.

--- a/core/process/zlplace/record.go
+++ b/core/process/zlplace/record.go
@@ -1,6 +1,7 @@
 package zlplace
 
 import (
+	"math"
 	"sync"
 	"time"
 
@@ -8,11 +9,13 @@
 )
 
 const (
-	// smoothing is the weight of a new sample in the running means.
-	smoothing = 0.2
+	// smoothing is the weight of a new sample in the running means, for each
+	// sampleEach since the last: where samples are rare, one tells more.
+	smoothing  = 0.2
+	sampleEach = 100 * time.Millisecond
 	// fade is the time without news after which what speaks against a replica
 	// halves, so that it is tried again.
-	fade = time.Second
+	fade = 2 * time.Second
 	// slowest bounds how many times slower than usual one answer counts, so that
 	// a pause does not look like a slow replica for long.
 	slowest = 6
@@ -187,31 +190,36 @@
 	case OutcomeServed:
 		r.probe = nil
 		r.adapt(now, f, inFlight)
-		r.sample(now, 0)
-		if expected > 0 && !f.sent.IsZero() {
-			r.step(now, float64(now.Sub(f.sent))/float64(expected))
-		}
+		r.observe(now, 0, f.ratio(now, expected))
 	case OutcomeFailed, OutcomeUnreached:
 		r.failed = now
-		r.sample(now, 1)
+		r.observe(now, 1, 0)
 	case OutcomeMoved:
 		r.moved = now.Add(movedTime)
 	case OutcomeRefused:
-		r.sample(now, refusedFault)
+		r.observe(now, refusedFault, 0)
 		r.lower(now, f, inFlight)
 		if until := now.Add(max(hint, failMemory/3)); until.After(r.away) {
 			r.away = until
 		}
 	case OutcomeGivenUp:
 		r.adapt(now, f, inFlight)
-		if expected > 0 && !f.sent.IsZero() && now.Sub(f.sent) > 2*expected {
-			r.step(now, float64(now.Sub(f.sent))/float64(expected))
+		if ratio := f.ratio(now, expected); ratio > 2 {
+			r.observe(now, 0, ratio)
 		}
 	}
 	r.mu.Unlock()
 	f.group.freed()
 }
 
+// ratio is the time taken over the time expected, or 0 if that is not known.
+func (f *Flight) ratio(now time.Time, expected time.Duration) float64 {
+	if expected <= 0 || f.sent.IsZero() {
+		return 0
+	}
+	return float64(now.Sub(f.sent)) / float64(expected)
+}
+
 // adapt raises the level after an answer in time and lowers it after one that
 // took too long, once for all that were under way together.
 func (r *Record) adapt(now time.Time, f *Flight, inFlight int) {
@@ -239,17 +247,26 @@
 	r.level = max(level*levelCut, 1)
 }
 
-func (r *Record) step(now time.Time, ratio float64) {
-	was := r.halve(r.pace, now, 1)
-	r.pace = was + smoothing*(min(ratio, slowest)-was)
+// observe takes a sample of the faults, and of the pace unless ratio is 0; mu is
+// held.
+func (r *Record) observe(now time.Time, fault, ratio float64) {
+	weight := r.weight(now)
+	r.faults = r.halve(r.faults, now, 0)
+	r.faults += weight * (fault - r.faults)
+	r.pace = r.halve(r.pace, now, 1)
+	if ratio > 0 {
+		r.pace += weight * (min(ratio, slowest) - r.pace)
+	}
 	r.heard = now
 }
 
-func (r *Record) sample(now time.Time, fault float64) {
-	was := r.halve(r.faults, now, 0)
-	r.pace = r.halve(r.pace, now, 1)
-	r.faults = was + smoothing*(fault-was)
-	r.heard = now
+// weight is that of a new sample.
+func (r *Record) weight(now time.Time) float64 {
+	if r.heard.IsZero() {
+		return smoothing
+	}
+	gaps := max(float64(now.Sub(r.heard))/float64(sampleEach), 1)
+	return 1 - math.Pow(1-smoothing, gaps)
 }
 
 // coldBudget spaces the requests to a cold replica.
