Fewer calls at a restart; connections to far replicas are brief where they are scarce

Change: an entry that was seen is replaced; only the first look of a restart is fresh; a connection to a replica of another data centre is kept for a second where a replica takes fewer than two of each VM.

--- a/cmd/cmd.go
+++ b/cmd/cmd.go
@@ -31,6 +31,11 @@
 }
 
 func commands() []command {
+	return append(operatorCommands(), workshopCommands()...)
+}
+
+// operatorCommands run daemons and look after them.
+func operatorCommands() []command {
 	return []command{
 		{
 			name:    "serve",
@@ -82,6 +87,12 @@
 			summary: "show what daemons repaired, and why",
 			run:     runEvents,
 		},
+	}
+}
+
+// workshopCommands try the product out and measure it.
+func workshopCommands() []command {
+	return []command{
 		{
 			name:    "standin",
 			summary: "run a small stand-in for the platform or an upstream",
--- a/core/process/zlplace/record.go
+++ b/core/process/zlplace/record.go
@@ -73,7 +73,7 @@
 	sent   time.Time
 }
 
-// Upstream outcomes as the record counts them.
+// Outcome is how a flight ended, as the record counts it.
 type Outcome int
 
 // The outcomes of a flight.
--- a/core/process/zlplace/zlplace.go
+++ b/core/process/zlplace/zlplace.go
@@ -241,6 +241,12 @@
 	return max(s.Connections/p.VMs(), 1)
 }
 
+// IsScarce reports whether a replica takes fewer than two connections of each
+// VM, so that VMs of other data centres must not keep theirs.
+func (p *Placer) IsScarce(s zltable.Service) bool {
+	return s.Connections < 2*p.VMs()
+}
+
 // coldRate is how many requests a second this VM may send to a cold replica.
 func (p *Placer) coldRate(s zltable.Service) float64 {
 	most := s.ColdRate*p.Settings.ColdFactor + p.Settings.ColdSlack
--- a/core/request/zlrelay/part.go
+++ b/core/request/zlrelay/part.go
@@ -273,11 +273,11 @@
 	p.mayHaveRun++
 	x.sends++
 	x.relay.sends.Add(1)
-	go a.send(ctx, x.relay.Placer.ConnectionShare(x.view.Table.Services[p.service]))
+	go a.send(ctx, spot.Far && x.relay.Placer.IsScarce(x.view.Table.Services[p.service]))
 }
 
 // send runs in its own goroutine.
-func (a *attempt) send(ctx context.Context, room int) {
+func (a *attempt) send(ctx context.Context, brief bool) {
 	x := a.part.run
 	defer x.relay.sends.Done()
 	defer a.cancel()
@@ -285,7 +285,7 @@
 		Request:  x.req,
 		Deadline: x.limit,
 		Start:    a.begin,
-		Room:     room,
+		Brief:    brief,
 	})
 	a.score(ctx, reply)
 	x.results <- result{
--- a/core/request/zlrelay/promise_test.go
+++ b/core/request/zlrelay/promise_test.go
@@ -107,6 +107,7 @@
 		<-ctx.Done()
 		c.Start()
 		return unreached
+	default:
 	}
 	if !c.Start() {
 		return unreached
@@ -121,6 +122,7 @@
 		wait = 90 * time.Millisecond
 	case hangs:
 		wait = time.Hour
+	default:
 	}
 	if sleep(ctx, wait) == cut {
 		return broken
@@ -146,8 +148,9 @@
 		}
 	case breaks:
 		return broken
+	default:
+		return whole
 	}
-	return whole
 }
 
 // bench is a relay over services of three replicas each.
--- a/core/request/zlrelay/replay_test.go
+++ b/core/request/zlrelay/replay_test.go
@@ -194,17 +194,15 @@
 
 // tally sums up a run by the rules' terms.
 type tally struct {
-	mu      sync.Mutex
-	owed    float64
-	earned  float64
-	inTime  int
-	late    int
-	early   int
-	failed  int
-	shares  float64
-	asked   int
-	again   int
-	elapsed time.Duration
+	mu     sync.Mutex
+	owed   float64
+	earned float64
+	inTime int
+	late   int
+	early  int
+	failed int
+	shares float64
+	asked  int
 }
 
 func (y *tally) String() string {
--- a/core/request/zlrelay/zlrelay.go
+++ b/core/request/zlrelay/zlrelay.go
@@ -53,8 +53,9 @@
 	// Start is called right before the first byte goes out; false means that
 	// it must not.
 	Start func() bool
-	// Room is how many connections may be kept to the replica.
-	Room int
+	// Brief tells that the connection is not to be kept for long: not all VMs
+	// can keep one to the replica.
+	Brief bool
 }
 
 // Reply is one of *Whole, *NotRun and *Broken.
--- a/core/version/zlcensus/zlcensus.go
+++ b/core/version/zlcensus/zlcensus.go
@@ -42,8 +42,8 @@
 
 // Store keeps the entries.
 type Store interface {
-	// Announce writes this VM's entry.
-	Announce(ctx context.Context) error
+	// Announce writes this VM's entry; exists tells that it was seen.
+	Announce(ctx context.Context, exists bool) error
 	// Withdraw removes it.
 	Withdraw(ctx context.Context) error
 	// Entries lists all; a list that is not fresh may lag by seconds.
@@ -52,6 +52,7 @@
 
 // Census counts. Exported fields must be set before Run; Sink may be nil.
 type Census struct {
+	Self  zlunit.VM
 	Timer *zltimer.Service
 	Store Store
 	Sink  zldecision.Sink
@@ -79,9 +80,8 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	c.seen = map[zlunit.VM]sight{}
-	fresh := !c.First
-	if fresh {
-		c.look(ctx, fresh)
+	if !c.First {
+		c.look(ctx, true)
 	}
 	c.announce(ctx)
 	wait := secondLook
@@ -90,8 +90,7 @@
 			c.announce(ctx)
 		}
 		wait = secondLook
-		if c.look(ctx, fresh) {
-			fresh = false
+		if c.look(ctx, false) {
 			wait = lookEach
 		}
 		wait += time.Duration(rand.Float64() * spread * float64(wait))
@@ -102,7 +101,8 @@
 }
 
 func (c *Census) announce(ctx context.Context) {
-	if err := c.Store.Announce(ctx); err != nil {
+	_, exists := c.seen[c.Self]
+	if err := c.Store.Announce(ctx, exists); err != nil {
 		c.failed("announce", err)
 		return
 	}
--- a/core/version/zlfollow/delta.go
+++ b/core/version/zlfollow/delta.go
@@ -83,7 +83,7 @@
 func (f *Follower) take(t Topic, d *Delta, at time.Time, own bool) {
 	s := &f.topics[t]
 	s.mu.Lock()
-	if d.To <= s.revision && !(own && d.Full) {
+	if d.To <= s.revision && (!own || !d.Full) {
 		s.mu.Unlock()
 		f.confirm(t, at)
 		return
--- a/core/version/zlfollow/zlfollow_test.go
+++ b/core/version/zlfollow/zlfollow_test.go
@@ -40,7 +40,7 @@
 
 func follow(t *testing.T, run func(s *fakeStore, b *zlregistry.Book)) {
 	t.Helper()
-	synctest.Test(t, func(t *testing.T) {
+	synctest.Test(t, func(*testing.T) {
 		timer := &zltimer.Service{}
 		s := newFakeStore()
 		b := &zlregistry.Book{
--- a/io/request/zlexchange/zlexchange.go
+++ b/io/request/zlexchange/zlexchange.go
@@ -26,10 +26,12 @@
 	idleLimit = 10 * time.Second
 	// idleMargin is taken from the time that a replica names.
 	idleMargin = time.Second
+	// briefTime is how long a connection is kept that other VMs need as well.
+	briefTime = time.Second
 	// replyLimit bounds an answer, in bytes.
 	replyLimit = 8 << 20
 	// sweepEach is how often idle connections are looked at.
-	sweepEach = 2 * time.Second
+	sweepEach = 500 * time.Millisecond
 )
 
 // Translator speaks the headers of a deployment's replicas.
@@ -155,8 +157,11 @@
 	}
 }
 
-func (p *pool) release(c *conn, now time.Time) {
+func (p *pool) release(c *conn, now time.Time, brief bool) {
 	c.until = now.Add(c.keep)
+	if brief {
+		c.until = now.Add(min(c.keep, briefTime))
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.idle = append(p.idle, c)
@@ -198,7 +203,7 @@
 		conn = fresh
 	}
 	if !c.Start() {
-		p.release(conn, time.Now())
+		p.release(conn, time.Now(), c.Brief)
 		return &zlrelay.NotRun{
 			Reason: zldecision.ReasonOutOfService,
 		}
@@ -208,7 +213,7 @@
 	})
 	reply, sound := x.exchange(conn, e, c)
 	if stop() && sound {
-		p.release(conn, time.Now())
+		p.release(conn, time.Now(), c.Brief)
 	} else {
 		_ = conn.Close()
 	}
