--- /dev/null
+++ b/io/version/zlcast/zlcast_test.go
@@ -0,0 +1,212 @@
+package zlcast
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"testing"
+	"time"
+
+	"zinnialock/core/process/zltimer"
+	"zinnialock/core/process/zlunit"
+	"zinnialock/core/version/zlfeed"
+	"zinnialock/core/version/zlfollow"
+	"zinnialock/core/version/zlregistry"
+	"zinnialock/core/version/zltable"
+
+	"go.uber.org/goleak"
+)
+
+func TestMain(m *testing.M) {
+	goleak.VerifyTestMain(m)
+}
+
+var errNoStore = errors.New("no store")
+
+// noStore answers nothing, so that all news come from the other VM.
+type noStore struct{}
+
+func (noStore) Pulse(context.Context) error { return errNoStore }
+
+func (noStore) List(context.Context, zlfollow.Topic, string) (*zlfollow.Page, error) {
+	return nil, errNoStore
+}
+
+func (noStore) Watch(context.Context, zlfollow.Topic, uint64, time.Duration) (*zlfollow.Page, error) {
+	return nil, errNoStore
+}
+
+// pair is two VMs on loopback.
+func pair(t *testing.T) [2]*Cast {
+	t.Helper()
+	var casts [2]*Cast
+	var members []zlfeed.Member
+	done := make(chan struct{})
+	for i := range casts {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		members = append(members, zlfeed.Member{
+			VM:      zlunit.VM(fmt.Sprintf("vm%d", i)),
+			Address: l.Addr().String(),
+		})
+		_ = l.Close()
+	}
+	ended := make(chan struct{}, len(casts))
+	for i := range casts {
+		timer := &zltimer.Service{}
+		follower := &zlfollow.Follower{
+			Timer: timer,
+			Book: &zlregistry.Book{
+				Timer: timer,
+			},
+			Store: noStore{},
+			Done:  done,
+		}
+		feed := &zlfeed.Feed{
+			Timer:     timer,
+			Self:      members[i],
+			Within:    3 * time.Second,
+			Revisions: follower.Revisions,
+		}
+		feed.SetMembers(members)
+		casts[i] = &Cast{
+			Address:  members[i].Address,
+			VM:       members[i].VM,
+			Timer:    timer,
+			Feed:     feed,
+			Follower: follower,
+			Done:     done,
+		}
+		if err := casts[i].Open(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for _, c := range casts {
+		go func() {
+			c.Run()
+			ended <- struct{}{}
+		}()
+	}
+	t.Cleanup(func() {
+		close(done)
+		for range casts {
+			<-ended
+		}
+	})
+	return casts
+}
+
+func eventually(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for range 2000 {
+		if ok() {
+			return
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	t.Fatalf("no %s", what)
+}
+
+func replicas(n int) *zlfollow.Delta {
+	d := &zlfollow.Delta{
+		To:   uint64(n),
+		Full: true,
+	}
+	for i := range n {
+		id := zlunit.Upstream(fmt.Sprintf("replica-%d", i))
+		d.Items = append(d.Items, &zlfollow.ReplicaItem{
+			ID: id,
+			Replica: &zlregistry.Replica{
+				ID:      id,
+				Service: "s",
+				Address: "10.0.0.1:80",
+				Born:    3,
+			},
+		})
+	}
+	return d
+}
+
+func TestSmallNewsComeAsADatagramAndLargeOnesAreFetched(t *testing.T) {
+	for _, n := range []int{1, 500} {
+		t.Run(fmt.Sprintf("%d replicas", n), func(t *testing.T) {
+			casts := pair(t)
+			d := replicas(n)
+			casts[0].Follower.Offer(zlfollow.TopicReplicas, d)
+			casts[0].Tell(zlfollow.TopicReplicas, d)
+			eventually(t, "replicas at the other VM", func() bool {
+				return len(casts[1].Follower.Book.View().Replicas["s"]) == n
+			})
+		})
+	}
+}
+
+func TestTableArrivesWhole(t *testing.T) {
+	casts := pair(t)
+	route := zltable.Route{
+		Name:      "r",
+		Host:      "h",
+		Prefix:    "/p/",
+		Timeout:   time.Second,
+		Shards:    []zlunit.Service{"s1", "s2"},
+		Objective: 100 * time.Millisecond,
+	}
+	d := &zlfollow.Delta{
+		To:   9,
+		Full: true,
+		Items: []zlfollow.Item{&zlfollow.TableItem{
+			Table: zltable.New(5, []zltable.Route{route}, []zltable.Service{{
+				Name:        "s1",
+				Connections: 31,
+			}}, zltable.Limits{
+				BodyBytes: 7,
+			}),
+		}},
+	}
+	casts[0].Follower.Offer(zlfollow.TopicTable, d)
+	casts[0].Tell(zlfollow.TopicTable, d)
+	eventually(t, "table at the other VM", func() bool {
+		return casts[1].Follower.Book.View().Table != nil
+	})
+	table := casts[1].Follower.Book.View().Table
+	got, ok := table.Match("h", "/p/x")
+	if !ok || got.Objective != route.Objective || len(got.Shards) != 2 || table.Services["s1"].Connections != 31 ||
+		table.Limits.BodyBytes != 7 || table.Version != 5 {
+		t.Fatalf("arrived as %+v, route %+v", table, got)
+	}
+}
+
+func TestBytesThatAreNoMessageChangeNothing(t *testing.T) {
+	casts := pair(t)
+	conn, err := net.Dial("udp4", casts[0].Address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() {
+		_ = conn.Close()
+	}()
+	for _, data := range []string{"", "x", "\xa1\x01", "\xbf\xff\xff"} {
+		if _, err := conn.Write([]byte(data)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	d := replicas(1)
+	casts[1].Follower.Offer(zlfollow.TopicReplicas, d)
+	casts[1].Tell(zlfollow.TopicReplicas, d)
+	eventually(t, "news after the bad datagrams", func() bool {
+		return len(casts[0].Follower.Book.View().Replicas["s"]) == 1
+	})
+}
+
+func FuzzMessage(f *testing.F) {
+	f.Add([]byte{0xa1, 0x01, 0x61, 0x61})
+	f.Fuzz(func(_ *testing.T, data []byte) {
+		var m message
+		if decoder.Unmarshal(data, &m) == nil && m.News != nil {
+			fromWire(m.News)
+		}
+	})
+}
