--- a/io/process/zljournal/zljournal_test.go
+++ b/io/process/zljournal/zljournal_test.go
@@ -28,34 +28,34 @@
 	return []zldecision.Event{
 		&zldecision.Answered{
 			Subject: s,
-			Status: 200,
+			Status:  200,
 			Missing: 1,
-			Parts: 9,
-			Early: zldecision.ReasonObjective,
+			Parts:   9,
+			Early:   zldecision.ReasonObjective,
 		},
 		&zldecision.Refused{
 			Subject: s,
-			Reason: zldecision.ReasonNoRoom,
+			Reason:  zldecision.ReasonNoRoom,
 		},
 		&zldecision.Failed{
 			Subject: s,
-			Reason: zldecision.ReasonTimeout,
+			Reason:  zldecision.ReasonTimeout,
 		},
 		&zldecision.Sent{
 			Subject: s,
-			Reason: zldecision.ReasonOverdue,
+			Reason:  zldecision.ReasonOverdue,
 		},
 		&zldecision.Held{
 			Subject: s,
-			Reason: zldecision.ReasonOverdue,
+			Reason:  zldecision.ReasonOverdue,
 		},
 		&zldecision.Belief{
 			Topic: "registry",
-			Name: "i",
-			What: "gone",
+			Name:  "i",
+			What:  "gone",
 		},
 		&zldecision.Dependency{
-			Name: "store",
+			Name:  "store",
 			State: "lost",
 		},
 		&zldecision.Process{
