A data centre that is cut off is avoided as a whole

Ruled out: the replicas (they answered others), the store. Change: three strikes in a data centre with no answer between count against all its replicas for half a second after the last. The log of a failure says whether the request could be repeated; a request ends 10 ms before the caller's deadline.

--- a/core/process/zldecision/zldecision.go
+++ b/core/process/zldecision/zldecision.go
@@ -102,6 +102,9 @@
 	Status int
 	Sends  int
 	Parts  int
+	// Once tells that the request is not idempotent, so that it could not be
+	// sent again.
+	Once bool
 	// Absent names the services without a part, Upstream the last tried.
 	Absent   []zlunit.Service
 	Upstream zlunit.Upstream
--- a/core/process/zlplace/record.go
+++ b/core/process/zlplace/record.go
@@ -68,6 +68,7 @@
 
 	record *Record
 	group  *group
+	site   *site
 	// target is the time within which the answer is of use.
 	target time.Duration
 	sent   time.Time
@@ -139,7 +140,7 @@
 
 // Overdue tells that the flight waits longer than it should. The first at a
 // replica becomes its probe, and the others there are nudged.
-func (f *Flight) Overdue() {
+func (f *Flight) Overdue(now time.Time) {
 	r := f.record
 	r.mu.Lock()
 	if _, under := r.flights[f]; r.probe != nil || !under {
@@ -147,6 +148,7 @@
 		return
 	}
 	r.probe = f
+	f.site.strike(now)
 	nudges := make([]func(), 0, len(r.flights))
 	for other := range r.flights {
 		if other != f && other.Nudge != nil {
@@ -188,10 +190,14 @@
 	}
 	switch outcome {
 	case OutcomeServed:
+		f.site.answered()
 		r.probe = nil
 		r.adapt(now, f, inFlight)
 		r.observe(now, 0, f.ratio(now, expected))
 	case OutcomeFailed, OutcomeUnreached:
+		if outcome == OutcomeUnreached {
+			f.site.strike(now)
+		}
 		r.failed = now
 		r.observe(now, 1, 0)
 	case OutcomeMoved:
--- a/core/process/zlplace/zlplace.go
+++ b/core/process/zlplace/zlplace.go
@@ -8,6 +8,8 @@
 //     usually take, so kinds of different work compare;
 //   - replicas that fail fast: a share of failures outweighs the short queue
 //     that fast failures leave;
+//   - a data centre that is cut off: strikes against several of its replicas
+//     with no answer between count against all of them;
 //   - cold replicas: a rate for each, divided among the VMs.
 package zlplace
 
@@ -64,6 +66,7 @@
 	mu     sync.Mutex
 	record map[recordKey]*Record
 	groups map[zlunit.Service]*group
+	sites  map[zlunit.DataCentre]*site
 }
 
 // SetVMs tells how many VMs share the replicas.
@@ -145,7 +148,7 @@
 			result = NoRoom
 			continue
 		}
-		c.cost = p.cost(&c)
+		c.cost = p.cost(&c, now)
 		usable = append(usable, c)
 	}
 	for len(usable) > 0 {
@@ -211,11 +214,14 @@
 	return best
 }
 
-func (p *Placer) cost(c *candidate) float64 {
+func (p *Placer) cost(c *candidate, now time.Time) float64 {
 	s := &c.stand
 	cost := (float64(s.inFlight)+1)*max(s.pace, 0.25) + s.faults*faultCost + p.draw()*jitter
 	if c.entry.DataCentre != p.Settings.Home {
 		cost += farCost
+		if p.siteOf(c.entry.DataCentre).isCut(now) {
+			cost += cutCost
+		}
 	}
 	if s.failed || s.away {
 		cost += failedCost
@@ -264,6 +270,7 @@
 		Nudge:  w.Nudge,
 		record: c.record,
 		group:  p.groupOf(w.Service),
+		site:   p.siteOf(c.entry.DataCentre),
 		target: w.Target,
 	}
 	c.record.mu.Lock()
--- a/core/process/zlplace/zlplace_test.go
+++ b/core/process/zlplace/zlplace_test.go
@@ -1,6 +1,7 @@
 package zlplace
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -96,7 +97,7 @@
 		})
 		spots = append(spots, spot)
 	}
-	spots[0].Flight.Overdue()
+	spots[0].Flight.Overdue(r.now)
 	if told != 1 || !spots[1].Flight.ReplicaOverdue() || !spots[0].Flight.IsProbe() {
 		t.Fatalf("%d told", told)
 	}
@@ -113,12 +114,43 @@
 	}
 }
 
+// Pattern: a data centre is cut off. After strikes against three of its replicas
+// the others there are avoided as well, until one answers.
+func TestCutDataCentreIsAvoidedAsAWhole(t *testing.T) {
+	r := newRig()
+	list := r.view.Replicas["finder"]
+	for i := range 4 {
+		e := *list[1]
+		e.ID = zlunit.Upstream(fmt.Sprintf("more-%d", i))
+		list = append(list, &e)
+	}
+	// Only replicas elsewhere are left: five in the one that is cut, one in
+	// the other.
+	r.view.Replicas["finder"] = list[1:]
+	cut := list[1].DataCentre
+	struck := 0
+	for range 60 {
+		s := r.place(t)
+		if s.Entry.DataCentre != cut {
+			r.done(s, usual, OutcomeServed)
+		} else {
+			struck++
+			s.Flight.Overdue(r.now)
+			defer r.done(s, 400*time.Millisecond, OutcomeGivenUp)
+		}
+		r.now = r.now.Add(usual / 2)
+	}
+	if struck > strikesMost+1 {
+		t.Fatalf("%d requests went to the data centre that is cut", struck)
+	}
+}
+
 // Pattern: a probe that is given up clears the mark, so that a replica without
 // answers is tried again.
 func TestProbeThatEndsClearsTheMark(t *testing.T) {
 	r := newRig()
 	s := r.place(t)
-	s.Flight.Overdue()
+	s.Flight.Overdue(r.now)
 	r.done(s, 400*time.Millisecond, OutcomeGivenUp)
 	r.now = r.now.Add(3 * time.Second)
 	if s := r.place(t); s.Far || s.Overdue {
--- a/core/request/zlrelay/part.go
+++ b/core/request/zlrelay/part.go
@@ -85,7 +85,7 @@
 	if !a.overdue && a.isOverdue(now) {
 		a.overdue = true
 		if !now.Before(a.due) {
-			a.spot.Flight.Overdue()
+			a.spot.Flight.Overdue(now)
 		}
 	}
 	if a.overdue && (p.lookAt.IsZero() || !now.Before(p.lookAt)) {
--- a/core/request/zlrelay/run.go
+++ b/core/request/zlrelay/run.go
@@ -23,8 +23,8 @@
 	waitShare  = 0.25
 	waitMargin = 2 * time.Millisecond
 	// limitMargin is the time before the caller's deadline at which a request
-	// ends, for the way back.
-	limitMargin = 5 * time.Millisecond
+	// ends: the way back (3 ms) and late timers.
+	limitMargin = 10 * time.Millisecond
 	// lookAgain is how often a place is looked for without a sign.
 	lookAgain = 20 * time.Millisecond
 	// sendsMost bounds what one part sends, refusals included.
--- a/core/request/zlrelay/settle.go
+++ b/core/request/zlrelay/settle.go
@@ -257,6 +257,7 @@
 		Status:  http.StatusBadGateway,
 		Sends:   x.sends,
 		Parts:   x.good(),
+		Once:    !x.route.Idempotent,
 		Absent:  x.absent(),
 	}
 	for i := range x.parts {
--- a/io/process/zljournal/write.go
+++ b/io/process/zljournal/write.go
@@ -29,7 +29,8 @@
 		text(line, "service", string(e.Service))
 	case *zldecision.Failed:
 		subject(line.Str("event", "failed"), &e.Subject)
-		line.Str("reason", string(e.Reason)).Int("status", e.Status).Int("sends", e.Sends).Int("parts", e.Parts)
+		line.Str("reason", string(e.Reason)).Int("status", e.Status).Int("sends", e.Sends).Int("parts", e.Parts).
+			Bool("once", e.Once)
 		text(line, "upstream", string(e.Upstream))
 		services(line, e.Absent)
 	case *zldecision.Sent:
