explain reads the decisions of logs

Cause: only a running daemon could be asked, and the platform's are gone with their machines. Change: explain REQUEST-ID -logs FILES shows a request's lines in order and what its VMs came to believe before, as text or JSON; lines of several VMs, with whatever stands before the first brace.

--- a/cmd/explain.go
+++ b/cmd/explain.go
@@ -13,6 +13,7 @@
 func runExplain(e *env, args []string) int {
 	fs := newFlags(e, "explain REQUEST-ID", "Tell what a daemon decided for a recent request, and why.")
 	admin := fs.String("admin", "127.0.0.1:7101", "admin address of the daemon, `IP:PORT`")
+	logs := fs.String("logs", "", "read the decisions from these log `FILES` instead, separated by commas; - is standard input")
 	format := formatFlag(fs)
 	id, args := leadingArgument(args)
 	if code, ok := parse(e, fs, args); !ok {
@@ -25,6 +26,9 @@
 	if err := errors.Join(missing, checkFormat(*format), checkAddress("admin", *admin)); err != nil {
 		return e.fail(exitUsage, err)
 	}
+	if *logs != "" {
+		return explainLogs(e, id, strings.Split(*logs, ","), *format)
+	}
 	var traces []*zltrace.Trace
 	err := askAdmin(*admin, zldaemon.ExplainPath+"?request="+url.QueryEscape(id), &traces)
 	if err != nil {
@@ -43,6 +47,24 @@
 	return exitDone
 }
 
+// explainLogs tells a request's history from what daemons logged.
+func explainLogs(e *env, id string, paths []string, format string) int {
+	lines, err := readLogs(paths)
+	if err != nil {
+		return e.fail(exitFailed, fmt.Errorf("explain: %w", err))
+	}
+	h := historyOf(lines, id)
+	if format == "json" {
+		e.json(h)
+	} else {
+		e.printf("%s", historyText(h))
+	}
+	if len(h.Lines) == 0 {
+		return exitFailed
+	}
+	return exitDone
+}
+
 // leadingArgument takes an argument that stands before the flags.
 func leadingArgument(args []string) (first string, rest []string) {
 	if len(args) == 0 || strings.HasPrefix(args[0], "-") {
