VMs tell each other which replicas are slow or fail

Weighed: telling each pause was tried and taken back; opinions rest on means, and count only when five VMs agree within 1.5 s, so that a pause does not make one. On today's sites a data centre has at most three VMs, so nothing changes there.

--- a/core/process/zlplace/record.go
+++ b/core/process/zlplace/record.go
@@ -55,6 +55,8 @@
 	// level is how many requests from here the replica bears without refusing
 	// any or taking too long; 0 means that it always did.
 	level float64
+	// reports are what other VMs said against the replica.
+	reports []report
 	// lowered is when the level was last lowered.
 	lowered time.Time
 	cold    coldBudget
@@ -114,6 +116,7 @@
 	overdue bool
 	away    bool
 	moved   bool
+	shunned bool
 }
 
 func (r *Record) standing(now time.Time) standing {
@@ -128,6 +131,7 @@
 		overdue:  r.probe != nil,
 		away:     now.Before(r.away),
 		moved:    now.Before(r.moved),
+		shunned:  r.shunned(now),
 	}
 }
 
--- a/core/process/zlplace/zlplace.go
+++ b/core/process/zlplace/zlplace.go
@@ -229,6 +229,9 @@
 	if s.overdue {
 		cost += overdueCost
 	}
+	if s.shunned {
+		cost += shunCost
+	}
 	if c.cold {
 		cost += coldCost
 	}
--- a/core/process/zlplace/zlplace_test.go
+++ b/core/process/zlplace/zlplace_test.go
@@ -311,3 +311,43 @@
 		t.Fatalf("woken in order %v", order)
 	}
 }
+
+// Pattern: many VMs with few requests each and a slow replica. It is avoided when
+// enough other VMs speak against it, and tried again when they no longer do; a
+// few, as after a pause, are not enough.
+func TestReplicaAgainstWhichManyVMsSpeak(t *testing.T) {
+	bad := newRig()
+	for range 3 {
+		s, _ := bad.Place(bad.view, bad.now, &Want{
+			Service: "finder",
+			Skip:    []zlunit.Upstream{"at-nashua", "at-worcester"},
+		})
+		s.Flight.Sent(bad.now)
+		bad.done(s, 8*usual, OutcomeServed)
+		bad.now = bad.now.Add(usual)
+	}
+	said := bad.Opinions(bad.now)
+	if len(said) != 1 || said[0].Upstream != "at-lowell" {
+		t.Fatalf("opinions %v", said)
+	}
+	r := newRig()
+	r.done(r.place(t), usual, OutcomeServed)
+	for n := range reportersLeast {
+		if s := r.place(t); s.Far {
+			t.Fatalf("avoided after %d reports", n)
+		} else {
+			r.done(s, usual, OutcomeServed)
+		}
+		r.Hear(zlunit.VM(fmt.Sprintf("vm%d", n)), said, r.now)
+		r.Hear(zlunit.VM(fmt.Sprintf("vm%d", n)), said, r.now)
+	}
+	if s := r.place(t); !s.Far {
+		t.Fatal("not avoided though many VMs speak against it")
+	} else {
+		r.done(s, usual, OutcomeServed)
+	}
+	r.now = r.now.Add(reportTime + time.Millisecond)
+	if s := r.place(t); s.Far {
+		t.Fatal("not tried again")
+	}
+}
--- a/io/version/zlcast/message.go
+++ b/io/version/zlcast/message.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"zinnialock/core/process/zlplace"
 	"zinnialock/core/process/zlunit"
 	"zinnialock/core/version/zlfeed"
 	"zinnialock/core/version/zlfollow"
@@ -19,15 +20,7 @@
 	Revisions [zlfollow.Topics]uint64 `cbor:"3,keyasint"`
 	Topic     zlfollow.Topic          `cbor:"4,keyasint,omitempty"`
 	News      *delta                  `cbor:"5,keyasint,omitempty"`
-	Marks     []Mark                  `cbor:"6,keyasint,omitempty"`
-}
-
-// Mark tells that a replica is or is no longer in a pause.
-type Mark struct {
-	Upstream zlunit.Upstream `cbor:"1,keyasint"`
-	Born     int64           `cbor:"2,keyasint,omitempty"`
-	Service  zlunit.Service  `cbor:"3,keyasint"`
-	Over     bool            `cbor:"4,keyasint,omitempty"`
+	Opinions  []zlplace.Opinion       `cbor:"6,keyasint,omitempty"`
 }
 
 // delta is a zlfollow.Delta as it travels.
--- a/io/version/zlcast/zlcast.go
+++ b/io/version/zlcast/zlcast.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"zinnialock/core/process/zldecision"
+	"zinnialock/core/process/zlplace"
 	"zinnialock/core/process/zltimer"
 	"zinnialock/core/process/zlunit"
 	"zinnialock/core/version/zlfeed"
@@ -33,6 +34,10 @@
 	beatFresh = 2 * time.Second
 	// datagramMost is what fits a datagram without being cut, in bytes.
 	datagramMost = 1200
+	// opinionsEach is the time between tellings of opinions: a third of the time
+	// for which they count; each is lengthened by up to opinionsJitter.
+	opinionsEach   = 500 * time.Millisecond
+	opinionsJitter = 0.2
 	// fetchLimit bounds a fetch: 200 KB over a link of 20 Mbit/s that ten
 	// others use as well take 0.8 s.
 	fetchLimit = 1500 * time.Millisecond
@@ -70,7 +75,7 @@
 }
 
 // Cast sends and takes messages at Address, over UDP and TCP. Exported fields
-// must be set before Open; Marked and Sink may be nil.
+// must be set before Open; Opinions, Heard and Sink may be nil.
 type Cast struct {
 	Address  string
 	VM       zlunit.VM
@@ -78,9 +83,10 @@
 	Feed     *zlfeed.Feed
 	Follower *zlfollow.Follower
 	Sink     zldecision.Sink
-	// Marked is called for each mark of another VM.
-	Marked func(m *Mark)
-	Done   <-chan struct{}
+	// Opinions are this VM's, told to the others; Heard takes theirs.
+	Opinions func() []zlplace.Opinion
+	Heard    func(vm zlunit.VM, list []zlplace.Opinion)
+	Done     <-chan struct{}
 
 	socket   *net.UDPConn
 	listener net.Listener
@@ -142,6 +148,11 @@
 			c.beat(0, nil)
 		})
 	})
+	if c.Opinions != nil {
+		group.Go(func() {
+			c.Timer.Subscribe(c.Done, opinionsEach, opinionsJitter, c.sayOpinions)
+		})
+	}
 	<-c.Done
 	_ = c.socket.Close()
 	_ = server.Close()
@@ -173,12 +184,16 @@
 	c.beat(t, d)
 }
 
-// Mark tells the others of a replica's pause, or its end.
-func (c *Cast) Mark(m *Mark) {
+// sayOpinions tells the others which replicas are slow or fail.
+func (c *Cast) sayOpinions() {
+	list := c.Opinions()
+	if len(list) == 0 {
+		return
+	}
 	c.send(&message{
 		VM:        c.VM,
 		AgeMicros: -1,
-		Marks:     []Mark{*m},
+		Opinions:  list,
 	})
 }
 
@@ -259,12 +274,10 @@
 	if m.News != nil && m.Topic >= 0 && int(m.Topic) < zlfollow.Topics {
 		c.Follower.Offer(m.Topic, fromWire(m.News))
 	}
-	if c.Marked != nil {
-		for i := range m.Marks {
-			c.Marked(&m.Marks[i])
+	if len(m.Opinions) > 0 {
+		if c.Heard != nil {
+			c.Heard(m.VM, m.Opinions)
 		}
-	}
-	if len(m.Marks) > 0 {
 		return
 	}
 	if c.Feed.Hear(m.beat()) {
