--- a/io/process/zlmetric/zlmetric.go
+++ b/io/process/zlmetric/zlmetric.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"sort"
+	"time"
 
 	"zinnialock/core/request/zlquery"
 
@@ -46,6 +47,9 @@
 	for _, g := range snapshot.Gauges() {
 		lines = append(lines, fmt.Sprintf("%s%s %g", g.Name(), tagText(g.Tags()), g.Value()))
 	}
+	for _, h := range snapshot.Histograms() {
+		lines = append(lines, histogramLines(h)...)
+	}
 	sort.Strings(lines)
 	for _, line := range lines {
 		if _, err := fmt.Fprintln(w, line); err != nil {
@@ -55,6 +59,25 @@
 	return nil
 }
 
+// histogramLines has a line for each bucket that is not empty: how many were at
+// most so long, in milliseconds.
+func histogramLines(h tally.HistogramSnapshot) []string {
+	var lines []string
+	for bound, n := range h.Durations() {
+		if n == 0 {
+			continue
+		}
+		tags := map[string]string{
+			"atMostMs": fmt.Sprintf("%08.1f", float64(bound)/float64(time.Millisecond)),
+		}
+		for k, v := range h.Tags() {
+			tags[k] = v
+		}
+		lines = append(lines, fmt.Sprintf("%s%s %d", h.Name(), tagText(tags), n))
+	}
+	return lines
+}
+
 func tagText(tags map[string]string) string {
 	keys := make([]string, 0, len(tags))
 	for k := range tags {
