--- a/core/request/zlrelay/promise_test.go
+++ b/core/request/zlrelay/promise_test.go
@@ -408,3 +408,55 @@
 		t.Fatalf("got %v", got)
 	}
 }
+
+// An answer that lacks a part goes out in time for the caller's way, also where
+// the caller made its connection for it.
+func TestAnswerLeavesTimeForTheWay(t *testing.T) {
+	for _, way := range []time.Duration{6 * time.Millisecond, 12 * time.Millisecond} {
+		synctest.Test(t, func(t *testing.T) {
+			s := newScripted([]behaviour{hangs, answers, answers, answers, answers, hangs})
+			route := scatterRoute("all", []zlunit.Service{"s0", "s1", "s2", "s3", "s4"}, 50*time.Millisecond, 1, 0.8)
+			r := bench(s, route)
+			req := request("/all/x")
+			req.OnTheWay = way
+			began := time.Now()
+			m, ok := r.Serve(context.Background(), req).(*Merged)
+			took := time.Since(began)
+			r.Wait()
+			if !ok || m.Missing != 1 {
+				t.Fatalf("answer %+v", m)
+			}
+			if took+way > route.Objective {
+				t.Errorf("out after %v, with ways of %v past the objective", took, way)
+			}
+		})
+	}
+}
+
+// A request that finds no room is refused within a quarter of the objective, the
+// caller's way included.
+func TestRefusalIsEarlyForTheCaller(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newScripted([]behaviour{hangs, hangs, hangs})
+		route := scatterRoute("all", []zlunit.Service{"s0"}, 100*time.Millisecond, 1, 1)
+		r := bench(s, route)
+		// One connection to each of the three replicas is this VM's share.
+		r.Placer.SetVMs(30)
+		ctx, cancel := context.WithCancel(context.Background())
+		for range 3 {
+			go r.Serve(ctx, request("/all/x"))
+			synctest.Wait()
+		}
+		const way = 12 * time.Millisecond
+		req := request("/all/x")
+		req.OnTheWay = way
+		began := time.Now()
+		a, ok := r.Serve(context.Background(), req).(*Refused)
+		if took := time.Since(began); !ok || a.Reason != zldecision.ReasonNoRoom || took+way > route.Objective/4 {
+			t.Errorf("answer %+v after %v", a, took)
+		}
+		cancel()
+		r.Wait()
+		synctest.Wait()
+	})
+}
--- a/core/version/zlfollow/zlfollow_test.go
+++ b/core/version/zlfollow/zlfollow_test.go
@@ -191,3 +191,78 @@
 		}
 	})
 }
+
+// fedAlways says that other VMs bring the news.
+type fedAlways struct{}
+
+func (fedAlways) Fed(bool) bool { return true }
+
+func (fedAlways) MayAsk() bool { return false }
+
+// A VM that the store turns away while others feed it takes a removal at once:
+// the outage is only its own (guild-finder trouble-1 --seed 12).
+func TestVMThatIsFedHoldsNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		timer := &zltimer.Service{}
+		s := newFakeStore()
+		s.down = true
+		done := make(chan struct{})
+		f := &Follower{
+			Timer: timer,
+			Book: &zlregistry.Book{
+				Timer: timer,
+			},
+			Store: s,
+			Feed:  fedAlways{},
+			Done:  done,
+		}
+		ended := make(chan struct{})
+		go func() {
+			f.Run()
+			close(ended)
+		}()
+		f.Offer(TopicReplicas, &Delta{
+			To:    1,
+			Full:  true,
+			Items: []Item{entry("a", 1, false), entry("b", 1, false)},
+		})
+		synctest.Wait()
+		f.lose("pulse", errDown)
+		time.Sleep(5 * time.Second)
+		f.Offer(TopicReplicas, &Delta{
+			From: 1,
+			To:   2,
+			Items: []Item{&ReplicaItem{
+				ID: "a",
+			}},
+		})
+		if n := usable(f.Book); n != 1 {
+			t.Errorf("%d replicas after one was removed", n)
+		}
+		close(done)
+		<-ended
+	})
+}
+
+// A new life is cold only for as long as its entry says: a VM that learns many at
+// once, after it was cut off, must not take them all for cold.
+func TestNewLifeIsColdAsItsEntrySays(t *testing.T) {
+	follow(t, func(s *fakeStore, b *zlregistry.Book) {
+		warm, cold := entry("c", 1, false), entry("d", 1, false)
+		cold.Replica.ColdFor = 3 * time.Second
+		s.put(TopicReplicas, "c", warm)
+		s.put(TopicReplicas, "d", cold)
+		time.Sleep(time.Second)
+		for _, e := range b.View().Replicas["finder"] {
+			if e.Cold(time.Now()) != (e.ID == "d") {
+				t.Errorf("%s cold: %v", e.ID, e.Cold(time.Now()))
+			}
+		}
+		time.Sleep(3 * time.Second)
+		for _, e := range b.View().Replicas["finder"] {
+			if e.Cold(time.Now()) {
+				t.Errorf("%s still cold", e.ID)
+			}
+		}
+	})
+}
