The time that a caller may take for a head follows the routes in force

Cause: the limit was decoded and not used; the server had a fixed 10 s. The library tells of a connection's head only when it is whole.

--- a/io/request/zlserver/zlserver.go
+++ b/io/request/zlserver/zlserver.go
@@ -16,8 +16,10 @@
 	// headerLimit bounds what is read of a request's head, in bytes, where no
 	// tighter limit is in force.
 	headerLimit = 256 << 10
-	// headerTime bounds the reading of a head.
+	// headerTime bounds the reading of a head without a limit in force, and
+	// headerMost whatever limit is in force.
 	headerTime = 10 * time.Second
+	headerMost = time.Minute
 	// sweepEach is how often idle connections are looked at.
 	sweepEach = time.Second
 	// idleDefault is how long an idle connection is kept without a limit in
@@ -34,15 +36,17 @@
 type Server struct {
 	Listener net.Listener
 	Handler  http.Handler
-	// IdleTime is how long a caller's connection may be idle; 0 means not
-	// known.
-	IdleTime func() time.Duration
+	// Limits are how long a caller may take for a head, and how long its
+	// connection may be idle; 0 means not known.
+	Limits func() (headTime, idleTime time.Duration)
 
 	stopping atomic.Bool
 	requests atomic.Int64
 	mu       sync.Mutex
-	idle     map[net.Conn]time.Time
-	server   *http.Server
+	// conns holds the open connections, with the time since when each is idle,
+	// or zero.
+	conns  map[net.Conn]time.Time
+	server *http.Server
 }
 
 // Stopping reports whether a stop began.
@@ -55,18 +59,20 @@
 	server := &http.Server{
 		Handler:           http.HandlerFunc(s.serve),
 		ConnState:         s.track,
-		ConnContext:       withCount,
+		ConnContext:       withCaller,
 		MaxHeaderBytes:    headerLimit,
-		ReadHeaderTimeout: headerTime,
+		ReadHeaderTimeout: headerMost,
 		IdleTimeout:       -1,
 	}
 	s.mu.Lock()
-	s.idle = map[net.Conn]time.Time{}
+	s.conns = map[net.Conn]time.Time{}
 	s.server = server
 	s.mu.Unlock()
 	done := make(chan struct{})
 	go s.sweep(done)
-	err := server.Serve(s.Listener)
+	err := server.Serve(callerListener{
+		Listener: s.Listener,
+	})
 	close(done)
 	if errors.Is(err, http.ErrServerClosed) || s.Stopping() {
 		return nil
@@ -77,37 +83,31 @@
 func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
 	s.requests.Add(1)
 	defer s.requests.Add(-1)
+	if c, ok := callerOf(r.Context()); ok {
+		c.headRead()
+		defer c.served()
+	}
 	if s.Stopping() {
 		w.Header().Set("Connection", "close")
 	}
 	s.Handler.ServeHTTP(w, r)
 }
 
-type countKey struct{}
-
-// withCount gives each connection a count of its requests.
-func withCount(ctx context.Context, _ net.Conn) context.Context {
-	return context.WithValue(ctx, countKey{}, new(atomic.Int64))
-}
-
-// IsFirst reports whether a request is the first of its caller's connection,
-// which the caller made for it. It is to be asked once for each request.
-func IsFirst(ctx context.Context) bool {
-	n, ok := ctx.Value(countKey{}).(*atomic.Int64)
-	return ok && n.Add(1) == 1
-}
-
 func (s *Server) track(c net.Conn, state http.ConnState) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if state == http.StateIdle {
-		s.idle[c] = time.Now()
-		return
+	switch state {
+	case http.StateIdle:
+		s.conns[c] = time.Now()
+	case http.StateNew, http.StateActive:
+		s.conns[c] = time.Time{}
+	case http.StateHijacked, http.StateClosed:
+		delete(s.conns, c)
 	}
-	delete(s.idle, c)
 }
 
-// sweep closes connections that were idle for longer than allowed.
+// sweep closes connections that were idle, or took for a head, longer than
+// allowed.
 func (s *Server) sweep(done <-chan struct{}) {
 	ticker := time.NewTicker(sweepEach)
 	defer ticker.Stop()
@@ -116,22 +116,29 @@
 		case <-done:
 			return
 		case now := <-ticker.C:
-			limit := s.IdleTime()
-			if limit <= 0 {
-				limit = idleDefault
+			head, idle := s.Limits()
+			if idle <= 0 {
+				idle = idleDefault
+			}
+			if head <= 0 {
+				head = headerTime
 			}
-			s.closeIdle(now.Add(-limit))
+			s.closeOld(now.Add(-head), now.Add(-idle))
 		}
 	}
 }
 
-func (s *Server) closeIdle(before time.Time) {
+// closeOld closes connections of which a head has begun before the one time, or
+// that are idle since before the other.
+func (s *Server) closeOld(headBefore, idleBefore time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for c, since := range s.idle {
-		if since.Before(before) {
+	for c, idleSince := range s.conns {
+		own, ok := c.(*callerConn)
+		isIdle := !idleSince.IsZero() && idleSince.Before(idleBefore)
+		if isIdle || (ok && own.isSlow(headBefore)) {
 			_ = c.Close()
-			delete(s.idle, c)
+			delete(s.conns, c)
 		}
 	}
 }
