--- /dev/null
+++ b/contrib/unit.sh
@@ -0,0 +1,20 @@
+#!/usr/bin/env bash
+# Runs all tests with the race detector. A failure passes only if each test that
+# failed is named by a line "test: NAME" of KNOWN-RED.txt, and is printed then.
+set -uo pipefail
+cd "$(dirname "$0")/.."
+out=$(mktemp)
+trap 'rm -f "$out"' EXIT
+go test -race -count=1 -timeout 8m "${@:-./...}" 2>&1 | tee "$out"
+status=${PIPESTATUS[0]}
+[ "$status" -eq 0 ] && exit 0
+failed=$(sed -n 's/^--- FAIL: \([^ ]*\) .*/\1/p' "$out" | sort -u)
+if [ -z "$failed" ] || grep -qE '^panic:|WARNING: DATA RACE|goleak:|\[build failed\]|\[setup failed\]' "$out"; then
+	exit "$status"
+fi
+for name in $failed; do
+	if ! grep -qx "   test: $name" KNOWN-RED.txt; then
+		exit "$status"
+	fi
+	echo "passed over, see KNOWN-RED.txt: $name"
+done
