zlroute: late ones of one wave eject a replica once

Where 75 sub-requests waited at one replica, all that got late together counted as failures in a row: the third ejected it for 250 ms, the others doubled that up to 8 s. The replica stood idle while its two siblings had 85 waiting each. Change: what was sent before the latest ejection and ends badly after it neither lengthens the ejection nor ends its probe. Only a probe doubles it, as the constant says. Test: TestLateOnesOfOneWaveEjectOnce; it failed before, by 7.75 s. The relay's records (zlplace) have no ejections and don't share it.

--- a/core/process/zlroute/record.go
+++ b/core/process/zlroute/record.go
@@ -51,6 +51,9 @@
 	mu sync.Mutex
 	// failures counts failures in a row.
 	failures int
+	// ejected is when the latest ejection began. What was sent before it and
+	// ends badly after it is of the same trouble and tells nothing new.
+	ejected time.Time
 	// avoid is the time until which the upstream gets no ordinary work.
 	avoid time.Time
 	// probing tells that a probe after an ejection is out.
@@ -143,27 +146,34 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.stale(now, d) {
+		return
+	}
 	r.probing = false
 	if late {
 		r.fail(now)
 	}
 }
 
-// Failed notes that a sub-request ended without a usable reply.
-func (r *Record) Failed(now time.Time) {
+// Failed notes that a sub-request ended after d without a usable reply.
+func (r *Record) Failed(now time.Time, d time.Duration) {
 	r.inFlight.Add(-1)
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.stale(now, d) {
+		return
+	}
 	r.probing = false
 	r.fail(now)
 }
 
-// Refused notes a refusal; hint is when to come back, or 0.
-func (r *Record) Refused(now time.Time, reason zlquery.Reason, hint time.Duration) {
+// Refused notes a refusal after d; hint is when to come back, or 0.
+func (r *Record) Refused(now time.Time, d time.Duration, reason zlquery.Reason, hint time.Duration) {
 	r.inFlight.Add(-1)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.probing = false
+	stale := r.stale(now, d)
+	r.probing = r.probing && stale
 	wait := time.Duration(0)
 	switch reason {
 	case zlquery.ReasonShed, zlquery.ReasonQueueFull, zlquery.ReasonOverload:
@@ -173,7 +183,9 @@
 	case zlquery.ReasonDraining, zlquery.ReasonMarkedOut, zlquery.ReasonStopping:
 		wait = avoidDraining
 	case zlquery.ReasonDialFailed:
-		r.fail(now)
+		if !stale {
+			r.fail(now)
+		}
 		return
 	default:
 	}
@@ -207,12 +219,19 @@
 	}
 }
 
+// stale reports whether what took d until now was sent before the latest
+// ejection, if the replica has not answered since.
+func (r *Record) stale(now time.Time, d time.Duration) bool {
+	return r.failures >= ejectAfter && now.Add(-d).Before(r.ejected)
+}
+
 func (r *Record) fail(now time.Time) {
 	r.failures++
 	r.troubled.Store(true)
 	if r.failures < ejectAfter {
 		return
 	}
+	r.ejected = now
 	doublings := min(r.failures-ejectAfter, 5)
 	r.avoidFor(now, min(ejectFirst<<doublings, ejectMost))
 }
--- a/core/process/zlroute/zlroute_test.go
+++ b/core/process/zlroute/zlroute_test.go
@@ -79,7 +79,7 @@
 		fail := func(i int) {
 			for range ejectAfter {
 				list[i].Record.Sent()
-				list[i].Record.Failed(now)
+				list[i].Record.Failed(now, 0)
 			}
 		}
 		fail(0)
@@ -108,13 +108,43 @@
 	})
 }
 
+// TestLateOnesOfOneWaveEjectOnce replays a burst: what waits at one replica gets
+// late together, after the third of it has ejected the replica.
+func TestLateOnesOfOneWaveEjectOnce(t *testing.T) {
+	convey.Convey("Given a replica at which 80 sub-requests get late within 80 ms", t, func() {
+		r := seeded()
+		start := time.Now()
+		list := candidates(r, 2)
+		for range 80 {
+			list[0].Record.Sent()
+		}
+		now := start
+		for i := range 80 {
+			now = start.Add(300*time.Millisecond + time.Duration(i)*time.Millisecond)
+			list[0].Record.Cancelled(now, now.Sub(start), true)
+		}
+		convey.Convey("the first ejection is not lengthened by the others", func() {
+			convey.So(list[0].Record.until(), convey.ShouldHappenOnOrBefore, now.Add(ejectFirst))
+			convey.So(picks(r, now.Add(ejectFirst), list, CareNone)[0], convey.ShouldEqual, 1)
+		})
+		convey.Convey("a probe that gets late lengthens it, once", func() {
+			now = now.Add(ejectFirst)
+			convey.So(picks(r, now, list, CareNone)[0], convey.ShouldEqual, 1)
+			list[0].Record.Sent()
+			now = now.Add(300 * time.Millisecond)
+			list[0].Record.Cancelled(now, 300*time.Millisecond, true)
+			convey.So(list[0].Record.until(), convey.ShouldEqual, now.Add(2*ejectFirst))
+		})
+	})
+}
+
 func TestRefusalsAreHeeded(t *testing.T) {
 	convey.Convey("Given a replica that sheds with a hint", t, func() {
 		r := seeded()
 		now := time.Now()
 		list := candidates(r, 2)
 		list[0].Record.Sent()
-		list[0].Record.Refused(now, zlquery.ReasonShed, 300*time.Millisecond)
+		list[0].Record.Refused(now, 0, zlquery.ReasonShed, 300*time.Millisecond)
 		convey.So(picks(r, now.Add(299*time.Millisecond), list, CareNone)[0], convey.ShouldEqual, 0)
 		convey.So(picks(r, now.Add(300*time.Millisecond), list, CareNone)[0], convey.ShouldBeGreaterThan, 0)
 	})
--- a/core/request/zlcoord/take.go
+++ b/core/request/zlcoord/take.go
@@ -113,7 +113,7 @@
 	if sub.cause == zltrace.CauseHedge && result.Reason != zlquery.ReasonPeerLost {
 		r.hedgeNotRun(sub, now)
 	} else {
-		sub.to.Record.Refused(now, result.Reason, result.RetryAfter)
+		sub.to.Record.Refused(now, sub.took, result.Reason, result.RetryAfter)
 	}
 	r.shards[sub.shard].hint = result.RetryAfter
 	r.failed(sub.shard, result.Reason, now)
@@ -144,7 +144,7 @@
 	case zlquery.ReasonDeadline, zlquery.ReasonCancelled:
 		sub.to.Record.Cancelled(now, sub.took, true)
 	default:
-		sub.to.Record.Failed(now)
+		sub.to.Record.Failed(now, sub.took)
 	}
 	if r.req.Idempotent {
 		r.failed(sub.shard, reason, now)
