Few VMs ask the store after a start and after an outage

Ruled out: the three VMs that ask in a calm time (2.4 in 4 s together). Change: a VM that has the store again waits 0.3 to 0.5 of the bound to be fed before it asks; one that was given news at its start waits two beats; one that may not ask does not pulse; a list counts as a pulse, so that beats begin with it; the entry of an earlier life holds if its address does, and the first look may lag. An entry that is gone is written again.

--- a/core/version/zlcensus/zlcensus.go
+++ b/core/version/zlcensus/zlcensus.go
@@ -26,6 +26,8 @@
 	staleAfter = 3 * renewEach
 	// spread lengthens each wait by up to this share.
 	spread = 0.3
+	// lagMost is how old what a lagging list shows may be: "seconds".
+	lagMost = 10 * time.Second
 	// Assumed is how many VMs are assumed before the first count.
 	Assumed = 10
 )
@@ -46,16 +48,18 @@
 	Announce(ctx context.Context, exists bool) error
 	// Withdraw removes it.
 	Withdraw(ctx context.Context) error
-	// Entries lists all; a list that is not fresh may lag by seconds.
-	Entries(ctx context.Context, fresh bool) ([]Entry, error)
+	// Entries lists all; the list may lag by seconds.
+	Entries(ctx context.Context) ([]Entry, error)
 }
 
 // Census counts. Exported fields must be set before Run; Sink may be nil.
 type Census struct {
-	Self  zlunit.VM
-	Timer *zltimer.Service
-	Store Store
-	Sink  zldecision.Sink
+	Self zlunit.VM
+	// Address is where this VM takes messages of others.
+	Address string
+	Timer   *zltimer.Service
+	Store   Store
+	Sink    zldecision.Sink
 	// First tells that the whole system starts for the first time: no VM has
 	// written an entry yet, and nobody waits for this one.
 	First bool
@@ -67,12 +71,15 @@
 	seen    map[zlunit.VM]sight
 	count   atomic.Int64
 	written time.Time
-	looks   int
+	// listed tells that the last look showed this VM's entry.
+	listed bool
+	looks  int
 }
 
 type sight struct {
 	revision uint64
 	at       time.Time
+	address  string
 }
 
 // Run counts until Done is closed and withdraws the entry then.
@@ -81,18 +88,24 @@
 	defer cancel()
 	c.seen = map[zlunit.VM]sight{}
 	if !c.First {
-		c.look(ctx, true)
+		c.look(ctx)
+	}
+	if own, ok := c.seen[c.Self]; ok && own.address == c.Address {
+		// The entry of an earlier life holds. When it was written is not known;
+		// the VMs that start again together write theirs one by one.
+		c.written = c.Timer.Now().Add(-time.Duration(rand.Float64() * float64(renewEach)))
+	} else {
+		c.announce(ctx)
 	}
-	c.announce(ctx)
 	wait := secondLook
 	for c.Timer.Sleep(c.Done, wait) {
-		if c.written.IsZero() || c.Timer.Now().Sub(c.written) >= renewEach {
-			c.announce(ctx)
-		}
 		wait = secondLook
-		if c.look(ctx, false) {
+		if c.look(ctx) {
 			wait = lookEach
 		}
+		if c.isDue() {
+			c.announce(ctx)
+		}
 		wait += time.Duration(rand.Float64() * spread * float64(wait))
 	}
 	if err := c.Store.Withdraw(ctx); err != nil {
@@ -100,6 +113,13 @@
 	}
 }
 
+// isDue reports whether this VM's entry is to be written: it was not yet, it
+// gets old, or it is gone.
+func (c *Census) isDue() bool {
+	age := c.Timer.Now().Sub(c.written)
+	return age >= renewEach || age >= lagMost && !c.listed
+}
+
 func (c *Census) announce(ctx context.Context) {
 	_, exists := c.seen[c.Self]
 	if err := c.Store.Announce(ctx, exists); err != nil {
@@ -109,20 +129,23 @@
 	c.written = c.Timer.Now()
 }
 
-func (c *Census) look(ctx context.Context, fresh bool) bool {
-	entries, err := c.Store.Entries(ctx, fresh)
+func (c *Census) look(ctx context.Context) bool {
+	entries, err := c.Store.Entries(ctx)
 	if err != nil {
 		c.failed("count", err)
 		return false
 	}
 	now := c.Timer.Now()
 	var alive []Entry
+	c.listed = false
 	for _, e := range entries {
+		c.listed = c.listed || e.VM == c.Self
 		s, ok := c.seen[e.VM]
 		if !ok || e.Revision > s.revision {
 			s = sight{
 				revision: e.Revision,
 				at:       now,
+				address:  e.Address,
 			}
 			c.seen[e.VM] = s
 		}
--- /dev/null
+++ b/core/version/zlcensus/zlcensus_test.go
@@ -0,0 +1,234 @@
+package zlcensus
+
+import (
+	"context"
+	"errors"
+	"maps"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"zinnialock/core/process/zltimer"
+	"zinnialock/core/process/zlunit"
+)
+
+var errDown = errors.New("down")
+
+// store holds the entries; what it lists lags.
+type store struct {
+	mu       sync.Mutex
+	self     Entry
+	entries  map[zlunit.VM]Entry
+	lagging  []Entry
+	revision uint64
+	writes   int
+	down     bool
+}
+
+func (s *store) put(e Entry) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	e.Revision = s.revision
+	s.entries[e.VM] = e
+}
+
+func (s *store) Announce(context.Context, bool) error {
+	if s.down {
+		return errDown
+	}
+	s.writes++
+	s.put(s.self)
+	return nil
+}
+
+func (s *store) Withdraw(context.Context) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.entries, s.self.VM)
+	return nil
+}
+
+func (s *store) Entries(context.Context) ([]Entry, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		return nil, errDown
+	}
+	return s.lagging, nil
+}
+
+// lag shows what there is after 2 s.
+func (s *store) lag(done <-chan struct{}) {
+	(&zltimer.Service{}).Subscribe(done, time.Second, 0, func() {
+		s.mu.Lock()
+		now := slices.Collect(maps.Values(s.entries))
+		s.mu.Unlock()
+		time.AfterFunc(time.Second, func() {
+			s.mu.Lock()
+			s.lagging = now
+			s.mu.Unlock()
+		})
+	})
+}
+
+// play runs a census of the VM "own" beside "other", which is there from the
+// start, for a time.
+func play(t *testing.T, first bool, before []Entry, most time.Duration, during func(s *store, count func() int)) *store {
+	t.Helper()
+	s := &store{
+		self: Entry{
+			VM:      "own",
+			Address: "a1",
+		},
+		entries: map[zlunit.VM]Entry{},
+	}
+	synctest.Test(t, func(*testing.T) {
+		for _, e := range before {
+			s.put(e)
+		}
+		s.lagging = slices.Collect(maps.Values(s.entries))
+		var mu sync.Mutex
+		vms := 0
+		done := make(chan struct{})
+		c := &Census{
+			Self:    "own",
+			Address: "a1",
+			Timer:   &zltimer.Service{},
+			Store:   s,
+			First:   first,
+			Counted: func(_ []Entry, n int) {
+				mu.Lock()
+				defer mu.Unlock()
+				vms = n
+			},
+			Done: done,
+		}
+		var group sync.WaitGroup
+		group.Go(c.Run)
+		group.Go(func() {
+			s.lag(done)
+		})
+		if during != nil {
+			during(s, func() int {
+				mu.Lock()
+				defer mu.Unlock()
+				return vms
+			})
+		}
+		time.Sleep(most)
+		close(done)
+		group.Wait()
+		time.Sleep(time.Minute)
+	})
+	return s
+}
+
+var other = Entry{
+	VM:      "other",
+	Address: "a2",
+}
+
+// A VM whose process starts again finds its entry and writes it no sooner than
+// the others need: after a loss of power that is all VMs at once.
+func TestRestartWritesNothingAtOnce(t *testing.T) {
+	own := Entry{
+		VM:      "own",
+		Address: "a1",
+	}
+	s := play(t, false, []Entry{own, other}, 20*time.Second, func(s *store, count func() int) {
+		time.Sleep(time.Second)
+		if n := count(); n != 2 {
+			t.Errorf("counted %d VMs, want 2", n)
+		}
+		if s.writes != 0 {
+			t.Errorf("%d writes in the first second", s.writes)
+		}
+	})
+	if s.writes > 1 {
+		t.Errorf("%d writes in 20 s", s.writes)
+	}
+}
+
+// A VM that came back at another address says so at once.
+func TestMovedVMIsWrittenAtOnce(t *testing.T) {
+	moved := Entry{
+		VM:      "own",
+		Address: "a9",
+	}
+	play(t, false, []Entry{moved, other}, time.Second, func(s *store, _ func() int) {
+		time.Sleep(time.Second)
+		if s.writes != 1 {
+			t.Errorf("%d writes, want 1", s.writes)
+		}
+	})
+}
+
+// An entry that the list still showed though it was removed is written again.
+func TestRemovedEntryIsWrittenAgain(t *testing.T) {
+	own := Entry{
+		VM:      "own",
+		Address: "a1",
+	}
+	s := play(t, false, []Entry{own, other}, time.Second, func(s *store, count func() int) {
+		s.mu.Lock()
+		delete(s.entries, "own")
+		s.mu.Unlock()
+		time.Sleep(lagMost + 2*lookEach)
+		if n := count(); n != 2 {
+			t.Errorf("counted %d VMs, want 2", n)
+		}
+	})
+	if s.writes == 0 {
+		t.Error("the entry was not written")
+	}
+}
+
+// The first VMs of a system write at once, and once, and reckon with more than
+// they see until all had time to write.
+func TestFirstStartWritesOnce(t *testing.T) {
+	s := play(t, true, nil, 30*time.Second, func(s *store, count func() int) {
+		time.Sleep(3 * time.Second)
+		if n := count(); n < Assumed {
+			t.Errorf("reckoned with %d VMs", n)
+		}
+	})
+	if s.writes != 1 {
+		t.Errorf("%d writes, want 1", s.writes)
+	}
+}
+
+// While the store is down nothing is counted, and the entry is written after it.
+func TestOutageAtTheStart(t *testing.T) {
+	s := play(t, false, []Entry{other}, 40*time.Second, func(s *store, count func() int) {
+		s.mu.Lock()
+		s.down = true
+		s.mu.Unlock()
+		time.Sleep(10 * time.Second)
+		if n := count(); n != 0 {
+			t.Errorf("counted %d VMs without the store", n)
+		}
+		s.mu.Lock()
+		s.down = false
+		s.mu.Unlock()
+	})
+	if s.writes == 0 {
+		t.Error("the entry was not written")
+	}
+}
+
+// An entry that is not renewed stops counting.
+func TestOldEntryStopsCounting(t *testing.T) {
+	play(t, false, []Entry{other}, time.Second, func(_ *store, count func() int) {
+		time.Sleep(staleAfter - lookEach)
+		if n := count(); n != 2 {
+			t.Errorf("counted %d VMs, want 2", n)
+		}
+		time.Sleep(3 * lookEach)
+		if n := count(); n != 1 {
+			t.Errorf("counted %d VMs, want 1", n)
+		}
+	})
+}
--- a/core/version/zlfeed/zlfeed.go
+++ b/core/version/zlfeed/zlfeed.go
@@ -27,8 +27,18 @@
 	// rankMost bounds the rank that counts.
 	rankMost = 4
 	// graceStep is for how long, times its rank, a VM waits to be fed before it
-	// lists by itself, at its start and after an outage of the store.
+	// asks by itself.
 	graceStep = 40 * time.Millisecond
+	// startShare is by which part of Within a VM that was given news at its
+	// start waits for the first beat: two beats. The news may be freshShare old.
+	startShare = 0.2
+	// returnShare and returnStep are by which parts of Within a VM waits to be
+	// fed once it has the store again, the second times its rank up to
+	// returnRank. The first of the order may find the store back by a pulse (0.2)
+	// later, and a list and a beat (0.1) after that; all together leaves 0.3.
+	returnShare = 0.3
+	returnStep  = 0.1
+	returnRank  = 2
 	// censusWait is how long a VM waits to know the others before it asks the
 	// store without: a few calls of the store. When all VMs start for the first
 	// time there are no callers yet, and firstWait lets them see each other.
@@ -79,6 +89,8 @@
 	behind    time.Time
 	// unfed is since when nobody feeds this VM.
 	unfed time.Time
+	// returned tells that it had lost the store and nobody has fed it since.
+	returned bool
 }
 
 // SetMembers takes the VMs that are known; this one need not be among them.
@@ -158,6 +170,7 @@
 	switch {
 	case fed:
 		f.unfed = time.Time{}
+		f.returned = false
 	case lost:
 	case f.unfed.IsZero():
 		f.unfed = now
@@ -188,6 +201,7 @@
 	if f.Fed(false) {
 		return false
 	}
+	have := f.Revisions()
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	age := f.Timer.Now().Sub(f.Start)
@@ -197,6 +211,28 @@
 	case !f.known && age < censusWait:
 		return false
 	}
-	grace := graceStep * time.Duration(min(f.rank, rankMost))
-	return f.Timer.Now().Sub(f.unfed) >= grace
+	return f.Timer.Now().Sub(f.unfed) >= f.grace(have)
+}
+
+// Regained implements zlfollow.Feed.
+func (f *Feed) Regained() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.unfed = f.Timer.Now()
+	f.returned = true
+}
+
+// grace is how long this VM waits to be fed before it asks; mu is held.
+func (f *Feed) grace(have [zlfollow.Topics]uint64) time.Duration {
+	switch {
+	case f.rank == 0:
+		return 0
+	case f.returned:
+		share := returnShare + returnStep*float64(min(f.rank-1, returnRank))
+		return time.Duration(share * float64(f.Within))
+	case f.confirmed.IsZero() && !slices.Contains(have[:], 0):
+		return time.Duration(startShare * float64(f.Within))
+	default:
+		return graceStep * time.Duration(min(f.rank, rankMost))
+	}
 }
--- a/core/version/zlfeed/zlfeed_test.go
+++ b/core/version/zlfeed/zlfeed_test.go
@@ -30,7 +30,9 @@
 	revision uint64
 	version  zltable.Version
 	changed  chan struct{}
-	down     bool
+	// down calls get no answer, or with refuses an error at once.
+	down    bool
+	refuses bool
 }
 
 func (s *store) put() zltable.Version {
@@ -64,6 +66,8 @@
 	silent bool
 	lists  int
 	calls  int
+	// asks counts lists and watches.
+	asks int
 }
 
 func (v *vm) is(flag *bool) bool {
@@ -83,8 +87,11 @@
 	v.calls++
 	v.mu.Unlock()
 	v.store.mu.Lock()
-	down := v.store.down
+	down, refuses := v.store.down, v.store.refuses
 	v.store.mu.Unlock()
+	if down && refuses {
+		return errCut
+	}
 	if down || v.is(&v.cut) {
 		select {
 		case <-ctx.Done():
@@ -105,6 +112,7 @@
 	}
 	v.mu.Lock()
 	v.lists++
+	v.asks++
 	v.mu.Unlock()
 	v.store.mu.Lock()
 	defer v.store.mu.Unlock()
@@ -121,6 +129,9 @@
 	if err := v.enter(ctx); err != nil {
 		return nil, err
 	}
+	v.mu.Lock()
+	v.asks++
+	v.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
 	for {
@@ -283,6 +294,36 @@
 	return n
 }
 
+// askers counts the VMs that made more than pulses since the last count.
+func (f *fleet) askers() int {
+	n := 0
+	for _, v := range f.vms {
+		v.mu.Lock()
+		if v.asks > 0 {
+			n++
+		}
+		v.asks = 0
+		v.mu.Unlock()
+	}
+	return n
+}
+
+// down takes the store from all for a time; up gives it back.
+func (f *fleet) down(d time.Duration) {
+	f.store.mu.Lock()
+	f.store.down = true
+	close(f.store.changed)
+	f.store.changed = make(chan struct{})
+	f.store.mu.Unlock()
+	time.Sleep(d)
+}
+
+func (f *fleet) up() {
+	f.store.mu.Lock()
+	defer f.store.mu.Unlock()
+	f.store.down = false
+}
+
 func run(t *testing.T, test func(t *testing.T, f *fleet)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
@@ -358,19 +399,58 @@
 	})
 }
 
+// All VMs start at once, as after a loss of power: one asks, the others wait for
+// it and do not even pulse.
+func TestAllStartAndFewAsk(t *testing.T) {
+	run(t, func(t *testing.T, f *fleet) {
+		if n := f.askers(); n > 2 {
+			t.Errorf("%d of %d VMs asked", n, fleetSize)
+		}
+		for _, v := range f.vms {
+			v.mu.Lock()
+			if v != f.first() && v.calls > v.lists {
+				t.Errorf("%s made %d calls besides %d lists", v.member.VM, v.calls-v.lists, v.lists)
+			}
+			v.mu.Unlock()
+		}
+	})
+}
+
+// The store is back for all: the first of the order brings the news to the
+// others, whose own probe may be answered sooner than its.
+func TestReturnOfTheStoreWakesFew(t *testing.T) {
+	run(t, func(t *testing.T, f *fleet) {
+		f.store.refuses = true
+		for range 5 {
+			f.down(8 * time.Second)
+			f.askers()
+			f.up()
+			f.mustHave(t, f.store.put())
+			if n := f.askers(); n > 1 {
+				t.Errorf("%d of %d VMs asked", n, fleetSize)
+			}
+		}
+	})
+}
+
+// The store is back while the VM that asks for all is gone.
+func TestReturnOfTheStoreWithoutTheFirst(t *testing.T) {
+	run(t, func(t *testing.T, f *fleet) {
+		first := f.first()
+		f.down(8 * time.Second)
+		first.set(&first.silent, true)
+		first.set(&first.cut, true)
+		f.up()
+		f.mustHave(t, f.store.put(), first)
+	})
+}
+
 // After an outage of the store the VMs do not all list at once.
 func TestNoHerdAfterAnOutage(t *testing.T) {
 	run(t, func(t *testing.T, f *fleet) {
-		f.store.mu.Lock()
-		f.store.down = true
-		close(f.store.changed)
-		f.store.changed = make(chan struct{})
-		f.store.mu.Unlock()
-		time.Sleep(8 * time.Second)
+		f.down(8 * time.Second)
 		before := f.lists()
-		f.store.mu.Lock()
-		f.store.down = false
-		f.store.mu.Unlock()
+		f.up()
 		f.mustHave(t, f.store.put())
 		if n := f.lists() - before; n > 4*zlfollow.Topics {
 			t.Errorf("%d lists after the outage, for %d VMs", n, fleetSize)
--- a/core/version/zlfollow/news.go
+++ b/core/version/zlfollow/news.go
@@ -36,6 +36,7 @@
 	state.mu.Lock()
 	state.listed = true
 	state.mu.Unlock()
+	f.answered(at)
 	f.take(t, d, at, true)
 	return 0, nil
 }
--- a/core/version/zlfollow/zlfollow.go
+++ b/core/version/zlfollow/zlfollow.go
@@ -126,6 +126,9 @@
 	Fed(lost bool) bool
 	// MayAsk reports whether this VM is to ask the store for news itself.
 	MayAsk() bool
+	// Regained tells that this VM has the store again by its own call; others
+	// may have it as well.
+	Regained()
 }
 
 // Follower follows all topics. Exported fields must be set before Run; Sink,
@@ -142,7 +145,7 @@
 
 	topics [Topics]topicState
 	mu     sync.Mutex
-	// pulsed is when the last pulse that was answered went out.
+	// pulsed is when the last pulse or list that was answered went out.
 	pulsed time.Time
 	// lostAt is when the store was first not to be had, or zero; back is
 	// closed when it is had again, and epoch ends when it is lost.
@@ -195,6 +198,12 @@
 			}
 			continue
 		}
+		if !lost && f.Feed != nil && !f.Feed.MayAsk() {
+			if !f.Timer.Sleep(f.Done, feedLook) {
+				return
+			}
+			continue
+		}
 		wait := pulseEach
 		if lost {
 			wait = probeLeast + time.Duration(rand.Float64()*float64(probeMost-probeLeast))
@@ -210,14 +219,23 @@
 		case err != nil:
 			f.lose("pulse", err)
 		default:
-			f.mu.Lock()
-			f.pulsed = at
-			f.mu.Unlock()
+			f.answered(at)
+			if f.Feed != nil && f.lost() {
+				f.Feed.Regained()
+			}
 			f.regain(ctx, "pulse")
 		}
 	}
 }
 
+func (f *Follower) answered(at time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if at.After(f.pulsed) {
+		f.pulsed = at
+	}
+}
+
 // judge tells the book whether the store is out. It is not while other VMs have
 // its news, however long this one has lost it.
 func (f *Follower) judge(out bool) {
--- a/core/version/zlfollow/zlfollow_test.go
+++ b/core/version/zlfollow/zlfollow_test.go
@@ -199,6 +199,8 @@
 
 func (fedAlways) MayAsk() bool { return false }
 
+func (fedAlways) Regained() {}
+
 // A VM that the store turns away while others feed it takes a removal at once:
 // the outage is only its own (guild-finder trouble-1 --seed 12).
 func TestVMThatIsFedHoldsNothing(t *testing.T) {
