The product's own daemons write decisions as lines too

Change: each trace becomes lines of the same schema on standard output (sent, held, answered, refused, failed), each event a belief or a dependency, start and stop a process line; counted in the same counters. Tests: TestEveryDecisionHasALineAndACounter goes over all reasons that zlquery declares, so that a new one without its line fails; TestAnswerWithoutAPartIsExplained; TestBeliefsAndDependenciesHaveLines; TestKillEndsEverything (no goroutine left).

--- a/cmd/serve.go
+++ b/cmd/serve.go
@@ -47,6 +47,7 @@
 		Config: cfg,
 		Keys:   keys,
 		Log:    logger,
+		Out:    e.stdout,
 	}
 	if err := d.Run(); err != nil {
 		return e.fail(exitFailed, err)
--- a/core/process/zlevent/zlevent.go
+++ b/core/process/zlevent/zlevent.go
@@ -43,9 +43,11 @@
 // DefaultSize is how many events a ring of size 0 keeps.
 const DefaultSize = 1024
 
-// Ring keeps the latest events. Size must be set before use.
+// Ring keeps the latest events. Size and Told must be set before use.
 type Ring struct {
 	Size int
+	// Told, if set, is called with each event. It must not block.
+	Told func(Event)
 
 	mu     sync.Mutex
 	number uint64
@@ -54,6 +56,9 @@
 
 // Add appends an event and gives it its number.
 func (r *Ring) Add(e Event) {
+	if r.Told != nil {
+		r.Told(e)
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	size := r.Size
--- a/io/process/zldaemon/claims.go
+++ b/io/process/zldaemon/claims.go
@@ -39,7 +39,7 @@
 		Timer:    d.timer,
 		Counter:  d.metrics,
 		Answers:  answers,
-		Traces:   d.traces,
+		Traces:   d.journal,
 	}
 }
 
--- a/io/process/zldaemon/fleet.go
+++ b/io/process/zldaemon/fleet.go
@@ -24,7 +24,9 @@
 const topicBeat = "fleet/beat"
 
 func (d *Daemon) buildFleet() {
-	d.events = &zlevent.Ring{}
+	d.events = &zlevent.Ring{
+		Told: d.journal.event,
+	}
 	d.fleet = &zlfleet.Fleet{
 		Self: zlroster.Member{
 			VM:          d.Config.Name,
--- a/io/process/zldaemon/zldaemon.go
+++ b/io/process/zldaemon/zldaemon.go
@@ -5,8 +5,10 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -62,11 +64,14 @@
 }
 
 // Daemon is one process of the tier. Config, Keys and Log must be set before
-// Run; Without may be.
+// Run; Out and Without may be.
 type Daemon struct {
 	Config *zlconfig.Config
 	Keys   *zlkeys.Store
 	Log    *log.Logger
+	// Out gets a line for each decision, as docs/OPERATIONS.md lists them; nil
+	// means that they are only counted.
+	Out io.Writer
 	// Without switches mechanisms of queries off, for experiments.
 	Without zlcoord.Without
 
@@ -84,6 +89,7 @@
 	fleet      *zlfleet.Fleet
 	events     *zlevent.Ring
 	traces     *zltrace.Store
+	journal    *journal
 	caller     *http.Server
 	admin      *http.Server
 	cancel     context.CancelFunc
@@ -105,6 +111,7 @@
 		cancel()
 		d.claims.close()
 		d.platform.HTTP.CloseIdleConnections()
+		d.journal.close()
 		return err
 	}
 	if err := d.listen(); err != nil {
@@ -118,6 +125,7 @@
 	d.parts.Go(func() {
 		d.followKeys(ctx)
 	})
+	d.journal.process("start", string(d.Config.DataCentre))
 	return nil
 }
 
@@ -153,6 +161,7 @@
 		Asked:      d.asked,
 	}
 	d.traces = &zltrace.Store{}
+	d.buildJournal()
 	d.coord = &zlcoord.Coordinator{
 		Self:  cfg.Name,
 		Timer: d.timer,
@@ -163,7 +172,7 @@
 		Dispatcher: d.node,
 		Counter:    d.metrics,
 		Without:    d.Without,
-		Traces:     d.traces,
+		Traces:     d.journal,
 	}
 	d.buildClaims()
 	d.buildFleet()
@@ -222,6 +231,7 @@
 // any, says how many queries were cut.
 func (d *Daemon) Stop() error {
 	d.stopping.Store(true)
+	d.journal.process("stopping", "asked to")
 	ctx, cancel := context.WithTimeout(context.Background(), d.Config.StopLimit)
 	defer cancel()
 	if err := d.fleet.Leave(ctx); err != nil {
@@ -235,6 +245,10 @@
 		d.Log.Warn().Msg("daemon: left without a full release, others wait for its lease")
 	}
 	d.timer.Sleep(ctx.Done(), flushTime)
+	if err != nil {
+		d.journal.process("cut", strconv.FormatInt(cut, 10)+" queries")
+	}
+	d.journal.process("stopped", "asked to")
 	d.Kill()
 	if err != nil {
 		return &Error{
@@ -268,6 +282,7 @@
 	d.aggregator.Wait()
 	d.platform.HTTP.CloseIdleConnections()
 	d.parts.Wait()
+	d.journal.close()
 }
 
 func (d *Daemon) asked(ctx context.Context, topic string, body []byte) ([]byte, error) {
