Beats go to at most 24 VMs, which pass them on

A beat each 250 ms from the VM that asks for a data centre of 165 to all others was 39 KB/s by arithmetic, 6 KB/s are allowed; and all others would fetch large news from that one VM at once. Change: the others are cut into at most 24 groups in an order that all work out alone; the first of each passes a message on, and the groups move by one with each message, so that a dead first costs its group one beat of the four that a confirmation lasts for. Up to 25 VMs in a data centre nothing changes: each group is one VM. Ruled out: a fixed tree (a dead node cuts a branch until others notice); addresses in the message (16 KB/s). Tests: TestEveryMemberGetsAMessageOnce (1 to 500 members), TestDeadMembersCostFewMessages (8 of 165 dead; it failed with a step of 7, the size of the groups).

--- /dev/null
+++ b/core/version/zlfeed/layout_test.go
@@ -0,0 +1,93 @@
+package zlfeed
+
+import (
+	"fmt"
+	"testing"
+
+	"zinnialock/core/process/zltimer"
+	"zinnialock/core/process/zlunit"
+)
+
+func membersOf(n int) []Member {
+	var out []Member
+	for i := range n {
+		out = append(out, Member{
+			VM:         zlunit.VM(fmt.Sprintf("vm%d", i)),
+			DataCentre: "dc",
+			Address:    fmt.Sprintf("a%d", i),
+		})
+	}
+	return out
+}
+
+// feedOf is the feed of one of the members.
+func feedOf(self Member, all []Member) *Feed {
+	f := &Feed{
+		Timer: &zltimer.Service{},
+		Self:  self,
+	}
+	f.SetMembers(all)
+	return f
+}
+
+// A message of any turn reaches all others once, over at most Fan sends of the
+// sender and as few of each of the others.
+func TestEveryMemberGetsAMessageOnce(t *testing.T) {
+	for _, n := range []int{1, 2, 7, 22, 25, 26, 50, 165, 330, 500} {
+		all := membersOf(n)
+		sender := feedOf(all[n/2], all)
+		for turn := range uint32(9) {
+			got := map[zlunit.VM]int{}
+			groups := sender.Groups(turn)
+			if len(groups) > Fan {
+				t.Fatalf("%d members: %d sends", n, len(groups))
+			}
+			for _, g := range groups {
+				got[g.First.VM]++
+				rest := feedOf(g.First, all).PassOn(sender.Self.VM, turn)
+				if len(rest) != len(g.Rest) || len(rest) >= Fan {
+					t.Fatalf("%d members: %s passes on to %d, want %d", n, g.First.VM, len(rest), len(g.Rest))
+				}
+				for _, m := range rest {
+					got[m.VM]++
+				}
+			}
+			if len(got) != n-1 || got[sender.Self.VM] > 0 {
+				t.Fatalf("%d members: %d got the message of turn %d", n, len(got), turn)
+			}
+			for vm, times := range got {
+				if times != 1 {
+					t.Fatalf("%d members: %s got it %d times", n, vm, times)
+				}
+			}
+		}
+	}
+}
+
+// With dead members that pass nothing on, nobody misses three messages in a row: a
+// confirmation counts for at least that long.
+func TestDeadMembersCostFewMessages(t *testing.T) {
+	const n, dead = 165, 8
+	all := membersOf(n)
+	sender := feedOf(all[0], all)
+	missed := map[zlunit.VM]int{}
+	for turn := range uint32(200) {
+		for _, g := range sender.Groups(turn) {
+			isDead := false
+			for _, m := range all[1 : dead+1] {
+				isDead = isDead || m.VM == g.First.VM
+			}
+			for _, m := range g.Rest {
+				if !isDead {
+					missed[m.VM] = 0
+					continue
+				}
+				missed[m.VM]++
+				if missed[m.VM] > 2 {
+					t.Fatalf("%s missed 3 messages at turn %d", m.VM, turn)
+				}
+			}
+			missed[g.First.VM] = 0
+		}
+	}
+}
--- a/io/version/zlcast/message.go
+++ b/io/version/zlcast/message.go
@@ -21,6 +21,8 @@
 	Topic     zlfollow.Topic          `cbor:"4,keyasint,omitempty"`
 	News      *delta                  `cbor:"5,keyasint,omitempty"`
 	Opinions  []zlplace.Opinion       `cbor:"6,keyasint,omitempty"`
+	// Turn counts the messages of the VM; it tells who passes this one on.
+	Turn uint32 `cbor:"7,keyasint,omitempty"`
 }
 
 // delta is a zlfollow.Delta as it travels.
--- a/io/version/zlcast/zlcast.go
+++ b/io/version/zlcast/zlcast.go
@@ -13,6 +13,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"zinnialock/core/process/zldecision"
@@ -92,6 +93,7 @@
 	listener net.Listener
 	client   *http.Client
 	lacks    chan string
+	turn     atomic.Uint32
 	mu       sync.Mutex
 	peers    map[string]*net.UDPAddr
 }
@@ -223,6 +225,7 @@
 }
 
 func (c *Cast) send(m *message) {
+	m.Turn = c.turn.Add(1)
 	data, err := cbor.Marshal(m)
 	if err == nil && len(data) > datagramMost && m.News != nil {
 		m.News = nil
@@ -232,11 +235,15 @@
 		c.lost(err)
 		return
 	}
-	for _, member := range c.Feed.Members() {
-		if addr := c.resolve(member.Address); addr != nil {
-			// A datagram that is lost is made up for by the next beat.
-			_, _ = c.socket.WriteToUDP(data, addr)
-		}
+	for _, g := range c.Feed.Groups(m.Turn) {
+		c.sendTo(g.First, data)
+	}
+}
+
+func (c *Cast) sendTo(member zlfeed.Member, data []byte) {
+	if addr := c.resolve(member.Address); addr != nil {
+		// A datagram that is lost is made up for by the next beat.
+		_, _ = c.socket.WriteToUDP(data, addr)
 	}
 }
 
@@ -266,6 +273,9 @@
 			c.lost(eris.Wrapf(err, "datagram of %v", from))
 			continue
 		}
+		for _, member := range c.Feed.PassOn(m.VM, m.Turn) {
+			c.sendTo(member, buffer[:n])
+		}
 		c.take(&m, from.String())
 	}
 }
