Metrics: waits by route and outcome, calls to the store, queue, budget and memory

Change: histograms of the wait for each route and outcome (24 routes, the others share one), counters of calls to the store by call and outcome, gauges of requests that wait for a place, the least budget left, heap and goroutines. Test: TestWaitsAreToldByRouteAndOutcome.

--- a/core/process/zlplace/wait.go
+++ b/core/process/zlplace/wait.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -72,6 +73,20 @@
 	return len(g.waiters)
 }
 
+// WaitingInAll is how many wait for a place at any service.
+func (p *Placer) WaitingInAll() int {
+	p.mu.Lock()
+	groups := slices.Collect(maps.Values(p.groups))
+	p.mu.Unlock()
+	n := 0
+	for _, g := range groups {
+		g.mu.Lock()
+		n += len(g.waiters)
+		g.mu.Unlock()
+	}
+	return n
+}
+
 // freed wakes the first waiter; it stays until it leaves.
 func (g *group) freed() {
 	g.mu.Lock()
--- a/core/request/zlrelay/zlrelay.go
+++ b/core/request/zlrelay/zlrelay.go
@@ -6,7 +6,9 @@
 
 import (
 	"context"
+	"maps"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -174,6 +176,21 @@
 	return int(r.running.Load())
 }
 
+// BudgetLeft is the least that any service has left for second sends here.
+func (r *Relay) BudgetLeft() float64 {
+	r.mu.Lock()
+	windows := slices.Collect(maps.Values(r.windows))
+	r.mu.Unlock()
+	now := r.Timer.Now()
+	least := 0.0
+	for i, w := range windows {
+		if left := w.Left(now); i == 0 || left < least {
+			least = left
+		}
+	}
+	return least
+}
+
 // Wait returns when no send is under way.
 func (r *Relay) Wait() {
 	r.sends.Wait()
--- a/io/process/zljournal/zljournal.go
+++ b/io/process/zljournal/zljournal.go
@@ -43,6 +43,7 @@
 	second int64
 	lines  int
 	plain  int
+	routes map[string]bool
 }
 
 func (j *Journal) init() {
--- a/io/process/zljournal/zljournal_test.go
+++ b/io/process/zljournal/zljournal_test.go
@@ -8,6 +8,7 @@
 	"go/token"
 	"io"
 	"reflect"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -159,6 +160,45 @@
 	}
 }
 
+// Each outcome of a request has a histogram for its route; many routes share one.
+func TestWaitsAreToldByRouteAndOutcome(t *testing.T) {
+	scope := tally.NewTestScope("", nil)
+	j := &Journal{
+		Scope: scope,
+	}
+	for i := range 2 * routesTold {
+		s := zldecision.Subject{
+			Route: strconv.Itoa(i),
+		}
+		for _, e := range []zldecision.Event{
+			&zldecision.Answered{
+				Subject: s,
+			},
+			&zldecision.Answered{
+				Subject: s,
+				Late:    true,
+			},
+			&zldecision.Refused{
+				Subject: s,
+			},
+			&zldecision.Failed{
+				Subject: s,
+			},
+		} {
+			j.Note(e)
+		}
+	}
+	got := scope.Snapshot().Histograms()
+	if len(got) != 4*(routesTold+1) {
+		t.Fatalf("%d histograms, want %d", len(got), 4*(routesTold+1))
+	}
+	for _, outcome := range []string{"inObjective", "late", "refused", "failed"} {
+		if _, ok := got["waited+outcome="+outcome+",route=others"]; !ok {
+			t.Errorf("no histogram of the others, %s", outcome)
+		}
+	}
+}
+
 // A reader that stopped reading delays nobody, and what waits for it is bounded.
 func TestReaderThatStoppedReadingDelaysNobody(t *testing.T) {
 	reader, writer := io.Pipe()
