A VM has its part of the slack only once the others reckon with it

Added VMs took their part before the others had counted them. Change: before the first count 100 VMs are assumed; a VM that nobody knew has no slack until all have looked (29.5 s); the first VMs of a system look three times, 2 s apart; where there was a former life, all that is allowed grows with the square of the age over the first window. A look that failed is repeated after 0.5 s.

--- a/core/process/zlspend/zlspend.go
+++ b/core/process/zlspend/zlspend.go
@@ -24,9 +24,12 @@
 	Share float64
 	// Slack is the second sends allowed besides, for this VM.
 	Slack float64
-	// Since is when this process began; the slack grows from then over the
-	// first window.
+	// Since is from when the slack grows over one window; zero means that there
+	// is none yet.
 	Since time.Time
+	// Again tells that the VM had another life before Since, which may have spent
+	// all that the window allows: what the requests allow grows as well.
+	Again bool
 
 	mu      sync.Mutex
 	began   time.Time
@@ -88,18 +91,28 @@
 	return w.allowed(now) - float64(w.sum.extras)
 }
 
-// SetSlack changes this VM's part of the slack.
-func (w *Window) SetSlack(slack float64) {
+// SetSlack changes this VM's part of the slack, from when it grows, and Again.
+func (w *Window) SetSlack(slack float64, since time.Time, again bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.Slack = slack
+	w.Since = since
+	w.Again = again
 }
 
-// allowed grows over the first window from nothing: a process that was
-// restarted does not know what its former life spent.
+// allowed grows over the first window from nothing. Where a former life may have
+// spent all shortly before its end, what is allowed grows with the square of the
+// age, as that life's second sends leave the window only with time.
 func (w *Window) allowed(now time.Time) float64 {
-	age := min(float64(now.Sub(w.Since))/float64(w.Length), 1)
-	return float64(w.sum.requests)*w.Share + w.Slack*age
+	age := 0.0
+	if !w.Since.IsZero() {
+		age = min(float64(now.Sub(w.Since))/float64(w.Length), 1)
+	}
+	requests := float64(w.sum.requests) * w.Share
+	if w.Again {
+		return (requests + w.Slack) * age * age
+	}
+	return requests + w.Slack*age
 }
 
 func (w *Window) turn(now time.Time) {
--- a/core/request/zlrelay/zlrelay.go
+++ b/core/request/zlrelay/zlrelay.go
@@ -157,8 +157,11 @@
 	Sender   Sender
 	Sink     zldecision.Sink
 	Settings Settings
-	// Since is when this process began.
+	// Since is from when this VM may use its part of the slack of second sends;
+	// zero means not yet.
 	Since time.Time
+	// Again tells that this VM had another life before Since.
+	Again bool
 	// Random returns a number from 0 to below 1; nil means math/rand/v2.
 	Random func() float64
 
@@ -256,18 +259,22 @@
 			Share:  r.Settings.BudgetShare * budgetUse,
 			Slack:  r.Settings.BudgetSlack * budgetUse / float64(r.Placer.VMs()),
 			Since:  r.Since,
+			Again:  r.Again,
 		}
 		r.windows[s] = w
 	}
 	return w
 }
 
-// Resize tells that the number of VMs changed, which divides the slack.
-func (r *Relay) Resize() {
+// Resize tells that the number of VMs changed, which divides the slack, or since
+// when this VM has its part of it, and whether it had another life before.
+func (r *Relay) Resize(since time.Time, again bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.Since = since
+	r.Again = again
 	for _, w := range r.windows {
-		w.SetSlack(r.Settings.BudgetSlack * budgetUse / float64(r.Placer.VMs()))
+		w.SetSlack(r.Settings.BudgetSlack*budgetUse/float64(r.Placer.VMs()), since, again)
 	}
 }
 
--- a/core/version/zlcensus/zlcensus.go
+++ b/core/version/zlcensus/zlcensus.go
@@ -24,14 +24,37 @@
 	renewEach = time.Minute
 	// staleAfter is how long an entry counts that is not renewed.
 	staleAfter = 3 * renewEach
-	// spread lengthens each wait by up to this share.
-	spread = 0.3
+	// spreadPercent lengthens each wait by up to so much.
+	spreadPercent = 30
 	// lagMost is how old what a lagging list shows may be: "seconds".
 	lagMost = 10 * time.Second
-	// Assumed is how many VMs are assumed before the first count.
-	Assumed = 10
+	// retryLook is the time to the next look after one that failed.
+	retryLook = 500 * time.Millisecond
+	// firstLooks is how many looks, secondLook apart, the VMs that start for the
+	// first time take to have seen each other.
+	firstLooks = 3
+	// newcomer is how long after its entry was written all others have counted a
+	// VM that they did not know: the longest time between two looks, and what a
+	// list may lag.
+	newcomer = lookEach + lookEach*spreadPercent/100 + lagMost
+	// Assumed is how many VMs are assumed before the first count: more than the
+	// 90 of the platform's pages.
+	Assumed = 100
 )
 
+// Count is what a look at the entries showed.
+type Count struct {
+	Entries []Entry
+	// VMs is the number to reckon with.
+	VMs int
+	// From is since when the others reckon with this VM as well, so that it may
+	// use its part of what all share; zero means that they may not yet.
+	From time.Time
+	// Again tells that this VM had another life before, of which it does not know
+	// what it used lately.
+	Again bool
+}
+
 // Entry is what one VM wrote of itself.
 type Entry struct {
 	VM         zlunit.VM
@@ -63,17 +86,21 @@
 	// First tells that the whole system starts for the first time: no VM has
 	// written an entry yet, and nobody waits for this one.
 	First bool
-	// Counted is called with the entries that count and the number of VMs to
-	// reckon with, at each look.
-	Counted func(all []Entry, vms int)
+	// Counted is called at each look.
+	Counted func(c *Count)
 	Done    <-chan struct{}
 
 	seen    map[zlunit.VM]sight
 	count   atomic.Int64
 	written time.Time
+	// first is when this life wrote its entry for the first time.
+	first time.Time
 	// listed tells that the last look showed this VM's entry.
 	listed bool
 	looks  int
+	// from is Count.From, once it is known.
+	from  time.Time
+	again bool
 }
 
 type sight struct {
@@ -87,32 +114,61 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	c.seen = map[zlunit.VM]sight{}
-	if !c.First {
-		c.look(ctx)
-	}
+	began := c.Timer.Now()
+	looked := !c.First && c.look(ctx)
 	if own, ok := c.seen[c.Self]; ok && own.address == c.Address {
 		// The entry of an earlier life holds. When it was written is not known;
 		// the VMs that start again together write theirs one by one.
-		c.written = c.Timer.Now().Add(-time.Duration(rand.Float64() * float64(renewEach)))
+		c.written = began.Add(-time.Duration(rand.Float64() * float64(renewEach)))
 	} else {
 		c.announce(ctx)
 	}
 	wait := secondLook
+	if !c.First && !looked {
+		wait = retryLook
+	}
 	for c.Timer.Sleep(c.Done, wait) {
-		wait = secondLook
+		wait = retryLook
 		if c.look(ctx) {
-			wait = lookEach
+			wait = c.pause()
 		}
 		if c.isDue() {
 			c.announce(ctx)
 		}
-		wait += time.Duration(rand.Float64() * spread * float64(wait))
+		wait += time.Duration(rand.Float64() * spreadPercent / 100 * float64(wait))
 	}
 	if err := c.Store.Withdraw(ctx); err != nil {
 		c.failed("withdraw", err)
 	}
 }
 
+// pause is the time from a look to the next.
+func (c *Census) pause() time.Duration {
+	if c.First && c.looks < firstLooks {
+		return secondLook
+	}
+	return lookEach
+}
+
+// settle works out since when the others reckon with this VM. One whose entry was
+// there before it began is counted already.
+func (c *Census) settle(now time.Time) {
+	switch {
+	case !c.from.IsZero():
+	case c.First:
+		if c.looks >= firstLooks {
+			c.from = now
+		}
+	case c.written.IsZero():
+		if _, known := c.seen[c.Self]; known {
+			c.from = now
+			c.again = true
+		}
+	case now.Sub(c.first) >= newcomer:
+		c.from = now
+	}
+}
+
 // isDue reports whether this VM's entry is to be written: it was not yet, it
 // gets old, or it is gone.
 func (c *Census) isDue() bool {
@@ -127,6 +183,9 @@
 		return
 	}
 	c.written = c.Timer.Now()
+	if c.first.IsZero() {
+		c.first = c.written
+	}
 }
 
 func (c *Census) look(ctx context.Context) bool {
@@ -154,7 +213,7 @@
 		}
 	}
 	n := max(len(alive), 1)
-	if c.First && c.looks < 2 {
+	if c.First && c.looks < firstLooks-1 {
 		// VMs that started together may not all have written their entries.
 		n = max(n, Assumed)
 	}
@@ -168,7 +227,13 @@
 			})
 		}
 	}
-	c.Counted(alive, n)
+	c.settle(now)
+	c.Counted(&Count{
+		Entries: alive,
+		VMs:     n,
+		From:    c.from,
+		Again:   c.again,
+	})
 	return true
 }
 
--- a/core/version/zlcensus/zlcensus_test.go
+++ b/core/version/zlcensus/zlcensus_test.go
@@ -99,10 +99,10 @@
 			Timer:   &zltimer.Service{},
 			Store:   s,
 			First:   first,
-			Counted: func(_ []Entry, n int) {
+			Counted: func(c *Count) {
 				mu.Lock()
 				defer mu.Unlock()
-				vms = n
+				vms = c.VMs
 			},
 			Done: done,
 		}
