Tests of the census and the feed share their stores under a lock

Cause: the race detector found the tests' own fields read beside the code under test. Ruled out: a race in zlcensus or zlfeed (all reports name fields of the stand-ins).

--- a/core/version/zlcensus/zlcensus_test.go
+++ b/core/version/zlcensus/zlcensus_test.go
@@ -27,15 +27,16 @@
 	down     bool
 }
 
+// put writes an entry; mu is held, or nothing runs yet.
 func (s *store) put(e Entry) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
 	s.revision++
 	e.Revision = s.revision
 	s.entries[e.VM] = e
 }
 
 func (s *store) Announce(context.Context, bool) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	if s.down {
 		return errDown
 	}
@@ -44,6 +45,12 @@
 	return nil
 }
 
+func (s *store) written() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.writes
+}
+
 func (s *store) Withdraw(context.Context) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -143,12 +150,12 @@
 		if n := count(); n != 2 {
 			t.Errorf("counted %d VMs, want 2", n)
 		}
-		if s.writes != 0 {
-			t.Errorf("%d writes in the first second", s.writes)
+		if n := s.written(); n != 0 {
+			t.Errorf("%d writes in the first second", n)
 		}
 	})
-	if s.writes > 1 {
-		t.Errorf("%d writes in 20 s", s.writes)
+	if n := s.written(); n > 1 {
+		t.Errorf("%d writes in 20 s", n)
 	}
 }
 
@@ -160,8 +167,8 @@
 	}
 	play(t, false, []Entry{moved, other}, time.Second, func(s *store, _ func() int) {
 		time.Sleep(time.Second)
-		if s.writes != 1 {
-			t.Errorf("%d writes, want 1", s.writes)
+		if n := s.written(); n != 1 {
+			t.Errorf("%d writes, want 1", n)
 		}
 	})
 }
@@ -181,7 +188,7 @@
 			t.Errorf("counted %d VMs, want 2", n)
 		}
 	})
-	if s.writes == 0 {
+	if s.written() == 0 {
 		t.Error("the entry was not written")
 	}
 }
@@ -195,8 +202,8 @@
 			t.Errorf("reckoned with %d VMs", n)
 		}
 	})
-	if s.writes != 1 {
-		t.Errorf("%d writes, want 1", s.writes)
+	if n := s.written(); n != 1 {
+		t.Errorf("%d writes, want 1", n)
 	}
 }
 
@@ -214,7 +221,7 @@
 		s.down = false
 		s.mu.Unlock()
 	})
-	if s.writes == 0 {
+	if s.written() == 0 {
 		t.Error("the entry was not written")
 	}
 }
--- a/core/version/zlfeed/zlfeed_test.go
+++ b/core/version/zlfeed/zlfeed_test.go
@@ -420,7 +420,9 @@
 // others, whose own probe may be answered sooner than its.
 func TestReturnOfTheStoreWakesFew(t *testing.T) {
 	run(t, func(t *testing.T, f *fleet) {
+		f.store.mu.Lock()
 		f.store.refuses = true
+		f.store.mu.Unlock()
 		for range 5 {
 			f.down(8 * time.Second)
 			f.askers()
