No probe goes on after its answer is not needed

Change: taken out, with its time and IsProbe; the replica keeps working for nobody no longer. Test: TestPauseIsRecognisedByTheFirstOverdueRequest checks the mark itself now, as strict.

--- a/core/process/zlplace/record.go
+++ b/core/process/zlplace/record.go
@@ -165,13 +165,6 @@
 	}
 }
 
-// IsProbe reports whether the end of the flight tells that its replica is back.
-func (f *Flight) IsProbe() bool {
-	f.record.mu.Lock()
-	defer f.record.mu.Unlock()
-	return f.record.probe == f
-}
-
 // ReplicaOverdue reports whether some request at the replica is overdue.
 func (f *Flight) ReplicaOverdue() bool {
 	f.record.mu.Lock()
--- a/core/process/zlplace/zlplace_test.go
+++ b/core/process/zlplace/zlplace_test.go
@@ -98,7 +98,7 @@
 		spots = append(spots, spot)
 	}
 	spots[0].Flight.Overdue(r.now)
-	if told != 1 || !spots[1].Flight.ReplicaOverdue() || !spots[0].Flight.IsProbe() {
+	if told != 1 || !spots[1].Flight.ReplicaOverdue() || spots[0].Flight.record.probe != spots[0].Flight {
 		t.Fatalf("%d told", told)
 	}
 	for range 6 {
--- a/core/request/zlrelay/attempt.go
+++ b/core/request/zlrelay/attempt.go
@@ -17,11 +17,6 @@
 	attemptAbandoned
 )
 
-// probeTime is how long a request that marks a paused replica may go on after
-// its answer is no longer needed: over twice the pauses of the platform's pages
-// (150 ms).
-const probeTime = 400 * time.Millisecond
-
 // attempt is one send to one replica.
 type attempt struct {
 	part   *part
@@ -117,16 +112,6 @@
 	return a.state.CompareAndSwap(attemptPending, attemptAbandoned)
 }
 
-// release ends an attempt that is no longer needed. One that marks a paused
-// replica goes on for a while, since its end tells that the pause is over.
-func (a *attempt) release() {
-	if a.spot.Flight.IsProbe() {
-		a.part.run.relay.Timer.Call(probeTime, a.cancel)
-		return
-	}
-	a.cancel()
-}
-
 // forgo ends an attempt that was abandoned: it neither arrived nor ran.
 func (p *part) forgo(a *attempt) {
 	a.cancel()
--- a/core/request/zlrelay/settle.go
+++ b/core/request/zlrelay/settle.go
@@ -118,7 +118,7 @@
 // settle ends what else is under way for a part that is in.
 func (p *part) settle() {
 	for _, a := range p.live {
-		a.release()
+		a.cancel()
 	}
 	p.leave()
 }
