--- a/core/request/zlrelay/run.go
+++ b/core/request/zlrelay/run.go
@@ -275,19 +275,15 @@
 	return next
 }
 
+// finish ends what is under way for any part.
 func (x *run) finish() {
 	for i := range x.parts {
 		x.parts[i].settle()
 	}
 }
 
-// left ends the work of a caller who is gone.
+// left notes that the caller is gone; finish ends the work.
 func (x *run) left() Answer {
-	for i := range x.parts {
-		for _, a := range x.parts[i].live {
-			a.cancel()
-		}
-	}
 	x.relay.note(&zldecision.Failed{
 		Subject: x.subject(),
 		Reason:  zldecision.ReasonCallerLeft,
