A fault soak: daemons as processes under overlapping faults

Change: zinnialock soak runs the real daemons as processes against the stand-ins, behind a proxy that delays, cuts one way, silences, refuses and resets, with steps that follow from a seed, and checks the promises from what callers and upstreams see; a short run in make test. The last load of a run is followed by the upstreams' counts. Tests: the steps follow from the seed, the proxy's moods, growth, bounds that are not judged. Before that, keys written under a reader and ports taken by another run kept half of the runs from starting; both mended.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(CURDIR)/bin
 LINT := $(BIN)/golangci-lint-$(GOLANGCI_VERSION)
 
-.PHONY: capacity build fmt lint vet test unit example demo clean tools
+.PHONY: capacity build fmt lint vet test unit example soak demo clean tools
 
 build:
 	go build -o $(BIN)/zinnialock .
@@ -30,7 +30,10 @@
 example: build
 	$(BIN)/zinnialock check -config zinnialock.example.toml >/dev/null
 
-test: lint vet unit example
+soak: build
+	$(BIN)/zinnialock soak -seed 1 -time 16s
+
+test: lint vet unit example soak
 
 demo:
 	go run . demo
--- a/cmd/cmd.go
+++ b/cmd/cmd.go
@@ -103,6 +103,11 @@
 			summary: "run the whole system in one process under faults",
 			run:     runDemo,
 		},
+		{
+			name:    "soak",
+			summary: "run daemons as processes under overlapping faults and check the promises",
+			run:     runSoak,
+		},
 		{
 			name:    "capacity",
 			summary: "measure what the tier costs as it grows",
--- a/io/standin/zlfakeupstream/zlfakeupstream.go
+++ b/io/standin/zlfakeupstream/zlfakeupstream.go
@@ -195,6 +195,15 @@
 	u.leftAt = time.Now()
 }
 
+// Return ends a Leave as a restart does: it takes work again, cold.
+func (u *Upstream) Return() {
+	u.mu.Lock()
+	u.Settings.Draining = false
+	u.leftAt = time.Time{}
+	u.mu.Unlock()
+	u.GoCold(true)
+}
+
 // Update changes the settings in place.
 func (u *Upstream) Update(edit func(*Settings)) {
 	u.mu.Lock()
--- a/io/standin/zlscene/actions.go
+++ b/io/standin/zlscene/actions.go
@@ -134,6 +134,29 @@
 	return nil
 }
 
+// Leave tells the platform that an upstream leaves, or that it is back, and then
+// makes it so.
+func (s *Scene) Leave(ctx context.Context, name zlunit.Upstream, leaving bool) error {
+	for _, c := range s.Catalogs {
+		i := slices.IndexFunc(c.Upstreams, func(u zlcatalog.Upstream) bool { return u.Name == name })
+		if i < 0 {
+			continue
+		}
+		next := *c
+		next.Upstreams = slices.Clone(c.Upstreams)
+		next.Upstreams[i].Leaving = leaving
+		if err := s.putCatalog(ctx, &next); err != nil {
+			return err
+		}
+	}
+	if leaving {
+		s.Upstreams[name].Leave()
+	} else {
+		s.Upstreams[name].Return()
+	}
+	return nil
+}
+
 func (s *Scene) putCatalog(ctx context.Context, c *zlcatalog.Catalog) error {
 	version, err := s.versionOf(ctx, zlplatform.ObjectCatalog, string(c.Service))
 	if err != nil {
@@ -149,10 +172,5 @@
 // Stop stops the entry VM's daemon as planned; the error says what was cut.
 func (s *Scene) Stop(n int) error {
 	s.killed[n] = true
-	d, ok := s.entries[n].(*daemonEntry)
-	if !ok {
-		s.entries[n].Kill()
-		return nil
-	}
-	return d.daemon.Stop()
+	return s.entries[n].Stop()
 }
--- a/io/standin/zlscene/entry.go
+++ b/io/standin/zlscene/entry.go
@@ -14,6 +14,8 @@
 	Held() int
 	// Kill ends it at once.
 	Kill()
+	// Stop ends it as planned; the error says what was cut.
+	Stop() error
 }
 
 // daemonEntry is a daemon of the tier.
@@ -47,3 +49,8 @@
 func (d *daemonEntry) Kill() {
 	d.daemon.Kill()
 }
+
+// Stop implements entry.
+func (d *daemonEntry) Stop() error {
+	return d.daemon.Stop()
+}
--- a/io/standin/zlscene/naive.go
+++ b/io/standin/zlscene/naive.go
@@ -100,3 +100,9 @@
 	n.calls.Close()
 	n.parts.Wait()
 }
+
+// Stop implements entry.
+func (n *naiveDaemon) Stop() error {
+	n.Kill()
+	return nil
+}
--- a/io/standin/zlscene/upstreams.go
+++ b/io/standin/zlscene/upstreams.go
@@ -63,10 +63,17 @@
 				return nil, eris.Wrapf(err, "upstream %s", name)
 			}
 			s.Upstreams[name] = u
+			address := u.Address
+			if s.Via != nil {
+				var err error
+				if address, err = s.Via(name, address); err != nil {
+					return nil, err
+				}
+			}
 			c.Upstreams = append(c.Upstreams, zlcatalog.Upstream{
 				Name:        name,
 				DataCentre:  s.Plan.DataCentres[replica%len(s.Plan.DataCentres)],
-				Address:     u.Address,
+				Address:     address,
 				Slots:       plan.Slots,
 				Connections: plan.Connections,
 				ColdLimit:   plan.ColdLimit,
--- a/io/standin/zlscene/users.go
+++ b/io/standin/zlscene/users.go
@@ -96,6 +96,25 @@
 	}
 }
 
+// Small is a deployment of three data centres with so many daemons in each, for
+// runs with many faults.
+func Small(daemons int) UserPlan {
+	plan := UserPlan{
+		Deployment:  "small",
+		DataCentres: []zlunit.DataCentre{"press-hall", "drying-loft", "town-hall"},
+		Daemons:     daemons,
+		Services: []ServicePlan{
+			sharded("finder", 4, 3, 30),
+			whole("rolls", 3, 6, 100),
+		},
+	}
+	// Long enough that requests to one upstream overlap at a low rate.
+	for i := range plan.Services {
+		plan.Services[i].ServiceMs = 15
+	}
+	return plan
+}
+
 // Users finds a plan by its deployment's name.
 func Users(name string) (UserPlan, error) {
 	for _, p := range []UserPlan{Guild(), Vaxjo()} {
--- a/io/standin/zlscene/zlscene.go
+++ b/io/standin/zlscene/zlscene.go
@@ -48,6 +48,12 @@
 	// PlatformFor, if set, names the platform address of a daemon, for one
 	// that is to be cut off; empty means the usual one.
 	PlatformFor func(vm zlunit.VM) string
+	// Program, if set, is run as a process for each daemon; Dir is where their
+	// files go.
+	Program string
+	Dir     string
+	// Via, if set, returns the address by which an upstream is reached.
+	Via func(name zlunit.Upstream, address string) (string, error)
 	// Without switches mechanisms of the daemons off, for experiments.
 	Without zlcoord.Without
 	// Settings are further settings of the deployment.
@@ -122,6 +128,12 @@
 	return s.RunDaemon(dc, i)
 }
 
+// What a planned stop of a daemon may take.
+const (
+	stopGrace = time.Second
+	stopLimit = 10 * time.Second
+)
+
 // portTries bounds the tries to find ports that nobody takes meanwhile.
 const portTries = 5
 
@@ -138,10 +150,6 @@
 
 func (s *Scene) runDaemon(dc zlunit.DataCentre, i int) error {
 	name := fmt.Sprintf("%s-%d", dc, i+1)
-	keys, err := s.authority.Store(name)
-	if err != nil {
-		return err
-	}
 	ports, err := zlports.Free(3)
 	if err != nil {
 		return err
@@ -150,6 +158,18 @@
 	if s.PlatformFor != nil {
 		platform = cmp.Or(s.PlatformFor(zlunit.VM(name)), platform)
 	}
+	if s.Program != "" {
+		p, err := s.RunProcess(dc, i, ports)
+		if err != nil {
+			return err
+		}
+		s.entries = append(s.entries, p)
+		return nil
+	}
+	keys, err := s.authority.Store(name)
+	if err != nil {
+		return err
+	}
 	d := &zldaemon.Daemon{
 		Config: &zlconfig.Config{
 			Name:            zlunit.VM(name),
@@ -160,8 +180,8 @@
 			PeerListen:      ports[2],
 			PlatformAddress: platform,
 			PlatformTimeout: 2 * time.Second,
-			StopGrace:       time.Second,
-			StopLimit:       10 * time.Second,
+			StopGrace:       stopGrace,
+			StopLimit:       stopLimit,
 		},
 		Keys:    keys,
 		Log:     s.Log,
