--- a/io/process/zlsoak/zlsoak.go
+++ b/io/process/zlsoak/zlsoak.go
@@ -125,6 +125,7 @@
 	s.steps.Wait()
 	s.say("all steps are over")
 	if err != nil {
+		s.tellUpstreams(ctx)
 		return nil, eris.Wrap(err, "soak")
 	}
 	s.report.Load = summary
@@ -136,6 +137,31 @@
 	return &s.report, nil
 }
 
+// tellUpstreams says for each upstream whether it answers with and without the
+// proxy before it, for a run whose counts could not be read.
+func (s *Soak) tellUpstreams(ctx context.Context) {
+	client := &http.Client{
+		Timeout: time.Second,
+	}
+	defer client.CloseIdleConnections()
+	asked := func(address string) string {
+		req, err := http.NewRequestWithContext(context.WithoutCancel(ctx), http.MethodGet, "http://"+address+"/control/counts", nil)
+		if err != nil {
+			return err.Error()
+		}
+		resp, err := client.Do(req)
+		if err != nil {
+			return err.Error()
+		}
+		_ = resp.Body.Close()
+		return resp.Status
+	}
+	for _, name := range s.names {
+		p := s.upstreams[name]
+		s.say("%s: through its proxy (%d open) %s, without %s", name, p.Open(), asked(p.Address()), asked(p.Target))
+	}
+}
+
 func (s *Soak) start(ctx context.Context) error {
 	s.report = Report{
 		Seed:  s.Seed,
--- a/io/standin/zlproxy/zlproxy.go
+++ b/io/standin/zlproxy/zlproxy.go
@@ -74,6 +74,13 @@
 	p.turn = make(chan struct{})
 }
 
+// Open is how many connections are passed on now.
+func (p *Proxy) Open() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.conns)
+}
+
 // Reset breaks all open connections, with a reset either way.
 func (p *Proxy) Reset() {
 	p.mu.Lock()
