--- a/io/process/zlcapacity/stage.go
+++ b/io/process/zlcapacity/stage.go
@@ -17,6 +17,7 @@
 	"zinnialock/core/process/zlunit"
 	"zinnialock/core/version/zlcatalog"
 	"zinnialock/core/version/zltree"
+	"zinnialock/io/process/zlconfig"
 	"zinnialock/io/process/zlkeys"
 	"zinnialock/io/process/zlplatform"
 	"zinnialock/io/standin/zlfakeplatform"
@@ -264,32 +265,26 @@
 		Caller: ports[0],
 		Admin:  ports[1],
 	}
-	text := fmt.Sprintf(daemonFile, name, dc, Deployment, ports[0], ports[1], ports[2], s.Platform, files.Certificate, files.Key, files.Authority)
-	if err := os.WriteFile(place.Config, []byte(text), 0o600); err != nil {
+	cfg := &zlconfig.Config{
+		Name:            place.Name,
+		DataCentre:      dc,
+		Deployment:      Deployment,
+		CallerListen:    ports[0],
+		AdminListen:     ports[1],
+		PeerListen:      ports[2],
+		PlatformAddress: s.Platform,
+		Certificate:     files.Certificate,
+		Key:             files.Key,
+		Authority:       files.Authority,
+		LogLevel:        "error",
+	}
+	if err := os.WriteFile(place.Config, []byte(cfg.Text()), 0o600); err != nil {
 		return eris.Wrap(err, place.Config)
 	}
 	s.Places = append(s.Places, place)
 	return nil
 }
 
-const daemonFile = `[daemon]
-name = %q
-dataCentre = %q
-deployment = %q
-[listen]
-caller = %q
-admin = %q
-peer = %q
-[platform]
-address = %q
-[keys]
-certificate = %q
-key = %q
-authority = %q
-[log]
-level = "error"
-`
-
 // ReadStage reads what a running stage wrote into dir.
 func ReadStage(dir string) (*Stage, error) {
 	data, err := os.ReadFile(filepath.Join(dir, StageFile))
--- a/io/process/zlsoak/change.go
+++ b/io/process/zlsoak/change.go
@@ -34,73 +34,86 @@
 	moreShards = 2
 )
 
-// mark takes a data centre out and back. Two of three wait until nothing hinders
-// the news, so that the bound can be judged; the others come in the midst of it.
-func (s *Soak) mark(ctx context.Context, step *Step) {
+// withdrawal is what is taken out of use for a time and brought back.
+type withdrawal struct {
+	what string
+	// bound is after what time nothing new arrives there.
+	bound   time.Duration
+	out     func(ctx context.Context) error
+	arrived func() int64
+	back    func(ctx context.Context) error
+}
+
+// withdraw does so and judges the bound. Two of three wait until nothing hinders
+// the news; the others come in the midst of it.
+func (s *Soak) withdraw(ctx context.Context, step *Step, w *withdrawal) {
 	if step.Draw%3 > 0 {
 		s.calm.Lock()
 		defer s.calm.Unlock()
 	}
-	if time.Until(s.began.Add(s.Time)) < markBound+2*markWatch || ctx.Err() != nil {
+	if time.Until(s.began.Add(s.Time)) < w.bound+2*markWatch || ctx.Err() != nil {
 		return
 	}
 	s.change.Lock()
 	defer s.change.Unlock()
-	plan := s.scene.Plan.DataCentres
-	dc := plan[(step.Draw>>8)%uint64(len(plan))]
-	s.say("data centre %s is taken out", dc)
-	if err := s.scene.Mark(ctx, dc); err != nil {
-		s.failed(ctx, "mark", err)
+	s.say("%s is taken out", w.what)
+	if err := w.out(ctx); err != nil {
+		s.failed(ctx, "taking out "+w.what, err)
 		return
 	}
-	marked := time.Now()
-	sleep(ctx, markBound)
-	before := s.scene.Received(dc)
+	out := time.Now()
+	sleep(ctx, w.bound)
+	before := w.arrived()
 	sleep(ctx, markWatch)
-	n := s.scene.Received(dc) - before
-	if s.judge(!s.isHindered(marked)) && n > 0 {
-		s.broken("data centre %s: %d sub-requests arrived more than %v after it was taken out", dc, n, markBound)
+	n := w.arrived() - before
+	if s.judge(!s.isHindered(out)) && n > 0 {
+		s.broken("%s: %d sub-requests arrived more than %v after it was taken out", w.what, n, w.bound)
 	}
-	s.say("data centre %s is back", dc)
-	if err := s.scene.Mark(context.WithoutCancel(ctx)); err != nil {
-		s.failed(ctx, "mark", err)
+	s.say("%s is back", w.what)
+	if err := w.back(context.WithoutCancel(ctx)); err != nil {
+		s.failed(ctx, "bringing back "+w.what, err)
 	}
 }
 
-// leave makes an upstream leave, as mark does with a data centre.
+// mark takes a data centre out of service and back.
+func (s *Soak) mark(ctx context.Context, step *Step) {
+	plan := s.scene.Plan.DataCentres
+	dc := plan[(step.Draw>>8)%uint64(len(plan))]
+	s.withdraw(ctx, step, &withdrawal{
+		what:  "data centre " + string(dc),
+		bound: markBound,
+		out: func(ctx context.Context) error {
+			return s.scene.Mark(ctx, dc)
+		},
+		arrived: func() int64 {
+			return s.scene.Received(dc)
+		},
+		back: func(ctx context.Context) error {
+			return s.scene.Mark(ctx)
+		},
+	})
+}
+
+// leave makes an upstream leave, and come back cold.
 func (s *Soak) leave(ctx context.Context, step *Step) {
-	if step.Draw%3 > 0 {
-		s.calm.Lock()
-		defer s.calm.Unlock()
-	}
 	name, ok := s.takeUpstream(step.Draw >> 8)
 	if !ok {
 		return
 	}
 	defer s.freeUpstream(name)
-	if time.Until(s.began.Add(s.Time)) < leaveBound+2*markWatch || ctx.Err() != nil {
-		return
-	}
-	s.change.Lock()
-	defer s.change.Unlock()
-	u := s.scene.Upstreams[name]
-	s.say("%s leaves", name)
-	if err := s.scene.Leave(ctx, name, true); err != nil {
-		s.failed(ctx, "leave", err)
-		return
-	}
-	left := time.Now()
-	sleep(ctx, leaveBound)
-	before := u.Counts().AfterLeaving
-	sleep(ctx, markWatch)
-	n := u.Counts().AfterLeaving - before
-	if s.judge(!s.isHindered(left)) && n > 0 {
-		s.broken("%s: %d sub-requests arrived more than %v after it began to leave", name, n, leaveBound)
-	}
-	s.say("%s is back, cold", name)
-	if err := s.scene.Leave(context.WithoutCancel(ctx), name, false); err != nil {
-		s.failed(ctx, "return", err)
-	}
+	s.withdraw(ctx, step, &withdrawal{
+		what:  "upstream " + string(name),
+		bound: leaveBound,
+		out: func(ctx context.Context) error {
+			return s.scene.Leave(ctx, name, true)
+		},
+		arrived: func() int64 {
+			return s.scene.Upstreams[name].Counts().AfterLeaving
+		},
+		back: func(ctx context.Context) error {
+			return s.scene.Leave(ctx, name, false)
+		},
+	})
 }
 
 // failed notes an operator's call that failed though the platform was there.
--- a/io/standin/zlscene/process.go
+++ b/io/standin/zlscene/process.go
@@ -1,7 +1,6 @@
 package zlscene
 
 import (
-	"cmp"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -39,25 +38,6 @@
 	portPause = 300 * time.Millisecond
 )
 
-const processSettings = `[daemon]
-name = %q
-dataCentre = %q
-deployment = %q
-[listen]
-caller = %q
-admin = %q
-peer = %q
-[platform]
-address = %q
-[keys]
-certificate = %q
-key = %q
-authority = %q
-[stop]
-grace = %q
-limit = %q
-`
-
 // RunProcess starts the program as the daemon of entry VM i of a data centre, at
 // the given ports. Its output goes to a file for each VM, one life after another.
 func (s *Scene) RunProcess(dc zlunit.DataCentre, i int, ports []string) (*Process, error) {
@@ -71,14 +51,10 @@
 	if err != nil {
 		return nil, err
 	}
-	platform := s.Client.Address
-	if s.PlatformFor != nil {
-		platform = cmp.Or(s.PlatformFor(zlunit.VM(name)), platform)
-	}
 	path := filepath.Join(dir, "settings.toml")
-	text := fmt.Sprintf(processSettings, name, dc, s.Plan.Deployment, ports[0], ports[1], ports[2], platform,
-		files.Certificate, files.Key, files.Authority, stopGrace, stopLimit)
-	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+	cfg := s.config(name, dc, ports)
+	cfg.Certificate, cfg.Key, cfg.Authority = files.Certificate, files.Key, files.Authority
+	if err := os.WriteFile(path, []byte(cfg.Text()), 0o600); err != nil {
 		return nil, eris.Wrap(err, "settings of a process")
 	}
 	out, err := os.OpenFile(filepath.Join(dir, "log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
--- a/io/standin/zlscene/zlscene.go
+++ b/io/standin/zlscene/zlscene.go
@@ -154,10 +154,6 @@
 	if err != nil {
 		return err
 	}
-	platform := s.Client.Address
-	if s.PlatformFor != nil {
-		platform = cmp.Or(s.PlatformFor(zlunit.VM(name)), platform)
-	}
 	if s.Program != "" {
 		p, err := s.RunProcess(dc, i, ports)
 		if err != nil {
@@ -171,18 +167,7 @@
 		return err
 	}
 	d := &zldaemon.Daemon{
-		Config: &zlconfig.Config{
-			Name:            zlunit.VM(name),
-			DataCentre:      dc,
-			Deployment:      s.Plan.Deployment,
-			CallerListen:    ports[0],
-			AdminListen:     ports[1],
-			PeerListen:      ports[2],
-			PlatformAddress: platform,
-			PlatformTimeout: 2 * time.Second,
-			StopGrace:       stopGrace,
-			StopLimit:       stopLimit,
-		},
+		Config:  s.config(name, dc, ports),
 		Keys:    keys,
 		Log:     s.Log,
 		Without: s.Without,
@@ -196,6 +181,26 @@
 	return nil
 }
 
+// config is the settings of an entry VM's daemon, but for its keys.
+func (s *Scene) config(name string, dc zlunit.DataCentre, ports []string) *zlconfig.Config {
+	platform := s.Client.Address
+	if s.PlatformFor != nil {
+		platform = cmp.Or(s.PlatformFor(zlunit.VM(name)), platform)
+	}
+	return &zlconfig.Config{
+		Name:            zlunit.VM(name),
+		DataCentre:      dc,
+		Deployment:      s.Plan.Deployment,
+		CallerListen:    ports[0],
+		AdminListen:     ports[1],
+		PeerListen:      ports[2],
+		PlatformAddress: platform,
+		PlatformTimeout: 2 * time.Second,
+		StopGrace:       stopGrace,
+		StopLimit:       stopLimit,
+	}
+}
+
 // readyWait bounds the start of a scene.
 const readyWait = 10 * time.Second
 
