Hold the place of what was given up until the upstream has ended it

Cause: a request that was given up counted for at most a second past its deadline, then the next one was sent. An upstream that was stopped for longer still works on the first when it goes on, so a cold one bears more than its limit.

Change: the place is held until the upstream ends the connection, for 30 s at most, or until its VM leaves the end unacknowledged for 2 s.

Before: TestUnconfirmedEndKeepsItsPlace fails, the second request arrives after 1.05 s. After: it arrives once the first has ended.

--- a/io/request/zlupcall/conn.go
+++ b/io/request/zlupcall/conn.go
@@ -112,8 +112,8 @@
 	c.shut(fl.deadline)
 }
 
-// shut closes the sending side and bounds the wait for the upstream's; mu is
-// held.
+// shut closes the sending side and waits for the upstream's end as long as its
+// VM acknowledges what it gets, lingerLimit at most; mu is held.
 func (c *conn) shut(deadline time.Time) {
 	if c.isClosed {
 		return
@@ -125,9 +125,13 @@
 		until = deadline
 	}
 	_ = c.SetReadDeadline(until.Add(lingerLimit))
-	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
-		_ = half.CloseWrite()
+	half, ok := c.Conn.(*net.TCPConn)
+	if !ok {
+		return
 	}
+	// Both fail only on a connection that is closed already.
+	_ = watchVM(half)
+	_ = half.CloseWrite()
 }
 
 // retire ends an idle connection.
--- a/io/request/zlupcall/zlupcall.go
+++ b/io/request/zlupcall/zlupcall.go
@@ -27,8 +27,12 @@
 	// dialLimit bounds the making of a connection.
 	dialLimit = time.Second
 	// lingerLimit bounds the wait, past the deadline, for the upstream to
-	// confirm that it stopped.
-	lingerLimit = time.Second
+	// confirm that it stopped: longer than the longest pause that is tried
+	// (contrib/fleet.sh, 22 s). A paused process goes on where it was.
+	lingerLimit = 30 * time.Second
+	// silentLimit is how long the upstream's VM may leave data unacknowledged
+	// meanwhile: a wide-area round trip and the first two retransmissions.
+	silentLimit = 2 * time.Second
 	// idleLimit is how long an unused connection is kept.
 	idleLimit = 20 * time.Second
 	// maxTries bounds the connections tried for one call.
