Own daemons tell when the platform is lost and when it is back

Cause: a daemon wrote a line once its leases could not be confirmed, never one for the return, and none when only edits or news failed. Every call goes through one client, which knows it first.

Ruled out: a line for each failed call (replies that are lost one by one would fill the budget): lost means that a call failed and none succeeded for a second.

Before: no line for the return. A lease that is not confirmed stays a belief of its own.

--- a/io/process/zldaemon/journal.go
+++ b/io/process/zldaemon/journal.go
@@ -14,6 +14,7 @@
 	"zinnialock/core/request/zltrace"
 	"zinnialock/core/version/zlview"
 	"zinnialock/io/process/zljournal"
+	"zinnialock/io/process/zlplatform"
 )
 
 // journalEnd bounds how long the last lines may take: a reader of standard
@@ -74,16 +75,21 @@
 	})
 }
 
-// event writes a changed belief down, or a dependency that was lost or regained.
-func (j *journal) event(e zlevent.Event) {
-	if e.Kind == zlevent.KindPlatform {
-		j.lines.Note(&zldecision.Dependency{
-			Name:  "platform",
-			State: "lost",
-			Why:   e.Why,
-		})
-		return
+// turned writes down that the platform was lost or is back.
+func (j *journal) turned(t zlplatform.Turn) {
+	e := &zldecision.Dependency{
+		Name:  "platform",
+		State: "regained",
+		Out:   t.Out,
+	}
+	if t.Err != nil {
+		e.State, e.Why = "lost", t.Err.Error()
 	}
+	j.lines.Note(e)
+}
+
+// event writes a changed belief down.
+func (j *journal) event(e zlevent.Event) {
 	var version uint64
 	if v := j.views.Load(); v != nil {
 		version = uint64(v.Tree.Serial)
--- a/io/process/zldaemon/journal_test.go
+++ b/io/process/zldaemon/journal_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"errors"
 	"go/ast"
 	"go/parser"
 	"go/token"
@@ -17,6 +18,7 @@
 	"zinnialock/core/version/zlview"
 	"zinnialock/io/process/zlconfig"
 	"zinnialock/io/process/zlmetric"
+	"zinnialock/io/process/zlplatform"
 )
 
 // told runs a daemon's journal alone and returns its lines and its metrics.
@@ -186,13 +188,16 @@
 			Subject: "u1",
 			Why:     "warm to cold: slow",
 		})
-		j.event(zlevent.Event{
-			Kind: zlevent.KindPlatform,
-			Why:  "down",
+		j.turned(zlplatform.Turn{
+			Err: errors.New("down"),
+		})
+		j.turned(zlplatform.Turn{
+			Out: 2 * time.Second,
 		})
 	})
-	if len(lines) != 3 || lines[0]["event"] != "process" || lines[1]["event"] != "belief" || lines[1]["name"] != "u1" ||
-		lines[2]["event"] != "dependency" || lines[2]["state"] != "lost" {
+	if len(lines) != 4 || lines[0]["event"] != "process" || lines[1]["event"] != "belief" || lines[1]["name"] != "u1" ||
+		lines[2]["event"] != "dependency" || lines[2]["state"] != "lost" || lines[2]["why"] != "down" ||
+		lines[3]["state"] != "regained" || lines[3]["outMs"] != 2000.0 {
 		t.Fatalf("lines %v", lines)
 	}
 }
--- a/io/process/zldaemon/zldaemon.go
+++ b/io/process/zldaemon/zldaemon.go
@@ -141,6 +141,9 @@
 		Address: cfg.PlatformAddress,
 		HTTP:    d.meter.NewHTTP(),
 		Timeout: cfg.PlatformTimeout,
+		Turned: func(t zlplatform.Turn) {
+			d.journal.turned(t)
+		},
 	}
 	d.buildNews()
 	d.calls = &zlupcall.Caller{}
--- a/io/process/zlplatform/zlplatform.go
+++ b/io/process/zlplatform/zlplatform.go
@@ -97,6 +97,11 @@
 	HTTP    *http.Client
 	// Timeout bounds each call; a watch has its own wait on top.
 	Timeout time.Duration
+	// Turned, if set, is called when the platform is lost and when it is back.
+	// It must not block.
+	Turned func(t Turn)
+
+	reach reach
 }
 
 // Get reads one object.
@@ -156,6 +161,14 @@
 }
 
 func (c *Client) call(ctx context.Context, op, method, path string, body []byte, timeout time.Duration, out any) error {
+	err := c.exchange(ctx, op, method, path, body, timeout, out)
+	if ctx.Err() == nil {
+		c.note(err)
+	}
+	return err
+}
+
+func (c *Client) exchange(ctx context.Context, op, method, path string, body []byte, timeout time.Duration, out any) error {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, method, "http://"+c.Address+path, bytes.NewReader(body))
