An answer that belongs to another request has a line and a counter

Cause: zlexchange skipped up to two such answers in silence, so that a replica that mixes answers up could not be told from a slow one.

On the way: bytes after an answer were looked for twice, when the connection is put back and when it is taken again; either alone passed the tests. What came with the answer now ends the connection when it is put back, what comes later when it is taken.

Before: TestLateExtraAnswerIsNotTheNext finds no event; taking out the check of buffered bytes failed no test. After: the event is there, and without that check TestBytesAfterAnAnswerEndTheConnection fails.

--- a/core/process/zldecision/zldecision.go
+++ b/core/process/zldecision/zldecision.go
@@ -132,6 +132,15 @@
 	Budget  float64
 }
 
+// Dropped is an answer of a replica that belongs to another request. It is not
+// passed on; the wait goes on.
+type Dropped struct {
+	Request  zlunit.RequestID
+	Reason   Reason
+	Upstream zlunit.Upstream
+	Status   int
+}
+
 // Belief is a changed belief about a replica, data centre or version.
 type Belief struct {
 	Topic   string
@@ -161,6 +170,7 @@
 func (*Failed) event()     {}
 func (*Sent) event()       {}
 func (*Held) event()       {}
+func (*Dropped) event()    {}
 func (*Belief) event()     {}
 func (*Dependency) event() {}
 func (*Process) event()    {}
--- a/io/process/zljournal/count.go
+++ b/io/process/zljournal/count.go
@@ -37,6 +37,8 @@
 		j.add("sent", "reason", string(e.Reason))
 	case *zldecision.Held:
 		j.add("held", "reason", string(e.Reason))
+	case *zldecision.Dropped:
+		j.add("dropped", "reason", string(e.Reason))
 	case *zldecision.Belief:
 		j.add("belief", "what", e.What)
 	case *zldecision.Dependency:
--- a/io/process/zljournal/write.go
+++ b/io/process/zljournal/write.go
@@ -41,6 +41,9 @@
 		subject(line.Str("event", "held"), &e.Subject)
 		line.Str("reason", string(e.Reason)).Str("service", string(e.Service)).Str("from", string(e.From)).
 			Float64("budgetLeft", e.Budget)
+	case *zldecision.Dropped:
+		line.Str("event", "dropped").Str("request", string(e.Request)).Str("reason", string(e.Reason)).
+			Str("upstream", string(e.Upstream)).Int("status", e.Status)
 	case *zldecision.Belief:
 		line.Str("event", "belief").Str("topic", e.Topic).Str("name", e.Name).Str("what", e.What)
 		text(line, "service", string(e.Service))
--- a/io/process/zljournal/zljournal_test.go
+++ b/io/process/zljournal/zljournal_test.go
@@ -59,6 +59,10 @@
 			Name:  "store",
 			State: "lost",
 		},
+		&zldecision.Dropped{
+			Request: "r-1",
+			Reason:  zldecision.ReasonForeignReply,
+		},
 		&zldecision.Process{
 			What: "start",
 		},
--- a/io/request/zlexchange/exchange.go
+++ b/io/request/zlexchange/exchange.go
@@ -45,7 +45,7 @@
 			written <- err
 		}()
 	}
-	reply, sound := x.receive(c, req, call)
+	reply, sound := x.receive(c, req, e, call)
 	if written == nil {
 		return reply, sound
 	}
@@ -115,7 +115,7 @@
 }
 
 // receive reads answers until one belongs to the call.
-func (x *Exchange) receive(c *conn, req *http.Request, call *zlrelay.Call) (zlrelay.Reply, bool) {
+func (x *Exchange) receive(c *conn, req *http.Request, e *zlregistry.Entry, call *zlrelay.Call) (zlrelay.Reply, bool) {
 	for range strangersMost + 1 {
 		resp, err := http.ReadResponse(c.reader, req)
 		for err == nil && resp.StatusCode < http.StatusOK {
@@ -130,6 +130,12 @@
 		}
 		reply := x.Translator.Incoming(call, resp, body)
 		if reply == nil {
+			x.Sink.Note(&zldecision.Dropped{
+				Request:  call.Request.ID,
+				Reason:   zldecision.ReasonForeignReply,
+				Upstream: e.ID,
+				Status:   resp.StatusCode,
+			})
 			continue
 		}
 		c.keep = keepTime(resp.Header)
--- a/io/request/zlexchange/quiet.go
+++ b/io/request/zlexchange/quiet.go
@@ -6,11 +6,8 @@
 )
 
 // quiet reports whether nothing was received on an idle connection: neither its
-// end nor bytes that belong to no request.
+// end nor bytes that belong to no request. What came with the last answer ended it.
 func (c *conn) quiet() bool {
-	if c.reader.Buffered() > 0 {
-		return false
-	}
 	source, ok := c.Conn.(syscall.Conn)
 	if !ok {
 		return true
--- a/io/request/zlexchange/zlexchange.go
+++ b/io/request/zlexchange/zlexchange.go
@@ -43,10 +43,11 @@
 	Incoming(c *zlrelay.Call, resp *http.Response, body []byte) zlrelay.Reply
 }
 
-// Exchange implements zlrelay.Sender. Translator and Done must be set before
+// Exchange implements zlrelay.Sender. Translator, Sink and Done must be set before
 // use; Run sweeps idle connections until Done is closed.
 type Exchange struct {
 	Translator Translator
+	Sink       zldecision.Sink
 	Done       <-chan struct{}
 
 	mu    sync.Mutex
--- a/io/request/zlexchange/zlexchange_test.go
+++ b/io/request/zlexchange/zlexchange_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -55,6 +56,17 @@
 	group sync.WaitGroup
 }
 
+// dropped counts the answers that were told to belong to others.
+type dropped struct {
+	atomic.Int64
+}
+
+func (d *dropped) Note(e zldecision.Event) {
+	if e, ok := e.(*zldecision.Dropped); ok && e.Request == "1" && e.Upstream == "a" && e.Reason == zldecision.ReasonForeignReply {
+		d.Add(1)
+	}
+}
+
 func newReplica(t *testing.T, answer func(n int, id string, c net.Conn) bool) (*replica, *Exchange, *zlregistry.Entry) {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -69,6 +81,7 @@
 	done := make(chan struct{})
 	x := &Exchange{
 		Translator: plain{},
+		Sink:       &dropped{},
 		Done:       done,
 	}
 	r.group.Go(x.Run)
@@ -190,7 +203,7 @@
 	}
 }
 
-// An extra answer comes where the next one is expected.
+// An extra answer comes where the next one is expected; it is dropped and told.
 func TestLateExtraAnswerIsNotTheNext(t *testing.T) {
 	_, x, e := newReplica(t, func(n int, id string, c net.Conn) bool {
 		if n == 1 {
@@ -201,6 +214,9 @@
 	})
 	wantWhole(t, send(x, e, "0"), "own")
 	wantWhole(t, send(x, e, "1"), "own")
+	if n := x.Sink.(*dropped).Load(); n != 1 {
+		t.Fatalf("%d answers of others told", n)
+	}
 }
 
 // Bytes after an answer belong to no request; the connection is not used again.
