A VM that is fed does not ask because of the beat that arrives just then

Cause: MayAsk looked whether the VM is fed, let go of the lock and then worked out how long it waits. A beat between the two turned the wait of a VM that was never fed (0.6 s) into that of one that is fed no more (40 ms times its rank): it asked the store though it was fed.

Ruled out: the order of the census (the same with all members known before the start), a beat that is lost (the revisions and the confirmation were there).

Change: both are decided under one lock.

--- a/core/version/zlfeed/fleet_test.go
+++ b/core/version/zlfeed/fleet_test.go
@@ -163,7 +163,8 @@
 	vms   []*vm
 }
 
-func newFleet() *fleet {
+// newFleet starts VMs that learn of each other after known.
+func newFleet(known time.Duration) *fleet {
 	f := &fleet{
 		store: &store{
 			changed: make(chan struct{}),
@@ -179,7 +180,17 @@
 		})
 	}
 	for i := range members {
-		f.vms = append(f.vms, f.build(members[i], members))
+		f.vms = append(f.vms, f.build(members[i]))
+	}
+	learn := func() {
+		for _, v := range f.vms {
+			v.feed.SetMembers(members)
+		}
+	}
+	if known > 0 {
+		time.AfterFunc(known, learn)
+	} else {
+		learn()
 	}
 	for _, v := range f.vms {
 		go v.follower.Run()
@@ -188,7 +199,7 @@
 	return f
 }
 
-func (f *fleet) build(m Member, all []Member) *vm {
+func (f *fleet) build(m Member) *vm {
 	timer := &zltimer.Service{}
 	v := &vm{
 		store:  f.store,
@@ -213,7 +224,6 @@
 		Told:  func(t zlfollow.Topic, d *zlfollow.Delta) { f.tell(v, t, d) },
 	}
 	v.feed.Revisions = v.follower.Revisions
-	v.feed.SetMembers(all)
 	return v
 }
 
@@ -327,13 +337,17 @@
 func run(t *testing.T, test func(t *testing.T, f *fleet)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
-		f := newFleet()
+		f := newFleet(0)
 		time.Sleep(2 * time.Second)
 		test(t, f)
-		for _, v := range f.vms {
-			close(v.done)
-		}
-		time.Sleep(time.Minute)
-		synctest.Wait()
+		f.close()
 	})
 }
+
+func (f *fleet) close() {
+	for _, v := range f.vms {
+		close(v.done)
+	}
+	time.Sleep(time.Minute)
+	synctest.Wait()
+}
--- a/core/version/zlfeed/zlfeed.go
+++ b/core/version/zlfeed/zlfeed.go
@@ -162,10 +162,15 @@
 
 // Fed implements zlfollow.Feed.
 func (f *Feed) Fed(lost bool) bool {
-	now := f.Timer.Now()
 	have := f.Revisions()
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	return f.fed(lost, have)
+}
+
+// fed is Fed with what this VM holds; mu is held.
+func (f *Feed) fed(lost bool, have [zlfollow.Topics]uint64) bool {
+	now := f.Timer.Now()
 	fed := f.known && (f.rank > 0 || lost) && now.Sub(f.confirmed) <= f.fresh() && f.upToDate(now, have)
 	switch {
 	case fed:
@@ -198,14 +203,13 @@
 
 // MayAsk implements zlfollow.Feed.
 func (f *Feed) MayAsk() bool {
-	if f.Fed(false) {
-		return false
-	}
 	have := f.Revisions()
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	age := f.Timer.Now().Sub(f.Start)
 	switch {
+	case f.fed(false, have):
+		return false
 	case f.First && age < firstWait:
 		return f.known && f.rank == 0
 	case !f.known && age < censusWait:
--- a/core/version/zlfeed/zlfeed_test.go
+++ b/core/version/zlfeed/zlfeed_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"zinnialock/core/version/zlfollow"
@@ -85,6 +86,21 @@
 	})
 }
 
+// All VMs lost power and start at once; the census is read a moment later. Half of the
+// first second is left for requests.
+func TestAllServeInTheFirstSecond(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(5 * time.Millisecond)
+		defer f.close()
+		time.Sleep(500 * time.Millisecond)
+		for _, v := range f.vms {
+			if v.book.View().Table == nil {
+				t.Errorf("%s cannot serve", v.member.VM)
+			}
+		}
+	})
+}
+
 // The store is back for all: the first of the order brings the news to the
 // others, whose own probe may be answered sooner than its.
 func TestReturnOfTheStoreWakesFew(t *testing.T) {
