A daemon that leaves tells callers to end their connections

A connection that was kept is ended by the daemon when the grace is over; a caller that uses it in that moment loses its query, and nothing told callers before. Not shown to be the cause: the test's callers pick a daemon for half of the grace only, so it needs 0.5 s between pick and use besides.

Change: answers given while the daemon leaves carry Connection: close.

Before: TestLeavingDaemonTellsCallersToClose fails. After: it passes, three runs.

--- a/io/process/zldaemon/zldaemon.go
+++ b/io/process/zldaemon/zldaemon.go
@@ -216,11 +216,16 @@
 	return server, nil
 }
 
-// counted counts the queries in flight, for a planned stop.
+// counted counts the queries in flight, for a planned stop. Callers of a daemon that is
+// leaving are told to end their connections: one that is kept and used again in the
+// moment in which the daemon ends it would lose its query.
 func (d *Daemon) counted(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		d.inFlight.Add(1)
 		defer d.inFlight.Add(-1)
+		if d.stopping.Load() {
+			w.Header().Set("Connection", "close")
+		}
 		next.ServeHTTP(w, r)
 	})
 }
--- a/io/standin/zlscene/rolling_test.go
+++ b/io/standin/zlscene/rolling_test.go
@@ -4,8 +4,10 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net/http"
 	"os"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -179,6 +181,52 @@
 	})
 }
 
+// A connection that is used while its daemon leaves is not kept.
+func TestLeavingDaemonTellsCallersToClose(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	defer http.DefaultClient.CloseIdleConnections()
+	convey.Convey("Callers are told to end their connections from the start of the grace on", t, func() {
+		s := &Scene{
+			Plan: UserPlan{
+				Deployment:  "guild",
+				DataCentres: []zlunit.DataCentre{"nashua"},
+				Daemons:     1,
+				Services:    []ServicePlan{whole("rolls", 1, 6, 100)},
+			},
+			Seed: 1,
+			Log: &log.Logger{
+				Level: log.PanicLevel,
+			},
+		}
+		convey.So(s.Run(context.Background()), convey.ShouldBeNil)
+		defer s.Close()
+		ask := func() (status int, ends bool) {
+			body := strings.NewReader(`{"service":"rolls","kind":"lookup","text":"mark","deadlineMs":5000}`)
+			resp, err := http.Post("http://"+s.Targets()[0]+zlfront.Path, "application/json", body)
+			convey.So(err, convey.ShouldBeNil)
+			_, _ = io.Copy(io.Discard, resp.Body)
+			_ = resp.Body.Close()
+			return resp.StatusCode, resp.Close
+		}
+		status, ends := ask()
+		convey.So(status, convey.ShouldEqual, http.StatusOK)
+		convey.So(ends, convey.ShouldBeFalse)
+		d := s.entries[0].(*daemonEntry).daemon
+		d.Config.StopGrace = 3 * time.Second
+		stopped := make(chan error, 1)
+		go func() {
+			stopped <- s.Stop(0)
+		}()
+		for ready := true; ready; ready, _ = d.Ready() {
+			time.Sleep(time.Millisecond)
+		}
+		status, ends = ask()
+		convey.So(status, convey.ShouldEqual, http.StatusOK)
+		convey.So(ends, convey.ShouldBeTrue)
+		convey.So(<-stopped, convey.ShouldBeNil)
+	})
+}
+
 func TestStopLimitSaysWhatItCut(t *testing.T) {
 	defer goleak.VerifyNone(t)
 	defer http.DefaultClient.CloseIdleConnections()
