Requests that come while a process starts wait for its first table

Ruled out: a slow start of the process (7 ms), the census (9 to 19 ms, before the table), cold connections.

Change: a request waits for the first table and replicas for a tenth of its caller's time, and not past 100 ms after the start, so that nothing is held while the store is out.

--- a/core/request/zlrelay/run.go
+++ b/core/request/zlrelay/run.go
@@ -13,11 +13,11 @@
 )
 
 const (
-	// answerMargin is the least time before the objective's end at which an
+	// answerMarginLeast is the least time before the objective's end at which an
 	// answer that may lack parts goes out, besides what is on the way: late
 	// timers, merging and writing. timerMargin is the first of these.
-	answerMargin = 4 * time.Millisecond
-	timerMargin  = 2 * time.Millisecond
+	answerMarginLeast = 4 * time.Millisecond
+	timerMargin       = 2 * time.Millisecond
 	// partWork is the processor time for each part by which the answer goes out
 	// sooner on a VM with little of a processor, which may be busy with what
 	// arrives for another request then: a quarter of the 142 us that a send and
@@ -119,12 +119,12 @@
 // has to be on its way. It answers the pattern of many weak VMs, each with few
 // requests of many parts.
 func (r *Relay) answerMargin(route *zltable.Route) time.Duration {
-	margin := answerMargin
+	margin := answerMarginLeast
 	if cores := r.Settings.Cores; cores > 0 && cores < 1 {
 		work := float64(len(route.Shards)) * float64(partWork) / cores
 		margin = max(margin, timerMargin+time.Duration(work))
 	}
-	return min(margin, max(time.Duration(marginMost*float64(route.Objective)), answerMargin))
+	return min(margin, max(time.Duration(marginMost*float64(route.Objective)), answerMarginLeast))
 }
 
 func (x *run) serve() Answer {
--- a/core/request/zlrelay/zlrelay.go
+++ b/core/request/zlrelay/zlrelay.go
@@ -157,6 +157,8 @@
 	Sender   Sender
 	Sink     zldecision.Sink
 	Settings Settings
+	// Start is when this process began.
+	Start time.Time
 	// Since is from when this VM may use its part of the slack of second sends;
 	// zero means not yet.
 	Since time.Time
@@ -205,6 +207,17 @@
 	defer r.running.Add(-1)
 	view := r.Book.View()
 	if !view.Ready() {
+		r.awaitTable(ctx, req)
+		view = r.Book.View()
+	}
+	switch {
+	case ctx.Err() != nil:
+		r.note(&zldecision.Failed{
+			Subject: r.subject(view, req, nil),
+			Reason:  zldecision.ReasonCallerLeft,
+		})
+		return nil
+	case !view.Ready():
 		return r.refuse(view, req, nil, zldecision.ReasonNoTable, "")
 	}
 	route, ok := view.Table.Match(req.Message.Host, req.Message.Path)
--- a/core/version/zlregistry/book.go
+++ b/core/version/zlregistry/book.go
@@ -58,6 +58,9 @@
 	badSince time.Time
 	goodAt   time.Time
 	notices  []Notice
+	// ready is closed once the view is.
+	ready   chan struct{}
+	isReady bool
 }
 
 type tombstone struct {
@@ -73,6 +76,25 @@
 	return &View{}
 }
 
+// Readied returns what is closed once requests can be served from the view.
+func (b *Book) Readied() <-chan struct{} {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.ready == nil {
+		b.ready = make(chan struct{})
+		b.tellReady()
+	}
+	return b.ready
+}
+
+// tellReady closes ready where it is due; mu is held.
+func (b *Book) tellReady() {
+	if b.ready != nil && !b.isReady && b.View().Ready() {
+		b.isReady = true
+		close(b.ready)
+	}
+}
+
 // SetTable takes a table, unless one as new or newer is known, and reports
 // whether it is now in force.
 func (b *Book) SetTable(t *zltable.Table, at time.Time) bool {
@@ -331,6 +353,7 @@
 func (b *Book) release() {
 	notices := b.notices
 	b.notices = nil
+	b.tellReady()
 	b.mu.Unlock()
 	for _, n := range notices {
 		b.Heard(n)
