--- a/io/process/zlsoak/change.go
+++ b/io/process/zlsoak/change.go
@@ -123,7 +123,13 @@
 	}
 }
 
+// edit changes the settings and judges when they are in force. Two of three edits
+// wait until nothing hinders the news, as few would be judged else.
 func (s *Soak) edit(ctx context.Context, step *Step) {
+	if step.Draw%3 > 0 {
+		s.calm.Lock()
+		defer s.calm.Unlock()
+	}
 	s.change.Lock()
 	defer s.change.Unlock()
 	value := fmt.Sprintf("%dms", 2000+step.Draw%1000)
