A table waits while the replicas of its new shards are cold and the old ones serve

Ruled out: too few connections to the new replicas, the budget of second sends (both are enough from the moment on at which they are warm), a late table (it is in force 0.1 s after it was written).

Change: a table that moves a route to services it did not have waits until each has a warm replica, as long as the old services serve. It does not wait past the bound of 3 s, reckoned from the time at which the store last confirmed the old table, less 0.8 s between two watches and 0.3 s; where that time is not known (after an outage, at a start) it is in force at once, as is one after a pause of the process.

--- a/core/request/zlrelay/attempt.go
+++ b/core/request/zlrelay/attempt.go
@@ -95,7 +95,7 @@
 }
 
 func (a *attempt) usable() bool {
-	v := a.part.run.relay.Book.View()
+	v := a.part.run.relay.Book.Current()
 	if v.Out[a.spot.Entry.DataCentre] {
 		return false
 	}
--- a/core/request/zlrelay/part.go
+++ b/core/request/zlrelay/part.go
@@ -126,7 +126,7 @@
 		p.starve(now, why, from, spare)
 		return
 	}
-	spot, result := x.relay.Placer.Place(x.relay.Book.View(), now, &zlplace.Want{
+	spot, result := x.relay.Placer.Place(x.relay.Book.Current(), now, &zlplace.Want{
 		Service: p.service,
 		Skip:    p.tried,
 		Spare:   spare,
--- a/core/request/zlrelay/scripted_test.go
+++ b/core/request/zlrelay/scripted_test.go
@@ -178,7 +178,7 @@
 			})
 		}
 	}
-	book.SetTable(zltable.New(1, routes, services, zltable.Limits{}), time.Now())
+	book.SetTable(zltable.New(1, routes, services, zltable.Limits{}), time.Now(), time.Time{})
 	book.Replace(all, time.Now())
 	placer := &zlplace.Placer{}
 	placer.SetVMs(1)
--- a/core/request/zlrelay/start_test.go
+++ b/core/request/zlrelay/start_test.go
@@ -15,13 +15,13 @@
 // after the time given.
 func starting(after time.Duration) *Relay {
 	r := bench(newScripted(nil), singleRoute(true, 2))
-	known := r.Book.View()
+	known := r.Book.Current()
 	r.Book = &zlregistry.Book{
 		Timer: r.Timer,
 	}
 	r.Start = time.Now()
 	time.AfterFunc(after, func() {
-		r.Book.SetTable(known.Table, time.Now())
+		r.Book.SetTable(known.Table, time.Now(), time.Time{})
 	})
 	time.AfterFunc(after+5*time.Millisecond, func() {
 		var all []zlregistry.Replica
@@ -111,7 +111,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		r := starting(0)
 		ready := r.Book.Readied()
-		r.Book.SetTable(zltable.New(1, nil, nil, zltable.Limits{}), time.Now())
+		r.Book.SetTable(zltable.New(1, nil, nil, zltable.Limits{}), time.Now(), time.Time{})
 		synctest.Wait()
 		select {
 		case <-ready:
--- a/core/request/zlrelay/world_test.go
+++ b/core/request/zlrelay/world_test.go
@@ -247,7 +247,7 @@
 				all = append(all, e.Replica)
 			}
 		}
-		book.SetTable(w.view.Table, time.Now())
+		book.SetTable(w.view.Table, time.Now(), time.Time{})
 		book.Replace(all, time.Now())
 		random := rand.New(rand.NewPCG(uint64(i), 2))
 		var mu sync.Mutex
--- a/core/request/zlrelay/zlrelay.go
+++ b/core/request/zlrelay/zlrelay.go
@@ -205,10 +205,10 @@
 func (r *Relay) Serve(ctx context.Context, req *Request) Answer {
 	r.running.Add(1)
 	defer r.running.Add(-1)
-	view := r.Book.View()
+	view := r.Book.Current()
 	if !view.Ready() {
 		r.awaitTable(ctx, req)
-		view = r.Book.View()
+		view = r.Book.Current()
 	}
 	switch {
 	case ctx.Err() != nil:
--- a/core/version/zlfeed/fleet_test.go
+++ b/core/version/zlfeed/fleet_test.go
@@ -45,10 +45,41 @@
 	return s.version
 }
 
+// item is the table. Its only route goes over to another service with each version,
+// whose replicas stay cold.
 func (s *store) item() zlfollow.Item {
+	route := zltable.Route{
+		Host:   "h",
+		Prefix: "/",
+		Targets: []zltable.Target{{
+			Service: serviceOf(s.version),
+			Weight:  1,
+		}},
+	}
 	return &zlfollow.TableItem{
-		Table: zltable.New(s.version, nil, nil, zltable.Limits{}),
+		Table: zltable.New(s.version, []zltable.Route{route}, nil, zltable.Limits{}),
+	}
+}
+
+func serviceOf(v zltable.Version) zlunit.Service {
+	return zlunit.Service(fmt.Sprintf("s%d", v))
+}
+
+// replicas are one cold replica of each service of the versions.
+func replicas() []zlfollow.Item {
+	var list []zlfollow.Item
+	for v := range zltable.Version(32) {
+		id := zlunit.Upstream(serviceOf(v) + "-1")
+		list = append(list, &zlfollow.ReplicaItem{
+			ID: id,
+			Replica: &zlregistry.Replica{
+				ID:      id,
+				Service: serviceOf(v),
+				ColdFor: time.Hour,
+			},
+		})
 	}
+	return list
 }
 
 // vm is one VM of the fleet.
@@ -119,8 +150,12 @@
 	p := &zlfollow.Page{
 		Revision: v.store.revision,
 	}
-	if t == zlfollow.TopicTable {
+	switch t {
+	case zlfollow.TopicTable:
 		p.Items = append(p.Items, v.store.item())
+	case zlfollow.TopicReplicas:
+		p.Items = replicas()
+	default:
 	}
 	return p, nil
 }
@@ -163,8 +198,9 @@
 	vms   []*vm
 }
 
-// newFleet starts VMs that learn of each other after known.
-func newFleet(known time.Duration) *fleet {
+// newFleet starts VMs that learn of each other after known; with waits each table
+// waits for its replicas as long as it may.
+func newFleet(known time.Duration, waits bool) *fleet {
 	f := &fleet{
 		store: &store{
 			changed: make(chan struct{}),
@@ -180,7 +216,11 @@
 		})
 	}
 	for i := range members {
-		f.vms = append(f.vms, f.build(members[i]))
+		v := f.build(members[i])
+		if waits {
+			v.follower.Within = bound
+		}
+		f.vms = append(f.vms, v)
 	}
 	learn := func() {
 		for _, v := range f.vms {
@@ -288,7 +328,7 @@
 		for _, b := range but {
 			skip = skip || b == v
 		}
-		if got := v.book.View().Table; !skip && (got == nil || got.Version != version) {
+		if got := v.book.Current().Table; !skip && (got == nil || got.Version != version) {
 			t.Errorf("%s has not version %d within %v", v.member.VM, version, bound)
 		}
 	}
@@ -335,9 +375,14 @@
 }
 
 func run(t *testing.T, test func(t *testing.T, f *fleet)) {
+	t.Helper()
+	runFleet(t, false, test)
+}
+
+func runFleet(t *testing.T, waits bool, test func(t *testing.T, f *fleet)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
-		f := newFleet(0)
+		f := newFleet(0, waits)
 		time.Sleep(2 * time.Second)
 		test(t, f)
 		f.close()
--- a/core/version/zlfeed/zlfeed.go
+++ b/core/version/zlfeed/zlfeed.go
@@ -85,8 +85,10 @@
 	// confirmed is the newest time at which the store confirmed what a beat
 	// brought, with the revisions that this VM must have for it to count.
 	confirmed time.Time
-	wanted    [zlfollow.Topics]uint64
-	behind    time.Time
+	// settled is the newest such time at which this VM had them all.
+	settled time.Time
+	wanted  [zlfollow.Topics]uint64
+	behind  time.Time
 	// unfed is since when nobody feeds this VM.
 	unfed time.Time
 	// returned tells that it had lost the store and nobody has fed it since.
@@ -150,10 +152,20 @@
 	}
 	if at := now.Add(-b.Age); at.After(f.confirmed) {
 		f.confirmed = at
+		if !lacks {
+			f.settled = at
+		}
 	}
 	return lacks
 }
 
+// Settled implements zlfollow.Feed.
+func (f *Feed) Settled() time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.settled
+}
+
 // fresh is how old a confirmation may be; mu is held.
 func (f *Feed) fresh() time.Duration {
 	early := 1 - rankShare*float64(max(rankMost-f.rank, 0))
--- a/core/version/zlfeed/zlfeed_test.go
+++ b/core/version/zlfeed/zlfeed_test.go
@@ -30,7 +30,8 @@
 }
 
 // The VM that asks is killed or frozen, cut off from the others, or turned away
-// by the store, right before a change.
+// by the store, right before a change. Tables wait for their replicas as long as they
+// may, and no longer.
 func TestNewsIsInForceWhoeverFails(t *testing.T) {
 	for name, fail := range map[string]func(v *vm){
 		"frozen":      func(v *vm) { v.set(&v.silent, true); v.set(&v.cut, true) },
@@ -38,7 +39,7 @@
 		"turned away": func(v *vm) { v.set(&v.cut, true) },
 	} {
 		t.Run(name, func(t *testing.T) {
-			run(t, func(t *testing.T, f *fleet) {
+			runFleet(t, true, func(t *testing.T, f *fleet) {
 				first := f.first()
 				fail(first)
 				f.mustHave(t, f.store.put(), first)
@@ -90,7 +91,7 @@
 // first second is left for requests.
 func TestAllServeInTheFirstSecond(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f := newFleet(5 * time.Millisecond)
+		f := newFleet(5*time.Millisecond, false)
 		defer f.close()
 		time.Sleep(500 * time.Millisecond)
 		for _, v := range f.vms {
--- a/core/version/zlfollow/delta.go
+++ b/core/version/zlfollow/delta.go
@@ -82,6 +82,7 @@
 // store itself said so.
 func (f *Follower) take(t Topic, d *Delta, at time.Time, own bool) {
 	s := &f.topics[t]
+	by := f.tableBy()
 	s.mu.Lock()
 	if d.To <= s.revision && (!own || !d.Full) {
 		s.mu.Unlock()
@@ -101,13 +102,13 @@
 	}
 	if d.Full {
 		s.log = nil
-		f.replace(t, d.Items, at)
+		f.replace(t, d.Items, at, by)
 	} else {
 		s.log = append(s.log, d)
 		if len(s.log) > logLength {
 			s.log = s.log[len(s.log)-logLength:]
 		}
-		f.apply(t, d.Items, at)
+		f.apply(t, d.Items, at, by)
 	}
 	s.revision = max(s.revision, d.To)
 	s.mu.Unlock()
--- a/core/version/zlfollow/news.go
+++ b/core/version/zlfollow/news.go
@@ -71,10 +71,10 @@
 	}
 }
 
-func (f *Follower) replace(t Topic, items []Item, at time.Time) {
+func (f *Follower) replace(t Topic, items []Item, at, by time.Time) {
 	switch t {
 	case TopicTable:
-		f.tables(items, at)
+		f.tables(items, at, by)
 	case TopicReplicas:
 		var all []zlregistry.Replica
 		for _, i := range items {
@@ -88,10 +88,10 @@
 	}
 }
 
-func (f *Follower) apply(t Topic, items []Item, at time.Time) {
+func (f *Follower) apply(t Topic, items []Item, at, by time.Time) {
 	switch t {
 	case TopicTable:
-		f.tables(items, at)
+		f.tables(items, at, by)
 	case TopicReplicas:
 		changes := make([]zlregistry.Change, 0, len(items))
 		for _, i := range items {
@@ -112,10 +112,26 @@
 	}
 }
 
-func (f *Follower) tables(items []Item, at time.Time) {
+// tableBy is when a table that is learnt now must be in force, or zero if that is
+// not known. The store did not have it when it last confirmed what this VM holds;
+// between two watches it may have had it since the first.
+func (f *Follower) tableBy() time.Time {
+	at := f.Confirmed()
+	if f.Feed != nil {
+		if s := f.Feed.Settled(); s.After(at) {
+			at = s
+		}
+	}
+	if at.IsZero() || f.Within <= 0 {
+		return time.Time{}
+	}
+	return at.Add(f.Within - rearmTable - applyMargin)
+}
+
+func (f *Follower) tables(items []Item, at, by time.Time) {
 	for _, i := range items {
 		if table, ok := i.(*TableItem); ok && table.Table != nil {
-			f.Book.SetTable(table.Table, at)
+			f.Book.SetTable(table.Table, at, by)
 		}
 	}
 }
--- a/core/version/zlfollow/zlfollow.go
+++ b/core/version/zlfollow/zlfollow.go
@@ -28,6 +28,9 @@
 	rearmTable    = 800 * time.Millisecond
 	rearmReplicas = 800 * time.Millisecond
 	rearmOut      = 1500 * time.Millisecond
+	// applyMargin is left of the time in which a table must be in force: a beat
+	// between VMs, and timers of a VM that is busy.
+	applyMargin = 300 * time.Millisecond
 	// pulseEach is the time between pulses, which tell that the store still
 	// answers: a watch that it took in an outage may never return, and after
 	// an outage news is due within the contact window (4 s) and the bound (3 s).
@@ -126,6 +129,9 @@
 	Fed(lost bool) bool
 	// MayAsk reports whether this VM is to ask the store for news itself.
 	MayAsk() bool
+	// Settled is the newest time at which others confirmed all that this VM holds,
+	// or zero.
+	Settled() time.Time
 	// Regained tells that this VM has the store again by its own call; others
 	// may have it as well.
 	Regained()
@@ -140,6 +146,8 @@
 	Sink  zldecision.Sink
 	Done  <-chan struct{}
 	Feed  Feed
+	// Within is the time in which a table must be in force; 0 means at once.
+	Within time.Duration
 	// Told is called with what the store said, for other VMs.
 	Told func(t Topic, d *Delta)
 
--- a/core/version/zlfollow/zlfollow_test.go
+++ b/core/version/zlfollow/zlfollow_test.go
@@ -199,6 +199,8 @@
 
 func (fedAlways) MayAsk() bool { return false }
 
+func (fedAlways) Settled() time.Time { return time.Time{} }
+
 func (fedAlways) Regained() {}
 
 // A VM that the store turns away while others feed it takes a removal at once:
--- a/core/version/zlregistry/book.go
+++ b/core/version/zlregistry/book.go
@@ -36,7 +36,7 @@
 type Notice struct {
 	// Subject is the replica, data centre or version concerned.
 	Subject string
-	// What is one word or two: added, draining, gone, cold, out, in, table.
+	// What is one word or two: added, draining, gone, cold, out, in, table, coming.
 	What string
 	// Service is set for replicas.
 	Service zlunit.Service
@@ -50,6 +50,8 @@
 	Heard func(Notice)
 
 	view atomic.Pointer[View]
+	// comingBy is when the coming table is due, or nil.
+	comingBy atomic.Pointer[time.Time]
 
 	mu       sync.Mutex
 	known    map[zlunit.Upstream]*Entry
@@ -61,6 +63,8 @@
 	// ready is closed once the view is.
 	ready   chan struct{}
 	isReady bool
+	// coming is a table that waits for its replicas, or nil.
+	coming *coming
 }
 
 type tombstone struct {
@@ -68,7 +72,16 @@
 	at   time.Time
 }
 
-// View returns the newest view; it is never nil.
+// Current returns the newest view; it is never nil. A table that is due comes into
+// force before, also where this process was paused past that.
+func (b *Book) Current() *View {
+	if by := b.comingBy.Load(); by != nil && !b.Timer.Now().Before(*by) {
+		b.look()
+	}
+	return b.View()
+}
+
+// View returns the newest view as it was published; it is never nil.
 func (b *Book) View() *View {
 	if v := b.view.Load(); v != nil {
 		return v
@@ -96,22 +109,40 @@
 }
 
 // SetTable takes a table, unless one as new or newer is known, and reports
-// whether it is now in force.
-func (b *Book) SetTable(t *zltable.Table, at time.Time) bool {
+// whether it is now in force. Where that serves callers better it waits for its
+// replicas, but not past by; zero means that it must not.
+func (b *Book) SetTable(t *zltable.Table, at, by time.Time) bool {
 	b.mu.Lock()
 	defer b.release()
-	next := b.copyView()
-	if next.Table != nil && t.Version < next.Table.Version {
+	known := b.View().Table
+	if b.coming != nil {
+		known = b.coming.table
+	}
+	switch {
+	case known != nil && t.Version < known.Version:
+		return false
+	case b.coming != nil && t.Version == known.Version && b.Timer.Now().Before(b.coming.by):
+		return false
+	case known != nil && t.Version > known.Version && b.waits(t, at, by):
 		return false
 	}
+	b.enforce(t, at)
+	return true
+}
+
+// enforce brings a table into force; mu is held.
+func (b *Book) enforce(t *zltable.Table, at time.Time) {
+	next := b.copyView()
 	isNew := next.Table == nil || t.Version > next.Table.Version
 	next.Table = t
 	next.TableAt = at
 	b.view.Store(next)
+	// After the view, since Current looks at it first.
+	b.comingBy.Store(nil)
+	b.coming = nil
 	if isNew {
 		b.note("table", "table", "")
 	}
-	return true
 }
 
 // SetOut takes the whole set of data centres that may get no work.
@@ -132,6 +163,7 @@
 	next.Out = out
 	next.OutAt = at
 	b.view.Store(next)
+	b.settle()
 }
 
 // Confirm tells that what is known was true at the given time.
@@ -337,6 +369,7 @@
 		})
 	}
 	b.view.Store(next)
+	b.settle()
 }
 
 func (b *Book) note(subject, what string, service zlunit.Service) {
