--- a/core/version/zlregistry/coming.go
+++ b/core/version/zlregistry/coming.go
@@ -140,7 +140,7 @@
 
 func (v *View) hasReplica(s zlunit.Service, now time.Time, warm bool) bool {
 	for _, e := range v.Replicas[s] {
-		if !v.Out[e.DataCentre] && !(warm && e.Cold(now)) {
+		if !v.Out[e.DataCentre] && (!warm || !e.Cold(now)) {
 			return true
 		}
 	}
