First watches are short: one taken while the store drops its history hears nothing

Cause: the store drops its history and cuts the watches; a VM lists and watches again 20 ms later, and that watch is never told of a change.

TestWatchTakenAfterACutIsNotTrusted fails without it.

--- a/core/version/zlfollow/delta.go
+++ b/core/version/zlfollow/delta.go
@@ -25,6 +25,8 @@
 	listed bool
 	// watched tells that a watch waits at the store or is about to.
 	watched bool
+	// doubted is until when a watch may be one that hears nothing.
+	doubted time.Time
 	// all is the newest full state, kept up to date; log the last deltas.
 	all map[string]Item
 	log []*Delta
@@ -49,13 +51,17 @@
 	s.watched = false
 }
 
-// watch notes that this VM watches from the revision that it returns; unwatch
-// that it does no longer. Between two watches a topic counts as watched.
-func (s *topicState) watch() uint64 {
+// watch notes that this VM watches from the revision that it returns, and tells
+// whether the watch is in doubt; unwatch notes that it watches no longer. Between two
+// watches a topic counts as watched.
+func (s *topicState) watch(now time.Time) (from uint64, doubted bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.watched = true
-	return s.revision
+	if !s.watched {
+		s.watched = true
+		s.doubted = now.Add(doubtTime)
+	}
+	return s.revision, now.Before(s.doubted)
 }
 
 func (s *topicState) unwatch() {
--- a/core/version/zlfollow/fake_test.go
+++ b/core/version/zlfollow/fake_test.go
@@ -17,9 +17,10 @@
 	log      map[Topic][]change
 	dropped  map[Topic]uint64
 	waiting  []chan struct{}
-	// deaf watches get no news; swallow makes calls hang until they are
-	// cancelled; down refuses all.
+	// deaf watches get no news; those that begin while mute is set never do;
+	// swallow makes calls hang until they are cancelled; down refuses all.
 	deaf    bool
+	mute    bool
 	swallow bool
 	down    bool
 	cut     chan struct{}
@@ -142,6 +143,15 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
+	s.mu.Lock()
+	mute := s.mute
+	s.mu.Unlock()
+	if mute {
+		<-ctx.Done()
+		return &Page{
+			Revision: revision,
+		}, nil
+	}
 	for {
 		s.mu.Lock()
 		var page Page
--- a/core/version/zlfollow/news.go
+++ b/core/version/zlfollow/news.go
@@ -42,8 +42,12 @@
 }
 
 func (f *Follower) watch(ctx context.Context, t Topic, state *topicState) (time.Duration, error) {
-	from := state.watch()
-	page, err := f.Store.Watch(ctx, t, from, watchWait)
+	from, doubted := state.watch(f.Timer.Now())
+	wait := watchWait
+	if doubted {
+		wait = t.rearm()
+	}
+	page, err := f.Store.Watch(ctx, t, from, wait)
 	if err != nil {
 		return 0, err
 	}
--- a/core/version/zlfollow/zlfollow.go
+++ b/core/version/zlfollow/zlfollow.go
@@ -21,6 +21,11 @@
 	// watchWait is how long one watch waits at the store: less than the 20 s of
 	// history that it keeps, so that the next can go on from there.
 	watchWait = 15 * time.Second
+	// doubtTime is for how long this VM's first watches, and those after a list, wait
+	// no longer than the news may be old: one that the store takes while it drops its
+	// history may never hear of a change. It is the contact window of the platform's
+	// settings.
+	doubtTime = 4 * time.Second
 	// rearmTable, rearmReplicas and rearmOut space the calls of a topic in
 	// which much changes. Each is the age that news may have: well under the
 	// bounds of the platform's settings (3 s for routes and drains, 5 s for
--- a/core/version/zlfollow/zlfollow_test.go
+++ b/core/version/zlfollow/zlfollow_test.go
@@ -99,6 +99,25 @@
 	})
 }
 
+// A watch that begins right after others were cut is taken by a store that still
+// drops its history, and hears nothing (guild-finder reshard-in-trouble --vary --seed
+// 959063488592).
+func TestWatchTakenAfterACutIsNotTrusted(t *testing.T) {
+	follow(t, func(s *fakeStore, b *zlregistry.Book) {
+		s.set(func() { s.deaf = true }, false)
+		s.put(TopicTable, "main", version(2))
+		s.set(func() { s.deaf, s.mute = false, true }, true)
+		time.Sleep(100 * time.Millisecond)
+		s.set(func() { s.mute = false }, false)
+		s.put(TopicTable, "main", version(3))
+		s.put(TopicReplicas, "a", entry("a", 2, true))
+		time.Sleep(configBound)
+		if v := b.View(); v.Table.Version != 3 || usable(b) != 1 {
+			t.Fatalf("version %d, %d replicas", v.Table.Version, usable(b))
+		}
+	})
+}
+
 // A watch that was sent while the store was silent never returns.
 func TestWatchTakenInAnOutageIsNotTrusted(t *testing.T) {
 	follow(t, func(s *fakeStore, b *zlregistry.Book) {
