Read once more: one notion of warm, one alarm, one scene, one loop of placements

Cause: looking at the change as a newcomer. A coming table asked for warm replicas in two ways (a look at each service with a flag, and the time at which all are warm) and planned its looks with a time beside the alarm; both are warmAt and one alarm now. A table that is told again while it waits settles as any other sign does, without a rule of its own. Whether a caller left is asked where a request waits for the first table, not of every request. Tests: two scenes of one daemon, three loops over placements and two lists of members were written twice.

Ruled out as needless change: the shape of constants and settings that other packages share, the parameter that carries a table's due time (three functions, one file).

No check is loosened.

--- a/core/process/zlplace/zlplace_test.go
+++ b/core/process/zlplace/zlplace_test.go
@@ -158,22 +158,28 @@
 	}
 }
 
+// drawn counts how many of n requests, gap apart, go to the replica at home, where
+// each takes so long and ends so; those of the others take what is usual.
+func (r *rig) drawn(t *testing.T, n int, gap, took time.Duration, outcome Outcome) int {
+	t.Helper()
+	home := 0
+	for range n {
+		s := r.place(t)
+		if s.Far {
+			r.done(s, usual, OutcomeServed)
+		} else {
+			home++
+			r.done(s, took, outcome)
+		}
+		r.now = r.now.Add(gap)
+	}
+	return home
+}
+
 // Pattern: a replica that fails at once has the shortest queue.
 func TestFastFailuresDrawNoTraffic(t *testing.T) {
 	for _, outcome := range []Outcome{OutcomeFailed, OutcomeRefused} {
-		r := newRig()
-		bad := 0
-		for range 300 {
-			s := r.place(t)
-			if s.Far {
-				r.done(s, usual, OutcomeServed)
-			} else {
-				bad++
-				r.done(s, time.Millisecond, outcome)
-			}
-			r.now = r.now.Add(usual)
-		}
-		if bad > 30 {
+		if bad := newRig().drawn(t, 300, usual, time.Millisecond, outcome); bad > 30 {
 			t.Errorf("outcome %d: %d of 300 went to the failing replica", outcome, bad)
 		}
 	}
@@ -181,19 +187,7 @@
 
 // Pattern: one replica takes eight times as long as the others.
 func TestSlowReplicaGetsLittle(t *testing.T) {
-	r := newRig()
-	slow := 0
-	for range 300 {
-		s := r.place(t)
-		if s.Far {
-			r.done(s, usual, OutcomeServed)
-		} else {
-			slow++
-			r.done(s, 8*usual, OutcomeServed)
-		}
-		r.now = r.now.Add(usual)
-	}
-	if slow > 40 {
+	if slow := newRig().drawn(t, 300, usual, 8*usual, OutcomeServed); slow > 40 {
 		t.Fatalf("%d of 300 went to the slow replica", slow)
 	}
 }
@@ -201,19 +195,7 @@
 // Pattern: the address of a replica that is gone answers for another service;
 // each request there counts against that service's second sends.
 func TestMovedAddressIsNotAskedAgain(t *testing.T) {
-	r := newRig()
-	asked := 0
-	for range 200 {
-		s := r.place(t)
-		if s.Far {
-			r.done(s, usual, OutcomeServed)
-		} else {
-			asked++
-			r.done(s, time.Millisecond, OutcomeMoved)
-		}
-		r.now = r.now.Add(100 * time.Millisecond)
-	}
-	if asked != 1 {
+	if asked := newRig().drawn(t, 200, 100*time.Millisecond, time.Millisecond, OutcomeMoved); asked != 1 {
 		t.Fatalf("asked %d times in 20 s", asked)
 	}
 }
--- a/core/request/zlrelay/start.go
+++ b/core/request/zlrelay/start.go
@@ -16,8 +16,8 @@
 
 // awaitTable waits for the first table and replicas while this process starts. It
 // answers the pattern of all VMs that start again at once: callers who are told to
-// come back instead are served past their objective.
-func (r *Relay) awaitTable(ctx context.Context, req *Request) {
+// come back instead are served past their objective. It reports false if the caller left.
+func (r *Relay) awaitTable(ctx context.Context, req *Request) bool {
 	until := r.Start.Add(startTime)
 	if !req.Deadline.IsZero() {
 		share := time.Duration(startShare * float64(req.Deadline.Sub(req.Received)))
@@ -27,7 +27,7 @@
 	}
 	wait := until.Sub(r.Timer.Now())
 	if wait <= 0 {
-		return
+		return true
 	}
 	alarm := r.Timer.After(wait)
 	defer alarm.Stop()
@@ -35,5 +35,7 @@
 	case <-r.Book.Readied():
 	case <-alarm.C:
 	case <-ctx.Done():
+		return false
 	}
+	return true
 }
--- a/core/request/zlrelay/zlrelay.go
+++ b/core/request/zlrelay/zlrelay.go
@@ -207,18 +207,16 @@
 	defer r.running.Add(-1)
 	view := r.Book.Current()
 	if !view.Ready() {
-		r.awaitTable(ctx, req)
-		view = r.Book.Current()
-	}
-	switch {
-	case ctx.Err() != nil:
-		r.note(&zldecision.Failed{
-			Subject: r.subject(view, req, nil),
-			Reason:  zldecision.ReasonCallerLeft,
-		})
-		return nil
-	case !view.Ready():
-		return r.refuse(view, req, nil, zldecision.ReasonNoTable, "")
+		if !r.awaitTable(ctx, req) {
+			r.note(&zldecision.Failed{
+				Subject: r.subject(view, req, nil),
+				Reason:  zldecision.ReasonCallerLeft,
+			})
+			return nil
+		}
+		if view = r.Book.Current(); !view.Ready() {
+			return r.refuse(view, req, nil, zldecision.ReasonNoTable, "")
+		}
 	}
 	route, ok := view.Table.Match(req.Message.Host, req.Message.Path)
 	if !ok {
--- a/core/version/zlfeed/fleet_test.go
+++ b/core/version/zlfeed/fleet_test.go
@@ -207,14 +207,7 @@
 		},
 	}
 	f.store.put()
-	var members []Member
-	for i := range fleetSize {
-		members = append(members, Member{
-			VM:         zlunit.VM(fmt.Sprintf("vm%d", i)),
-			DataCentre: "lowell",
-			Address:    fmt.Sprintf("a%d", i),
-		})
-	}
+	members := membersOf(fleetSize)
 	for i := range members {
 		v := f.build(members[i])
 		if waits {
--- a/core/version/zlregistry/book.go
+++ b/core/version/zlregistry/book.go
@@ -121,8 +121,9 @@
 	switch {
 	case known != nil && t.Version < known.Version:
 		return false
-	case b.coming != nil && t.Version == known.Version && b.Timer.Now().Before(b.coming.by):
-		return false
+	case b.coming != nil && t.Version == known.Version:
+		b.settle()
+		return b.coming == nil
 	case known != nil && t.Version > known.Version && b.waits(t, at, by):
 		return false
 	}
--- a/core/version/zlregistry/coming.go
+++ b/core/version/zlregistry/coming.go
@@ -4,6 +4,7 @@
 	"strings"
 	"time"
 
+	"zinnialock/core/process/zltimer"
 	"zinnialock/core/process/zlunit"
 	"zinnialock/core/version/zltable"
 )
@@ -15,8 +16,8 @@
 	// by is when it must be in force.
 	by    time.Time
 	moves []move
-	// next is when it is looked at again.
-	next time.Time
+	// alarm is for the next look.
+	alarm *zltimer.Alarm
 }
 
 // move is a route that goes over to other services.
@@ -73,35 +74,24 @@
 		b.enforce(c.table, c.at)
 		return
 	}
-	at := c.warmAt(view)
-	if at.IsZero() || at.After(c.by) {
-		at = c.by
-	}
-	if c.next.Before(now) || at.Before(c.next) {
-		c.next = at
-		b.Timer.Call(at.Sub(now), b.look)
+	if c.alarm != nil {
+		c.alarm.Stop()
 	}
+	c.alarm = b.Timer.Call(c.warmAt(view).Sub(now), b.look)
 }
 
-// warmAt is when each service of the moves has a warm replica, as far as is known
-// now; zero if one has none.
+// warmAt is when all that the moves go over to is warm, as far as is known now, and at
+// the latest when the table is due.
 func (c *coming) warmAt(v *View) time.Time {
 	var all time.Time
 	for _, m := range c.moves {
 		for _, s := range servicesOf(m.to) {
-			var first time.Time
-			known := false
-			for _, e := range v.Replicas[s] {
-				if !v.Out[e.DataCentre] && (!known || e.ColdUntil.Before(first)) {
-					first = e.ColdUntil
-					known = true
-				}
-			}
-			if !known {
-				return time.Time{}
+			at, ok := v.warmAt(s)
+			if !ok || at.After(c.by) {
+				return c.by
 			}
-			if first.After(all) {
-				all = first
+			if at.After(all) {
+				all = at
 			}
 		}
 	}
@@ -111,40 +101,43 @@
 // isEarly reports whether some route is served better by the table in force.
 func (c *coming) isEarly(v *View, now time.Time) bool {
 	for _, m := range c.moves {
-		if !v.serves(m.to, now, true) && v.serves(m.from, now, false) {
+		if !v.isWarm(m.to, now) && v.serves(m.from) {
 			return true
 		}
 	}
 	return false
 }
 
-// serves reports whether a route's services have replicas: with warm each has a
-// warm one, without enough for an answer have any.
-func (v *View) serves(route *zltable.Route, now time.Time, warm bool) bool {
-	services := servicesOf(route)
-	least := 1
-	switch {
-	case warm:
-		least = len(services)
-	case route.Scattered():
-		least = route.LeastParts()
+// warmAt is when a service has a warm replica, long ago where it has one; it reports
+// false where it has none.
+func (v *View) warmAt(s zlunit.Service) (at time.Time, ok bool) {
+	for _, e := range v.Replicas[s] {
+		if !v.Out[e.DataCentre] && (!ok || e.ColdUntil.Before(at)) {
+			at, ok = e.ColdUntil, true
+		}
 	}
-	n := 0
-	for _, s := range services {
-		if v.hasReplica(s, now, warm) {
-			n++
+	return at, ok
+}
+
+// isWarm reports whether each service of a route has a warm replica.
+func (v *View) isWarm(route *zltable.Route, now time.Time) bool {
+	for _, s := range servicesOf(route) {
+		if at, ok := v.warmAt(s); !ok || now.Before(at) {
+			return false
 		}
 	}
-	return n >= least
+	return true
 }
 
-func (v *View) hasReplica(s zlunit.Service, now time.Time, warm bool) bool {
-	for _, e := range v.Replicas[s] {
-		if !v.Out[e.DataCentre] && (!warm || !e.Cold(now)) {
-			return true
+// serves reports whether enough services of a route for an answer have a replica.
+func (v *View) serves(route *zltable.Route) bool {
+	n := 0
+	for _, s := range servicesOf(route) {
+		if _, ok := v.warmAt(s); ok {
+			n++
 		}
 	}
-	return false
+	return n >= max(route.LeastParts(), 1)
 }
 
 // movesOf lists the routes of both tables that go over to services which they did
--- a/io/process/zlplatform/zlplatform.go
+++ b/io/process/zlplatform/zlplatform.go
@@ -162,6 +162,7 @@
 
 func (c *Client) call(ctx context.Context, op, method, path string, body []byte, timeout time.Duration, out any) error {
 	err := c.exchange(ctx, op, method, path, body, timeout, out)
+	// A caller who gave up tells nothing of the platform.
 	if ctx.Err() == nil {
 		c.note(err)
 	}
--- a/io/standin/zlscene/rolling_test.go
+++ b/io/standin/zlscene/rolling_test.go
@@ -181,24 +181,30 @@
 	})
 }
 
+// oneDaemon runs a daemon before one upstream.
+func oneDaemon() *Scene {
+	s := &Scene{
+		Plan: UserPlan{
+			Deployment:  "guild",
+			DataCentres: []zlunit.DataCentre{"nashua"},
+			Daemons:     1,
+			Services:    []ServicePlan{whole("rolls", 1, 6, 100)},
+		},
+		Seed: 1,
+		Log: &log.Logger{
+			Level: log.PanicLevel,
+		},
+	}
+	convey.So(s.Run(context.Background()), convey.ShouldBeNil)
+	return s
+}
+
 // A connection that is used while its daemon leaves is not kept.
 func TestLeavingDaemonTellsCallersToClose(t *testing.T) {
 	defer goleak.VerifyNone(t)
 	defer http.DefaultClient.CloseIdleConnections()
 	convey.Convey("Callers are told to end their connections from the start of the grace on", t, func() {
-		s := &Scene{
-			Plan: UserPlan{
-				Deployment:  "guild",
-				DataCentres: []zlunit.DataCentre{"nashua"},
-				Daemons:     1,
-				Services:    []ServicePlan{whole("rolls", 1, 6, 100)},
-			},
-			Seed: 1,
-			Log: &log.Logger{
-				Level: log.PanicLevel,
-			},
-		}
-		convey.So(s.Run(context.Background()), convey.ShouldBeNil)
+		s := oneDaemon()
 		defer s.Close()
 		ask := func() (status int, ends bool) {
 			body := strings.NewReader(`{"service":"rolls","kind":"lookup","text":"mark","deadlineMs":5000}`)
@@ -231,19 +237,7 @@
 	defer goleak.VerifyNone(t)
 	defer http.DefaultClient.CloseIdleConnections()
 	convey.Convey("A query that outlasts the stop limit is cut and counted", t, func() {
-		s := &Scene{
-			Plan: UserPlan{
-				Deployment:  "guild",
-				DataCentres: []zlunit.DataCentre{"nashua"},
-				Daemons:     1,
-				Services:    []ServicePlan{whole("rolls", 1, 6, 100)},
-			},
-			Seed: 1,
-			Log: &log.Logger{
-				Level: log.PanicLevel,
-			},
-		}
-		convey.So(s.Run(context.Background()), convey.ShouldBeNil)
+		s := oneDaemon()
 		defer s.Close()
 		for _, u := range s.Upstreams {
 			u.Update(func(x *zlfakeupstream.Settings) {
