--- a/io/process/zldaemon/explain.go
+++ b/io/process/zldaemon/explain.go
@@ -16,12 +16,12 @@
 func (d *Daemon) serveExplain(w http.ResponseWriter, r *http.Request) {
 	id := zlunit.RequestID(r.URL.Query().Get("request"))
 	if id == "" {
-		http.Error(w, "query parameter \"request\" is missing; it must be a request id", http.StatusBadRequest)
+		http.Error(w, "key \"request\": found nothing, allowed is a request id", http.StatusBadRequest)
 		return
 	}
 	found := d.traces.Find(id)
 	if len(found) == 0 {
-		http.Error(w, "this daemon has no trace of the request, or does not keep it any more", http.StatusNotFound)
+		http.Error(w, "this daemon knows nothing of the request, or no longer", http.StatusNotFound)
 		return
 	}
 	w.Header().Set("Content-Type", "application/json")
--- a/io/process/zldaemon/fleet.go
+++ b/io/process/zldaemon/fleet.go
@@ -69,7 +69,7 @@
 func (d *Daemon) answerHeartbeat(body []byte) ([]byte, error) {
 	var b zllease.Heartbeat
 	if err := cbor.Unmarshal(body, &b); err != nil {
-		return nil, eris.Wrap(err, "decode heartbeat")
+		return nil, eris.Wrap(err, "beat")
 	}
 	reply := d.fleet.Answer(&b)
 	return cbor.Marshal(&reply)
@@ -84,7 +84,7 @@
 func (p *peers) Heartbeat(ctx context.Context, addr string, b *zllease.Heartbeat) (*zllease.HeartbeatReply, error) {
 	body, err := cbor.Marshal(b)
 	if err != nil {
-		return nil, eris.Wrap(err, "encode heartbeat")
+		return nil, eris.Wrap(err, "beat")
 	}
 	data, err := p.node.Request(ctx, addr, topicHeartbeat, body)
 	if err != nil {
--- a/io/process/zldaemon/status.go
+++ b/io/process/zldaemon/status.go
@@ -107,7 +107,7 @@
 	if text := r.URL.Query().Get("after"); text != "" {
 		n, err := strconv.ParseUint(text, 10, 64)
 		if err != nil {
-			http.Error(w, "query parameter \"after\" is "+strconv.Quote(text)+"; it must be a number of at least 0", http.StatusBadRequest)
+			http.Error(w, "after: found "+strconv.Quote(text)+", allowed is a number from 0", http.StatusBadRequest)
 			return
 		}
 		after = n
--- a/io/process/zldaemon/zldaemon.go
+++ b/io/process/zldaemon/zldaemon.go
@@ -259,7 +259,7 @@
 // KindQueriesCut with the number of queries that were still running.
 func (d *Daemon) Stop() error {
 	d.stopping.Store(true)
-	d.journal.process("stopping", "stop requested")
+	d.journal.process("stopping", "asked to")
 	ctx, cancel := context.WithTimeout(context.Background(), d.Config.StopLimit)
 	defer cancel()
 	if err := d.fleet.Leave(ctx); err != nil {
@@ -276,7 +276,7 @@
 	if err != nil {
 		d.journal.process("cut", strconv.FormatInt(running, 10)+" queries")
 	}
-	d.journal.process("stopped", "stop requested")
+	d.journal.process("stopped", "asked to")
 	d.Kill()
 	if err != nil {
 		return &Error{
@@ -340,13 +340,13 @@
 	case d.stopping.Load():
 		return false, string(zlquery.ReasonStopping)
 	case d.views.Load() == nil:
-		return false, "no state received from the platform yet"
+		return false, "no view of the platform yet"
 	case d.markedOut():
 		return false, string(zlquery.ReasonMarkedOut)
 	case d.settled.Load():
 		return true, "ready"
 	case d.timer.Now().Sub(d.started) < settleTimeout && !d.fleet.Settled():
-		return false, "waiting for earlier holders of the upstreams"
+		return false, "earlier holders are waited for"
 	default:
 		d.settled.Store(true)
 		return true, "ready"
