Mend KNOWN-RED 15 and 16

Cause 15: run.handleResult returned for an unusable response before it reset nextPlacement, which a hedge had set to the deadline. Now the attempt ends like any other. Cause 16: zlexchange removed a pool in use (its call then kept a connection that nothing found: the test hung on it); waitAnswering wrapped a nil exit error; Edit returned a rejection after a lost reply without KindUnknown; zlbroadcast cached a failed lookup. Ruled out: errors of type *Error after a lost reply, as they show a newer record. No measurement.

--- a/core/request/zlrelay/answer.go
+++ b/core/request/zlrelay/answer.go
@@ -84,12 +84,11 @@
 	p.removeAttempt(a)
 	switch rep := res.reply.(type) {
 	case *Response:
-		if !x.isUsable(rep) {
+		switch {
+		case !x.isUsable(rep):
 			p.failure = rep
 			p.sendReason = zldecision.ReasonReplicaFailed
-			return
-		}
-		if p.response == nil {
+		case p.response == nil:
 			p.response = rep
 			p.servedBy = a.placement.Entry.ID
 			p.cancelAttempts()
--- a/io/request/zlexchange/zlexchange.go
+++ b/io/request/zlexchange/zlexchange.go
@@ -72,6 +72,9 @@
 
 // pool holds the idle connections to one replica, the most recently used last.
 type pool struct {
+	// users counts the calls that may return a connection; Exchange.mu guards it.
+	users int
+
 	mu   sync.Mutex
 	idle []*conn
 }
@@ -126,15 +129,16 @@
 		}
 		clear(p.idle[len(kept):])
 		p.idle = kept
-		if len(kept) == 0 {
+		if len(kept) == 0 && p.users == 0 {
 			delete(x.pools, key)
 		}
 		p.mu.Unlock()
 	}
 }
 
-// pool returns the pool of a replica and creates it if there is none.
-func (x *Exchange) pool(e *zlregistry.Entry) *pool {
+// enterPool returns the pool of a replica and creates it if there is none. The pool is
+// kept until leavePool.
+func (x *Exchange) enterPool(e *zlregistry.Entry) *pool {
 	key := poolKey{
 		id:   e.ID,
 		addr: e.Address,
@@ -149,9 +153,16 @@
 		p = &pool{}
 		x.pools[key] = p
 	}
+	p.users++
 	return p
 }
 
+func (x *Exchange) leavePool(p *pool) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	p.users--
+}
+
 // acquire takes an idle connection that is neither expired nor closed out of the
 // pool, or returns nil. It closes those that are.
 func (p *pool) acquire(now time.Time) *conn {
@@ -209,7 +220,8 @@
 
 // Send implements zlrelay.Sender.
 func (x *Exchange) Send(ctx context.Context, e *zlregistry.Entry, c *zlrelay.Call) zlrelay.Reply {
-	p := x.pool(e)
+	p := x.enterPool(e)
+	defer x.leavePool(p)
 	conn := p.acquire(time.Now())
 	if conn == nil {
 		dialed, err := x.dial(ctx, e.Address)
--- a/io/request/zlexchange/zlexchange_test.go
+++ b/io/request/zlexchange/zlexchange_test.go
@@ -269,7 +269,9 @@
 	})
 	wantResponse(t, send(x, e, "0"), "own")
 	<-closed
-	for x.pool(e).idleConnOpen() {
+	p := x.enterPool(e)
+	defer x.leavePool(p)
+	for p.idleConnOpen() {
 		time.Sleep(time.Millisecond)
 	}
 	wantResponse(t, send(x, e, "1"), "own")
@@ -366,3 +368,27 @@
 		}
 	}
 }
+
+// A pool that the sweep removed while a call used it received the connection of the
+// call and kept it open: nothing found the pool any more.
+func TestSweepKeepsThePoolOfACallUnderWay(t *testing.T) {
+	arrived, resume := make(chan struct{}), make(chan struct{})
+	r, x, e := newReplica(t, func(n int, id string, c net.Conn) bool {
+		if n == 0 {
+			close(arrived)
+			<-resume
+		}
+		writeResponse(c, id, "own")
+		return true
+	})
+	go func() {
+		<-arrived
+		x.sweep(time.Now())
+		close(resume)
+	}()
+	wantResponse(t, send(x, e, "0"), "own")
+	wantResponse(t, send(x, e, "1"), "own")
+	if n := r.connections(); n != 1 {
+		t.Fatalf("got %d connections for two sequential requests, want 1", n)
+	}
+}
--- a/io/standin/zltestbed/process.go
+++ b/io/standin/zltestbed/process.go
@@ -111,6 +111,9 @@
 		}
 		select {
 		case <-p.ended:
+			if p.exitErr == nil {
+				return eris.Errorf("process %s ended with exit code 0 before it answered", p.Name)
+			}
 			return eris.Wrapf(p.exitErr, "process %s ended before it answered", p.Name)
 		case <-time.After(startPollInterval):
 		}
--- a/io/version/zlbroadcast/zlbroadcast.go
+++ b/io/version/zlbroadcast/zlbroadcast.go
@@ -109,7 +109,7 @@
 	fetchSources chan string
 	sequence     atomic.Uint32
 	mu           sync.Mutex
-	// peerAddrs caches resolved addresses; one that can't be resolved is nil.
+	// peerAddrs caches resolved addresses.
 	peerAddrs map[string]*net.UDPAddr
 }
 
@@ -269,10 +269,15 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	addr, ok := b.peerAddrs[address]
-	if !ok {
-		addr, _ = net.ResolveUDPAddr("udp4", address)
-		b.peerAddrs[address] = addr
+	if ok {
+		return addr
 	}
+	addr, err := net.ResolveUDPAddr("udp4", address)
+	if err != nil {
+		// Not cached: the next message tries again.
+		return nil
+	}
+	b.peerAddrs[address] = addr
 	return addr
 }
 
--- a/io/version/zlbroadcast/zlbroadcast_test.go
+++ b/io/version/zlbroadcast/zlbroadcast_test.go
@@ -214,3 +214,16 @@
 		}
 	})
 }
+
+// A name that could not be resolved once must be looked up again for the next message.
+func TestUnresolvedAddressIsNotRemembered(t *testing.T) {
+	b := &Broadcaster{
+		peerAddrs: map[string]*net.UDPAddr{},
+	}
+	if addr := b.resolve("127.0.0.1:no-such-service"); addr != nil {
+		t.Fatalf("got address %v for an unknown service", addr)
+	}
+	if len(b.peerAddrs) != 0 {
+		t.Fatalf("got cached addresses %v, want none", b.peerAddrs)
+	}
+}
--- a/io/version/zlsync/edit.go
+++ b/io/version/zlsync/edit.go
@@ -92,6 +92,12 @@
 			continue
 		}
 		if !retryable(err) {
+			// An *Error says that the record has changed, so that an earlier write whose
+			// reply was lost cannot take effect any more.
+			var e *Error
+			if a.maybeWritten && !errors.As(err, &e) {
+				return nil, a.finalError(err)
+			}
 			return nil, err
 		}
 		if !e.Timer.Sleep(ctx.Done(), time.Duration(rand.Float64()*float64(maxRetryDelay))) {
--- a/io/version/zlsync/edit_test.go
+++ b/io/version/zlsync/edit_test.go
@@ -157,6 +157,39 @@
 	})
 }
 
+// rejectingAfterWrite rejects reads once a write was made.
+type rejectingAfterWrite struct {
+	*fakePlatform
+}
+
+func (p *rejectingAfterWrite) Get(ctx context.Context, kind zlplatform.ObjectKind, name string) (*zlplatform.Object, error) {
+	if p.revision > 0 {
+		return nil, fakeError(zlplatform.KindRejected)
+	}
+	return p.fakePlatform.Get(ctx, kind, name)
+}
+
+// An error that no retry can help must not hide that an earlier write, whose reply was
+// lost, may have taken effect.
+func TestRejectionAfterALostReplyIsUnknown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		convey.Convey("Given a platform that loses the reply to a write and rejects the reads after it", t, func() {
+			p := &rejectingAfterWrite{
+				fakePlatform: newFakePlatform(),
+			}
+			p.loseReplies = 1
+			ctx, cancel := withTimeout(5 * time.Second)
+			defer cancel()
+			editor := &Editor{
+				Platform: p,
+				Timer:    newEditor(p.fakePlatform).Timer,
+			}
+			_, err := editor.Edit(ctx, &Settings, setting("ann", "guild", "deadline", "2s"))
+			convey.So(kindOf(err), convey.ShouldEqual, KindUnknown)
+		})
+	})
+}
+
 func TestHistoryIsKeptAndBounded(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		convey.Convey("The history of 300 edits is complete, and record and archive stay small", t, func() {
