Bound the bytes read from every peer: bytes without end

Cause: http.ReadResponse has no limit on a head, bodies were bounded one by one but not in their sum, the store's client accepted heads of 10 MB and lists without end, and 4,100 callers could hold 256 KB heads each. An answer that is too large counts as a failure of the replica (reason replyTooLarge). Ruled out: a smaller limit for each body alone, since the sum over 42 parts is what does not fit.

--- a/core/process/zldecision/zldecision.go
+++ b/core/process/zldecision/zldecision.go
@@ -60,6 +60,9 @@
 	ReasonPartsLost  Reason = "partsLost"
 	ReasonBadRequest Reason = "badRequest"
 	ReasonTooLarge   Reason = "tooLarge"
+	// ReasonReplyTooLarge: a replica sent more bytes than an answer may have, or than
+	// this process has room for.
+	ReasonReplyTooLarge Reason = "replyTooLarge"
 	// ReasonForeignReply: the answer belongs to another request.
 	ReasonForeignReply Reason = "foreignReply"
 	// ReasonWrongReplica: another replica answered at the address.
--- a/core/request/zlrelay/zlrelay.go
+++ b/core/request/zlrelay/zlrelay.go
@@ -54,6 +54,35 @@
 	// Transit is the part of the caller's wait that is spent outside this
 	// process: network transit in both directions and connection setup.
 	Transit time.Duration
+
+	mu    sync.Mutex
+	ended bool
+	atEnd []func()
+}
+
+// AtEnd calls release once the request has ended and its answer was written, at once if
+// it has ended already.
+func (r *Request) AtEnd(release func()) {
+	r.mu.Lock()
+	if !r.ended {
+		r.atEnd = append(r.atEnd, release)
+		r.mu.Unlock()
+		return
+	}
+	r.mu.Unlock()
+	release()
+}
+
+// End ends the request. It must be called once its answer was written.
+func (r *Request) End() {
+	r.mu.Lock()
+	r.ended = true
+	list := r.atEnd
+	r.atEnd = nil
+	r.mu.Unlock()
+	for _, release := range list {
+		release()
+	}
 }
 
 // Call is one send of a request to a replica.
--- a/core/version/zlwatcher/watch.go
+++ b/core/version/zlwatcher/watch.go
@@ -16,7 +16,7 @@
 		Full: true,
 	}
 	after := ""
-	for {
+	for pages := 1; ; pages++ {
 		page, err := w.Store.List(ctx, t, after)
 		if err != nil {
 			return 0, err
@@ -30,6 +30,9 @@
 		if page.Next == "" {
 			break
 		}
+		if pages >= maxListPages || page.Next == after {
+			return 0, errEndlessList
+		}
 		after = page.Next
 	}
 	if t == TopicTable && len(d.Items) == 0 {
--- a/core/version/zlwatcher/zlwatcher.go
+++ b/core/version/zlwatcher/zlwatcher.go
@@ -54,6 +54,8 @@
 	// that does not answer.
 	lostProbeMin = 300 * time.Millisecond
 	lostProbeMax = 600 * time.Millisecond
+	// maxListPages bounds a list: 100 pages have about 50,000 records.
+	maxListPages = 100
 	// emptyTableDelay is the time to the next list if no table was written yet.
 	emptyTableDelay = 700 * time.Millisecond
 )
@@ -126,6 +128,9 @@
 // after the revision.
 var ErrHistoryGone = errors.New("zlwatcher: watch: the store no longer keeps the history after the revision")
 
+// errEndlessList ends a list that does not advance or has too many pages.
+var errEndlessList = errors.New("zlwatcher: list: the store sends pages without end")
+
 // Store is the platform's store. Each call has its own timeout. Calls may be
 // concurrent.
 type Store interface {
--- a/io/process/zldaemon/zldaemon.go
+++ b/io/process/zldaemon/zldaemon.go
@@ -17,6 +17,7 @@
 	"sync/atomic"
 	"time"
 
+	"zinnialock/core/connection/zlreadbudget"
 	"zinnialock/core/process/zlevent"
 	"zinnialock/core/process/zlroute"
 	"zinnialock/core/process/zltimer"
@@ -74,6 +75,9 @@
 	return e.Err
 }
 
+// maxReplyBytesHeld bounds the bytes of all replies of upstreams that are being read.
+const maxReplyBytesHeld = 64 << 20
+
 // Daemon is one daemon of the query tier. Config, Keys and Log must be set before
 // Run; Out and Disabled are optional. After Run, the other methods may be called
 // concurrently.
@@ -163,7 +167,11 @@
 		},
 	}
 	d.buildSync()
-	d.upstreamCaller = &zlupstreamclient.Caller{}
+	d.upstreamCaller = &zlupstreamclient.Caller{
+		Budget: &zlreadbudget.Budget{
+			Limit: maxReplyBytesHeld,
+		},
+	}
 	d.executor = &zlexecutor.Executor{
 		Self:    cfg.Name,
 		Timer:   d.timer,
--- a/io/process/zlplatform/meter.go
+++ b/io/process/zlplatform/meter.go
@@ -46,6 +46,7 @@
 		Transport: &meteredTransport{
 			meter: m,
 			Transport: &http.Transport{
+				MaxResponseHeaderBytes: maxReplyHeadBytes,
 				DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 					conn, err := dialer.DialContext(ctx, network, address)
 					if err != nil {
--- a/io/process/zlplatform/zlplatform.go
+++ b/io/process/zlplatform/zlplatform.go
@@ -105,8 +105,9 @@
 }
 
 const (
-	// maxReplyBytes bounds the body of a reply.
-	maxReplyBytes = 64 << 20
+	// maxReplyBytes bounds the body of a reply, and maxReplyHeadBytes its head.
+	maxReplyBytes     = 64 << 20
+	maxReplyHeadBytes = 32 << 10
 	// maxErrorBytes bounds how much of an error reply goes into the Error.
 	maxErrorBytes = 300
 )
--- a/io/request/zlexchange/exchange.go
+++ b/io/request/zlexchange/exchange.go
@@ -9,6 +9,7 @@
 	"strings"
 	"time"
 
+	"zinnialock/core/connection/zlreadbudget"
 	"zinnialock/core/process/zldecision"
 	"zinnialock/core/request/zlrelay"
 	"zinnialock/core/version/zlregistry"
@@ -121,17 +122,26 @@
 // receive reads answers until one belongs to the call, and records those that do
 // not. It reports whether the connection may be reused.
 func (x *Exchange) receive(c *conn, req *http.Request, e *zlregistry.Entry, call *zlrelay.Call) (zlrelay.Reply, bool) {
+	c.reservation = &zlreadbudget.Reservation{
+		Budget: x.Budget,
+	}
+	call.Request.AtEnd(c.reservation.Close)
 	for range maxForeignReplies + 1 {
+		c.allowance = maxHeadBytes
 		resp, err := http.ReadResponse(c.reader, req)
 		for err == nil && resp.StatusCode < http.StatusOK {
 			resp, err = http.ReadResponse(c.reader, req)
 		}
 		if err != nil {
-			return unknown(zldecision.ReasonConnectionBroken), false
+			return c.readFailure(), false
 		}
+		c.allowance = maxReplyBytes + maxFramingBytes
 		body, err := io.ReadAll(io.LimitReader(resp.Body, maxReplyBytes+1))
-		if err != nil || len(body) > maxReplyBytes {
-			return unknown(zldecision.ReasonConnectionBroken), false
+		if len(body) > maxReplyBytes {
+			c.tooLarge = true
+		}
+		if err != nil || c.tooLarge {
+			return c.readFailure(), false
 		}
 		reply := x.Translator.Incoming(call, resp, body)
 		if reply == nil {
@@ -150,6 +160,16 @@
 	return unknown(zldecision.ReasonForeignReply), false
 }
 
+// readFailure returns the reply to a call whose answer could not be read. Bytes of an
+// answer that is too large are not kept.
+func (c *conn) readFailure() zlrelay.Reply {
+	if c.tooLarge {
+		c.reservation.Close()
+		return unknown(zldecision.ReasonReplyTooLarge)
+	}
+	return unknown(zldecision.ReasonConnectionBroken)
+}
+
 func unknown(reason zldecision.Reason) zlrelay.Reply {
 	return &zlrelay.Unknown{
 		Reason: reason,
--- a/io/request/zlexchange/zlexchange.go
+++ b/io/request/zlexchange/zlexchange.go
@@ -8,11 +8,13 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"sync"
 	"time"
 
+	"zinnialock/core/connection/zlreadbudget"
 	"zinnialock/core/process/zldecision"
 	"zinnialock/core/process/zlunit"
 	"zinnialock/core/request/zlrelay"
@@ -31,8 +33,12 @@
 	// shortIdleTime is how long a connection is kept at most if the replica accepts
 	// too few for every VM to keep one.
 	shortIdleTime = time.Second
-	// maxReplyBytes limits the body of an answer.
+	// maxReplyBytes limits the body of an answer, and maxHeadBytes its head, with all
+	// interim answers before it.
 	maxReplyBytes = 8 << 20
+	maxHeadBytes  = 32 << 10
+	// maxFramingBytes is what the chunks of a body and its trailers may take beside it.
+	maxFramingBytes = 1 << 20
 	// sweepInterval is how often expired idle connections are closed.
 	sweepInterval = 500 * time.Millisecond
 )
@@ -53,6 +59,9 @@
 type Exchange struct {
 	// Translator knows the headers of the replicas.
 	Translator Translator
+	// Budget limits the bytes of all answers that are being read or used; nil means no
+	// limit.
+	Budget *zlreadbudget.Budget
 	// Sink receives an event for each answer that belongs to another request.
 	Sink zldecision.Sink
 	// Done ends Run.
@@ -83,6 +92,12 @@
 type conn struct {
 	net.Conn
 	reader *bufio.Reader
+	// allowance is how many bytes of the current message may still be read from the
+	// connection, and reservation holds those that were. tooLarge is set once a read was
+	// denied.
+	allowance   int
+	reservation *zlreadbudget.Reservation
+	tooLarge    bool
 	// idleUntil is when the connection expires while it is idle.
 	idleUntil time.Time
 	// idleTimeout is how long the connection may be idle.
@@ -211,11 +226,30 @@
 	x.mu.Lock()
 	x.opened++
 	x.mu.Unlock()
-	return &conn{
+	c := &conn{
 		Conn:        raw,
-		reader:      bufio.NewReaderSize(raw, 4096),
 		idleTimeout: maxIdleTime,
-	}, nil
+	}
+	c.reader = bufio.NewReaderSize(c, 4096)
+	return c, nil
+}
+
+// errTooLarge is returned by a read beyond the allowance or the budget.
+var errTooLarge = errors.New("zlexchange: the answer is larger than allowed")
+
+// Read implements net.Conn.
+func (c *conn) Read(data []byte) (int, error) {
+	if c.allowance <= 0 {
+		c.tooLarge = true
+		return 0, errTooLarge
+	}
+	n, err := c.Conn.Read(data[:min(len(data), c.allowance)])
+	c.allowance -= n
+	if !c.reservation.Grow(zlreadbudget.Bytes(n)) {
+		c.tooLarge = true
+		return 0, errTooLarge
+	}
+	return n, err
 }
 
 // Send implements zlrelay.Sender.
--- a/io/request/zlserver/conn.go
+++ b/io/request/zlserver/conn.go
@@ -2,11 +2,17 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"sync/atomic"
 	"time"
+
+	"zinnialock/core/connection/zlreadbudget"
 )
 
+// errNoRoom ends a connection whose request does not fit the budget.
+var errNoRoom = errors.New("zlserver: no room for the request")
+
 // callerConn is a caller's connection. It records when a request head begins, which
 // net/http does not report.
 type callerConn struct {
@@ -16,6 +22,8 @@
 	headBegan atomic.Int64
 	// serving is true while a request is being served.
 	serving atomic.Bool
+	// reservation holds the bytes of the current request.
+	reservation zlreadbudget.Reservation
 	// requests counts the calls of IsFirstRequest.
 	requests atomic.Int64
 }
@@ -26,9 +34,18 @@
 	if n > 0 && c.headBegan.Load() == 0 {
 		c.headBegan.Store(time.Now().UnixNano())
 	}
+	if n > 0 && !c.reservation.Grow(zlreadbudget.Bytes(n)) {
+		return 0, errNoRoom
+	}
 	return n, err
 }
 
+// Close implements net.Conn.
+func (c *callerConn) Close() error {
+	c.reservation.Close()
+	return c.Conn.Close()
+}
+
 // headRead records that a head is complete and its request is being served.
 func (c *callerConn) headRead() {
 	c.serving.Store(true)
@@ -42,6 +59,7 @@
 		c.headBegan.Store(time.Now().UnixNano())
 	}
 	c.serving.Store(false)
+	c.reservation.Reset()
 }
 
 // isHeadSlow reports whether a head that began before the given time is incomplete.
@@ -53,6 +71,7 @@
 // callerListener wraps each accepted connection in a callerConn.
 type callerListener struct {
 	net.Listener
+	budget *zlreadbudget.Budget
 }
 
 // Accept implements net.Listener.
@@ -63,6 +82,9 @@
 	}
 	return &callerConn{
 		Conn: c,
+		reservation: zlreadbudget.Reservation{
+			Budget: l.budget,
+		},
 	}, nil
 }
 
--- a/io/request/zlserver/zlserver.go
+++ b/io/request/zlserver/zlserver.go
@@ -12,6 +12,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"zinnialock/core/connection/zlreadbudget"
 )
 
 const (
@@ -44,6 +46,9 @@
 	// Limits returns how long a caller may take for a request head and how long its
 	// connection may be idle; 0 selects the default. It is called periodically.
 	Limits func() (headTime, idleTime time.Duration)
+	// Budget limits the bytes of all requests that are being read or served; nil means
+	// no limit.
+	Budget *zlreadbudget.Budget
 
 	stopping atomic.Bool
 	// requests counts the requests in flight.
@@ -79,6 +84,7 @@
 	go s.sweep(done)
 	err := server.Serve(callerListener{
 		Listener: s.Listener,
+		budget:   s.Budget,
 	})
 	close(done)
 	if errors.Is(err, http.ErrServerClosed) || s.Stopping() {
--- a/io/request/zlserver/zlserver_test.go
+++ b/io/request/zlserver/zlserver_test.go
@@ -4,9 +4,13 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"zinnialock/core/connection/zlreadbudget"
 )
 
 // pipeListener accepts in-memory connections, which work with the virtual time of
@@ -151,3 +155,58 @@
 		}
 	})
 }
+
+// Replays callers that send heads without end: all of them together hold no more than
+// the budget, their connections are closed, and a sound caller is served.
+func TestEndlessHeadsAreCutAndOthersServed(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &Server{
+		Listener: l,
+		Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			w.WriteHeader(http.StatusNoContent)
+		}),
+		Limits: func() (time.Duration, time.Duration) {
+			return headLimit, idleLimit
+		},
+		Budget: &zlreadbudget.Budget{
+			Limit: 1 << 20,
+		},
+	}
+	ended := make(chan error, 1)
+	go func() {
+		ended <- s.Run()
+	}()
+	var group sync.WaitGroup
+	for range 50 {
+		group.Go(func() {
+			c, err := net.Dial("tcp", l.Addr().String())
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			_, err = io.WriteString(c, "GET / HTTP/1.1\r\n")
+			for err == nil {
+				_, err = io.WriteString(c, strings.Repeat("X-Y: z\r\n", 100))
+			}
+		})
+	}
+	for range 20 {
+		resp, err := http.Get("http://" + l.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = resp.Body.Close()
+		if used := s.Budget.Used(); used > s.Budget.Limit {
+			t.Errorf("%d bytes held, limit %d", used, s.Budget.Limit)
+		}
+	}
+	group.Wait()
+	s.stopping.Store(true)
+	_ = l.Close()
+	if err := <-ended; err != nil {
+		t.Error(err)
+	}
+}
--- a/io/request/zlupstreamclient/conn.go
+++ b/io/request/zlupstreamclient/conn.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"zinnialock/core/connection/zladmission"
+	"zinnialock/core/connection/zlreadbudget"
 	"zinnialock/core/request/zlexecutor"
 	"zinnialock/core/request/zlquery"
 )
@@ -17,6 +18,9 @@
 // permission to send.
 var errSendRefused = errors.New("zlupstreamclient: sending the request is not permitted")
 
+// errNoRoom ends a connection whose reply does not fit the budget.
+var errNoRoom = errors.New("zlupstreamclient: no room for the reply")
+
 // conn is one connection to an upstream. It checks the permit right before the
 // first byte of a request is written, and notifies the gate when the upstream
 // closes the connection.
@@ -25,6 +29,8 @@
 	pool     *pool
 	gateConn *zladmission.Conn
 	client   *http.ClientConn
+	// reservation holds the bytes of the current reply.
+	reservation zlreadbudget.Reservation
 	// idleSince is guarded by the mutex of the pool.
 	idleSince time.Time
 
@@ -91,6 +97,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.exchange = nil
+	c.reservation.Reset()
 	return ex.stopped
 }
 
@@ -200,6 +207,9 @@
 	if err != nil {
 		c.readFailed(err)
 	}
+	if n > 0 && !c.reservation.Grow(zlreadbudget.Bytes(n)) {
+		return 0, errNoRoom
+	}
 	return n, err
 }
 
--- a/io/request/zlupstreamclient/pool.go
+++ b/io/request/zlupstreamclient/pool.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"zinnialock/core/connection/zladmission"
+	"zinnialock/core/connection/zlreadbudget"
 	"zinnialock/core/process/zlunit"
 	"zinnialock/core/request/zlexecutor"
 	"zinnialock/core/request/zlquery"
@@ -22,6 +23,8 @@
 	name     zlunit.Upstream
 	address  string
 	maxConns int
+	// budget limits the bytes of all replies that are being read; nil means no limit.
+	budget *zlreadbudget.Budget
 	// gate is nil for calls without admission control.
 	gate      *zladmission.Gate
 	target    *url.URL
@@ -75,7 +78,8 @@
 			"Content-Type": []string{"application/json"},
 		},
 		transport: &http.Transport{
-			DisableCompression: true,
+			DisableCompression:     true,
+			MaxResponseHeaderBytes: maxHeadBytes,
 			DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
 				raw, err := dialer.DialContext(ctx, network, addr)
 				if err != nil {
@@ -176,6 +180,9 @@
 // is allowed. The caller holds mu.
 func (p *pool) reserve() *conn {
 	c := &conn{
+		reservation: zlreadbudget.Reservation{
+			Budget: p.budget,
+		},
 		pool: p,
 	}
 	if p.gate == nil {
--- a/io/request/zlupstreamclient/zlupstreamclient.go
+++ b/io/request/zlupstreamclient/zlupstreamclient.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"zinnialock/core/connection/zladmission"
+	"zinnialock/core/connection/zlreadbudget"
 	"zinnialock/core/process/zlunit"
 	"zinnialock/core/request/zlexecutor"
 	"zinnialock/core/request/zlquery"
@@ -25,8 +26,9 @@
 const Path = "/query"
 
 const (
-	// maxReplyBytes bounds the body of an upstream's reply.
+	// maxReplyBytes bounds the body of an upstream's reply, and maxHeadBytes its head.
 	maxReplyBytes = 8 << 20
+	maxHeadBytes  = 32 << 10
 	// dialTimeout bounds the establishment of a connection.
 	dialTimeout = time.Second
 	// closeConfirmTimeout bounds the wait, past the deadline, for the upstream to
@@ -48,6 +50,10 @@
 // value is ready for use, and all methods may be called concurrently. Close must
 // be called at the end.
 type Caller struct {
+	// Budget limits the bytes of all replies that are being read; nil means no limit. It
+	// must be set before use.
+	Budget *zlreadbudget.Budget
+
 	mu     sync.Mutex
 	pools  map[zlunit.Upstream]*pool
 	closed bool
@@ -71,6 +77,7 @@
 		c.pools = map[zlunit.Upstream]*pool{}
 	}
 	p = newPool(u, gate)
+	p.budget = c.Budget
 	p.closed = c.closed
 	c.pools[u.Name] = p
 	return p
--- a/io/version/zlbroadcast/zlbroadcast.go
+++ b/io/version/zlbroadcast/zlbroadcast.go
@@ -44,10 +44,14 @@
 	// fetchTimeout bounds a fetch: 200 KB take 0.8 s over a link of 20 Mbit/s
 	// that is shared with ten others.
 	fetchTimeout = 1500 * time.Millisecond
-	// maxFetchBytes bounds the response to a fetch.
-	maxFetchBytes = 16 << 20
+	// maxFetchBytes bounds the response to a fetch, and maxHeadBytes the head of a
+	// request or response.
+	maxFetchBytes = 8 << 20
+	maxHeadBytes  = 16 << 10
 	// fetchPath is the path of a fetch; the number of the topic follows it.
 	fetchPath = "/news/"
+	// idlePeerTimeout is how long an idle connection to another VM is kept.
+	idlePeerTimeout = 90 * time.Second
 	// minFetchPause is the shortest pause after a fetch.
 	minFetchPause = 30 * time.Millisecond
 )
@@ -142,6 +146,10 @@
 	b.peerAddrs = map[string]*net.UDPAddr{}
 	b.client = &http.Client{
 		Timeout: fetchTimeout,
+		Transport: &http.Transport{
+			IdleConnTimeout:        idlePeerTimeout,
+			MaxResponseHeaderBytes: maxHeadBytes,
+		},
 	}
 	return nil
 }
@@ -152,6 +160,7 @@
 	server := &http.Server{
 		Handler:           http.HandlerFunc(b.serveFetch),
 		ReadHeaderTimeout: fetchTimeout,
+		MaxHeaderBytes:    maxHeadBytes,
 	}
 	var group sync.WaitGroup
 	group.Go(b.receive)
