Replicas that leave or turn this VM away get no requests

Cause: nothing read Server-Leaving, and Retry-After of a 503 only raised a replica's cost, so that replicas which all asked for no requests got up to 59 in 3.3 s (2 are allowed). What a replica says in any answer belongs to its incarnation and outlives its address, its entry and its record. A back-off binds every send, checked again before the first byte; its end is spread, and the first request after it goes alone. If too few replicas are left, the caller is refused at once with the time at which enough may be asked again. Ruled out: telling other VMs, as the rule binds each VM alone and a message can lie.

--- a/core/process/zlbalancer/record.go
+++ b/core/process/zlbalancer/record.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"zinnialock/core/process/zlunit"
@@ -43,6 +44,9 @@
 // Record holds what this process observed of one incarnation of a replica. It
 // is safe for concurrent use.
 type Record struct {
+	// restriction is shared by all records of the incarnation.
+	restriction *restriction
+
 	mu       sync.Mutex
 	inFlight map[*Flight]struct{}
 	// latencyRatio is the moving average of the time taken over the time
@@ -86,6 +90,10 @@
 	site    *siteHealth
 	// target is the time within which the answer is useful; 0 means any time.
 	target time.Duration
+	// leavingGrace is that of Settings; random and restricted are those of Placer.
+	leavingGrace time.Duration
+	random       func() float64
+	restricted   *atomic.Bool
 	// sentAt is when the first byte went out; zero before that.
 	sentAt time.Time
 }
@@ -137,6 +145,7 @@
 	away     bool
 	moved    bool
 	reported bool
+	leaving  bool
 }
 
 func (r *Record) snapshot(now time.Time) replicaState {
@@ -152,6 +161,7 @@
 		away:          now.Before(r.avoidUntil),
 		moved:         now.Before(r.movedUntil),
 		reported:      r.isReported(now),
+		leaving:       r.restriction.isLeaving(),
 	}
 }
 
--- a/core/process/zlbalancer/zlbalancer.go
+++ b/core/process/zlbalancer/zlbalancer.go
@@ -58,6 +58,9 @@
 	// ColdBurst as a burst allowance.
 	ColdFactor float64
 	ColdBurst  float64
+	// LeavingGrace is how long a replica that says in its answers that it is leaving may
+	// still serve what no other replica can; 0 means not at all.
+	LeavingGrace time.Duration
 }
 
 // coldRateShare is the part of the cold bound that is used. A request may be
@@ -72,11 +75,14 @@
 	Random func() float64
 
 	vmCount atomic.Int64
+	// restricted is set once any replica asked for a restriction.
+	restricted atomic.Bool
 
-	mu         sync.Mutex
-	records    map[recordKey]*Record
-	waitQueues map[zlunit.Service]*waitQueue
-	sites      map[zlunit.DataCentre]*siteHealth
+	mu           sync.Mutex
+	records      map[recordKey]*Record
+	restrictions map[restrictionKey]*restriction
+	waitQueues   map[zlunit.Service]*waitQueue
+	sites        map[zlunit.DataCentre]*siteHealth
 }
 
 // SetVMCount sets the VM count: how many VMs share the replicas.
@@ -127,6 +133,8 @@
 	NoReplica
 	// AtLimit: all replicas that may serve are at their limit for this process.
 	AtLimit
+	// BackingOff: all replicas that may serve asked for no requests for a time.
+	BackingOff
 )
 
 type candidate struct {
@@ -155,7 +163,14 @@
 			cold:   e.Cold(now),
 		}
 		c.state = c.record.snapshot(now)
-		if c.state.moved {
+		until, never := c.record.restriction.blockedUntil(now, p.Settings.LeavingGrace)
+		if c.state.moved || never {
+			continue
+		}
+		if !until.IsZero() {
+			if result == NoReplica {
+				result = BackingOff
+			}
 			continue
 		}
 		if c.state.inFlight >= c.state.maxInFlight(share) || (w.HealthyOnly && !c.isHealthy()) {
@@ -183,24 +198,8 @@
 	if p.queueFor(s).hasBefore(rank) {
 		return false
 	}
-	share := p.ConnectionShare(v.Table.Services[s])
 	for _, e := range v.Replicas[s] {
-		if v.OutOfService[e.DataCentre] {
-			continue
-		}
-		state := p.recordFor(e).snapshot(now)
-		if !state.moved && state.inFlight < state.maxInFlight(share) {
-			return true
-		}
-	}
-	return false
-}
-
-// HasReplica reports whether the service has a replica in a data centre that is in
-// service.
-func HasReplica(v *zlregistry.View, s zlunit.Service) bool {
-	for _, e := range v.Replicas[s] {
-		if !v.OutOfService[e.DataCentre] {
+		if !v.OutOfService[e.DataCentre] && p.hasRoom(e, now, v.Table.Services[s]) {
 			return true
 		}
 	}
@@ -217,7 +216,7 @@
 }
 
 func (c *candidate) isHealthy() bool {
-	return !c.state.overdue && !c.state.failed && !c.state.away && !c.cold
+	return !c.state.overdue && !c.state.failed && !c.state.away && !c.cold && !c.state.leaving
 }
 
 func cheapest(list []candidate) int {
@@ -251,6 +250,9 @@
 	if c.cold {
 		cost += coldCost
 	}
+	if s.leaving {
+		cost += leavingCost
+	}
 	return cost
 }
 
@@ -295,6 +297,10 @@
 		waiters: p.queueFor(w.Service),
 		site:    p.siteFor(c.entry.DataCentre),
 		target:  w.Target,
+
+		leavingGrace: p.Settings.LeavingGrace,
+		random:       p.random,
+		restricted:   &p.restricted,
 	}
 	c.record.mu.Lock()
 	if c.record.inFlight == nil {
@@ -326,6 +332,7 @@
 		}
 		r = &Record{
 			latencyRatio: 1,
+			restriction:  p.restrictionFor(e),
 		}
 		p.records[key] = r
 	}
@@ -334,10 +341,15 @@
 
 // Forget drops the records of replicas that are not in v and have no request
 // in flight.
-func (p *Placer) Forget(v *zlregistry.View) {
+func (p *Placer) Forget(v *zlregistry.View, now time.Time) {
 	keep := map[recordKey]bool{}
+	keepRestrictions := map[restrictionKey]bool{}
 	for _, list := range v.Replicas {
 		for _, e := range list {
+			keepRestrictions[restrictionKey{
+				id:          e.ID,
+				incarnation: e.Incarnation,
+			}] = true
 			keep[recordKey{
 				id:          e.ID,
 				incarnation: e.Incarnation,
@@ -351,7 +363,13 @@
 		r.mu.Lock()
 		if len(r.inFlight) == 0 && !keep[key] {
 			delete(p.records, key)
+		} else {
+			keepRestrictions[restrictionKey{
+				id:          key.id,
+				incarnation: key.incarnation,
+			}] = true
 		}
 		r.mu.Unlock()
 	}
+	p.forgetRestrictions(now, keepRestrictions)
 }
--- a/core/process/zldecision/zldecision.go
+++ b/core/process/zldecision/zldecision.go
@@ -33,6 +33,8 @@
 	ReasonNoReplica Reason = "noReplica"
 	// ReasonNoRoom: all replicas that may serve are at their limit for this VM.
 	ReasonNoRoom Reason = "noRoom"
+	// ReasonBackoff: all replicas that may serve asked for no requests for a time.
+	ReasonBackoff Reason = "backoff"
 	// ReasonTooFewShards: fewer parts can be had than the route needs, and
 	// nothing has run.
 	ReasonTooFewShards     Reason = "tooFewShards"
--- a/core/request/zlrelay/answer.go
+++ b/core/request/zlrelay/answer.go
@@ -38,6 +38,9 @@
 	retryAfterShare = 0.3
 	// minRetryAfter and maxRetryAfter limit Retry-After.
 	minRetryAfter = 20 * time.Millisecond
+	// returnSpread is the share of a back-off of all replicas over which the callers'
+	// returns are spread after it.
+	returnSpread = 0.25
 	maxRetryAfter = 2 * time.Second
 )
 
@@ -295,6 +298,9 @@
 // replicas, or empty.
 func (r *Relay) refuse(v *zlregistry.View, req *Request, route *zltable.Route, reason zldecision.Reason, s zlunit.Service) Answer {
 	retryAfter := r.retryAfter(req)
+	if s != "" {
+		retryAfter = max(retryAfter, r.untilServable(route, s))
+	}
 	e := &zldecision.Refused{
 		Subject:    r.subject(v, req, route),
 		Reason:     reason,
@@ -311,6 +317,34 @@
 	}
 }
 
+// untilServable returns how long so many replicas want no requests that the route cannot
+// be served, and a random addition, so that callers refused together do not retry
+// together. It is 0 if that does not bind or never ends.
+func (r *Relay) untilServable(route *zltable.Route, s zlunit.Service) time.Duration {
+	services, needed := []zlunit.Service{s}, 1
+	if route.IsSharded() {
+		services, needed = route.Shards, route.MinParts()
+	}
+	now := r.Timer.Now()
+	view := r.Registry.Current()
+	var returns []time.Time
+	for _, service := range services {
+		a := r.Placer.Available(view, now, service)
+		switch {
+		case a.Replicas > 0:
+			needed--
+		case !a.RetryAt.IsZero():
+			returns = append(returns, a.RetryAt)
+		}
+	}
+	if needed <= 0 || len(returns) < needed {
+		return 0
+	}
+	slices.SortFunc(returns, time.Time.Compare)
+	wait := returns[needed-1].Sub(now)
+	return wait + time.Duration(r.randomFloat()*max(returnSpread*float64(wait), float64(minRetryAfter)))
+}
+
 // retryAfter returns how long a caller should wait before it retries: a random
 // part of its remaining time, so that callers refused together do not retry
 // together.
--- a/core/request/zlrelay/attempt.go
+++ b/core/request/zlrelay/attempt.go
@@ -85,7 +85,7 @@
 func (a *attempt) begin() bool {
 	x := a.part.run
 	now := x.relay.Timer.Now()
-	if !now.Before(x.deadline) || !a.replicaUsable() {
+	if !now.Before(x.deadline) || !a.replicaUsable() || !a.placement.Flight.MaySend(now) {
 		return false
 	}
 	if !a.state.CompareAndSwap(attemptPending, attemptStarted) {
@@ -136,14 +136,17 @@
 	started := a.state.Load() == attemptStarted
 	outcome := zlbalancer.OutcomeServed
 	retryAfter := time.Duration(0)
+	var notice Notice
 	switch rep := reply.(type) {
 	case *Response:
+		notice = rep.Notice
 		if rep.Status >= http.StatusInternalServerError {
 			outcome = zlbalancer.OutcomeFailed
 		} else {
 			x.profile.Observe(now, now.Sub(a.placedAt))
 		}
 	case *NotRun:
+		notice = rep.Notice
 		retryAfter = rep.RetryAfter
 		outcome = zlbalancer.OutcomeRefused
 		switch {
@@ -153,8 +156,10 @@
 			outcome = zlbalancer.OutcomeMoved
 		}
 	case *Unknown:
+		notice = rep.Notice
 		outcome = zlbalancer.OutcomeFailed
 	}
+	a.recordNotice(now, notice)
 	if ctx.Err() != nil && outcome != zlbalancer.OutcomeServed {
 		outcome = zlbalancer.OutcomeGivenUp
 		if started && a.isPastOverdueTime(now) {
@@ -164,6 +169,25 @@
 	a.placement.Flight.Done(now, outcome, x.expectedLatency, retryAfter)
 }
 
+// recordNotice applies what the replica said of itself, and records it.
+func (a *attempt) recordNotice(now time.Time, n Notice) {
+	e := &zldecision.Belief{
+		Topic:   "replica",
+		Name:    string(a.placement.Entry.ID),
+		Service: a.part.service,
+	}
+	if n.Leaving && a.placement.Flight.MarkLeaving(now) {
+		e.What = "leaving"
+		a.part.run.relay.note(e)
+	}
+	if n.Backoff > 0 {
+		a.placement.Flight.BackOff(now, n.Backoff)
+		backoff := *e
+		backoff.What = "backoff"
+		a.part.run.relay.note(&backoff)
+	}
+}
+
 func (a *attempt) isPastOverdueTime(now time.Time) bool {
 	return !now.Before(a.overdueAt)
 }
--- a/core/request/zlrelay/part.go
+++ b/core/request/zlrelay/part.go
@@ -162,6 +162,8 @@
 	case hedge:
 	case result == zlbalancer.NoReplica:
 		p.markLost(zldecision.ReasonNoReplica)
+	case result == zlbalancer.BackingOff:
+		p.markLost(zldecision.ReasonBackoff)
 	default:
 		p.joinQueue(now)
 	}
--- a/core/request/zlrelay/run.go
+++ b/core/request/zlrelay/run.go
@@ -4,7 +4,6 @@
 	"context"
 	"time"
 
-	"zinnialock/core/process/zlbalancer"
 	"zinnialock/core/process/zldecision"
 	"zinnialock/core/process/zlquantile"
 	"zinnialock/core/process/zlunit"
@@ -183,7 +182,7 @@
 	n := 0
 	var unavailable zlunit.Service
 	for i := range x.parts {
-		if zlbalancer.HasReplica(x.view, x.parts[i].service) {
+		if x.relay.Placer.Available(x.view, x.relay.Timer.Now(), x.parts[i].service).Replicas > 0 {
 			n++
 		} else {
 			unavailable = x.parts[i].service
@@ -246,7 +245,7 @@
 		p := &x.parts[i]
 		if x.relay.Placer.HasCapacity(x.view, now, p.service, x.rank()) {
 			available++
-		} else if zlbalancer.HasReplica(x.view, p.service) {
+		} else if x.relay.Placer.Available(x.view, now, p.service).Replicas > 0 {
 			blocked = p
 		}
 	}
--- a/core/request/zlrelay/zlrelay.go
+++ b/core/request/zlrelay/zlrelay.go
@@ -105,8 +105,18 @@
 	reply()
 }
 
+// Notice is what a replica says of itself in any of its answers.
+type Notice struct {
+	// Leaving is set if the replica is leaving.
+	Leaving bool
+	// Backoff is how long the replica wants no requests from this VM; 0 if it did not
+	// say so.
+	Backoff time.Duration
+}
+
 // Response is a complete response of the replica to this request.
 type Response struct {
+	Notice
 	// Status is the HTTP status code.
 	Status int
 	// Header holds the end-to-end headers.
@@ -119,6 +129,7 @@
 
 // NotRun reports that the replica provably did not start the request.
 type NotRun struct {
+	Notice
 	// Reason is why the request was not run.
 	Reason zldecision.Reason
 	// Arrived is set if the request reached the replica, which refused it.
@@ -131,6 +142,7 @@
 // Unknown reports that the request was sent and no usable response came back; it
 // may have run.
 type Unknown struct {
+	Notice
 	// Reason is why there is no usable response.
 	Reason zldecision.Reason
 }
