A store that goes back to an earlier copy: eras in all revisions

Cause: revisions were bare numbers. After the store went back, zlwatcher kept the greater number, watched from a revision that the store does not have, got 410 and listed in a loop (328 calls in 10 s); deltas of peers with lower numbers counted as known and confirmed; zlvmcount took returned entries for unrenewed and, while entries were lost, divided budgets and cold rates by too few VMs. Change: zlrevision.Revision, era and number with one order, in all that is kept, compared, sent or logged. A new era, found by a probe, list, watch or peer, makes this VM list again once and go on with what it holds meanwhile: lost entries are kept for the grace of an outage, the newest table stays, data centres stay out of service for 5 s, VMs that were counted count until all can have written again (49 s); a lost own entry is written at once. Builds without eras: their confirmations count as of era 0, so they are not trusted and this build asks the store itself; they read this build's numbers as before. Ruled out: dropping the state on a new era, as it serves neither the old nor the new one. Left: zinnialock serve (its own object API has no era).

--- a/contrib/unit.sh
+++ b/contrib/unit.sh
@@ -1,8 +1,9 @@
 #!/usr/bin/env bash
-# Runs all tests with the race detector. A failure passes only if each test that
+# Runs all tests with the race detector, and the large fleets also without it. A failure passes only if each test that
 # failed is named by a line "test: NAME" of KNOWN-RED.txt, and is printed then.
 set -uo pipefail
 cd "$(dirname "$0")/.."
+go test -count=1 -timeout 2m ./core/version/zlpoller || exit 1
 out=$(mktemp)
 trap 'rm -f "$out"' EXIT
 go test -race -count=1 -timeout 8m "${@:-./...}" 2>&1 | tee "$out"
--- a/core/request/zlrelay/answer.go
+++ b/core/request/zlrelay/answer.go
@@ -40,7 +40,7 @@
 	minRetryAfter = 20 * time.Millisecond
 	// returnSpread is the share of a back-off of all replicas over which the callers'
 	// returns are spread after it.
-	returnSpread = 0.25
+	returnSpread  = 0.25
 	maxRetryAfter = 2 * time.Second
 )
 
--- a/core/version/zlpoller/fleet_test.go
+++ b/core/version/zlpoller/fleet_test.go
@@ -12,6 +12,7 @@
 	"zinnialock/core/process/zltimer"
 	"zinnialock/core/process/zlunit"
 	"zinnialock/core/version/zlregistry"
+	"zinnialock/core/version/zlrevision"
 	"zinnialock/core/version/zltable"
 	"zinnialock/core/version/zlwatcher"
 )
@@ -27,7 +28,7 @@
 // store is the platform's store, in which only the table changes.
 type store struct {
 	mu       sync.Mutex
-	revision uint64
+	revision zlrevision.Revision
 	version  zltable.Version
 	changed  chan struct{}
 	// down makes calls time out, or fail at once if refuses is set.
@@ -38,7 +39,7 @@
 func (s *store) put() zltable.Version {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.revision++
+	s.revision.Number++
 	s.version++
 	close(s.changed)
 	s.changed = make(chan struct{})
@@ -134,8 +135,11 @@
 	return nil
 }
 
-func (v *vm) Probe(ctx context.Context) error {
-	return v.checkFaults(ctx)
+func (v *vm) Probe(ctx context.Context) (zlrevision.Era, error) {
+	err := v.checkFaults(ctx)
+	v.store.mu.Lock()
+	defer v.store.mu.Unlock()
+	return v.store.revision.Era, err
 }
 
 func (v *vm) List(ctx context.Context, t zlwatcher.Topic, _ string) (*zlwatcher.Page, error) {
@@ -161,7 +165,7 @@
 	return p, nil
 }
 
-func (v *vm) Watch(ctx context.Context, t zlwatcher.Topic, revision uint64, wait time.Duration) (*zlwatcher.Page, error) {
+func (v *vm) Watch(ctx context.Context, t zlwatcher.Topic, revision zlrevision.Revision, wait time.Duration) (*zlwatcher.Page, error) {
 	if err := v.checkFaults(ctx); err != nil {
 		return nil, err
 	}
@@ -175,7 +179,7 @@
 		p := &zlwatcher.Page{
 			Revision: v.store.revision,
 		}
-		if t == zlwatcher.TopicTable && v.store.revision > revision {
+		if t == zlwatcher.TopicTable && revision.Before(v.store.revision) {
 			p.Items = append(p.Items, v.store.item())
 		}
 		changed := v.store.changed
@@ -202,13 +206,18 @@
 // newFleet starts VMs that learn the members after learnAfter. With tablesWait, a table
 // may wait within the bound until its replicas are warm.
 func newFleet(learnAfter time.Duration, tablesWait bool) *fleet {
+	return newFleetOf(fleetSize, learnAfter, tablesWait)
+}
+
+// newFleetOf does the same with a number of VMs.
+func newFleetOf(size int, learnAfter time.Duration, tablesWait bool) *fleet {
 	f := &fleet{
 		store: &store{
 			changed: make(chan struct{}),
 		},
 	}
 	f.store.put()
-	members := membersOf(fleetSize)
+	members := membersOf(size)
 	for i := range members {
 		v := f.build(members[i])
 		if tablesWait {
--- a/core/version/zlpoller/zlpoller.go
+++ b/core/version/zlpoller/zlpoller.go
@@ -14,6 +14,7 @@
 
 	"zinnialock/core/process/zltimer"
 	"zinnialock/core/process/zlunit"
+	"zinnialock/core/version/zlrevision"
 	"zinnialock/core/version/zlwatcher"
 
 	"github.com/cespare/xxhash/v2"
@@ -69,7 +70,7 @@
 	// Age is the time since the store confirmed Revisions; negative if it did not.
 	Age time.Duration
 	// Revisions are those that the sender holds, by topic.
-	Revisions [zlwatcher.NumTopics]uint64
+	Revisions [zlwatcher.NumTopics]zlrevision.Revision
 }
 
 // Policy implements zlwatcher.PollPolicy. Exported fields must be set before use. Its methods
@@ -85,7 +86,7 @@
 	// FirstSystemStart is true if the whole system starts for the first time.
 	FirstSystemStart bool
 	// Revisions returns the revisions that this VM holds, by topic; 0 means none.
-	Revisions func() [zlwatcher.NumTopics]uint64
+	Revisions func() [zlwatcher.NumTopics]zlrevision.Revision
 
 	mu sync.Mutex
 	// members are the other VMs of the data centre, in the order of their score.
@@ -101,7 +102,7 @@
 	confirmedHeldAt time.Time
 	// confirmedRevisions are the newest confirmed revisions, which this VM must hold to
 	// be up to date.
-	confirmedRevisions [zlwatcher.NumTopics]uint64
+	confirmedRevisions [zlwatcher.NumTopics]zlrevision.Revision
 	// behindSince is the time at which this VM was found not to hold them; zero while it
 	// does.
 	behindSince time.Time
@@ -159,16 +160,18 @@
 	held := p.Revisions()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	lacksUpdate := false
+	lacksUpdate, outdated := false, false
 	for i, r := range b.Revisions {
-		lacksUpdate = lacksUpdate || r > held[i]
-		if b.Age >= 0 {
-			p.confirmedRevisions[i] = max(p.confirmedRevisions[i], r)
-		}
+		lacksUpdate = lacksUpdate || held[i].Before(r)
+		// What the store confirmed in an earlier era says nothing of the present one.
+		outdated = outdated || r.Era < held[i].Era || r.Era < p.confirmedRevisions[i].Era
 	}
-	if b.Age < 0 {
+	if b.Age < 0 || outdated {
 		return lacksUpdate
 	}
+	for i, r := range b.Revisions {
+		p.confirmedRevisions[i] = zlrevision.Later(p.confirmedRevisions[i], r)
+	}
 	if at := now.Add(-b.Age); at.After(p.confirmedAt) {
 		p.confirmedAt = at
 		if !lacksUpdate {
@@ -202,7 +205,7 @@
 
 // updatedByPeers implements UpdatedByPeers; held are the revisions that this VM holds.
 // The caller holds mu.
-func (p *Policy) updatedByPeers(storeLost bool, held [zlwatcher.NumTopics]uint64) bool {
+func (p *Policy) updatedByPeers(storeLost bool, held [zlwatcher.NumTopics]zlrevision.Revision) bool {
 	now := p.Timer.Now()
 	updated := p.membersKnown && (p.rank > 0 || storeLost) && now.Sub(p.confirmedAt) <= p.maxAge() && p.upToDate(now, held)
 	switch {
@@ -218,12 +221,12 @@
 
 // upToDate reports whether this VM holds the confirmed revisions, or has been behind
 // for no longer than maxBehind. The caller holds mu.
-func (p *Policy) upToDate(now time.Time, held [zlwatcher.NumTopics]uint64) bool {
+func (p *Policy) upToDate(now time.Time, held [zlwatcher.NumTopics]zlrevision.Revision) bool {
 	for i, r := range p.confirmedRevisions {
-		if held[i] == 0 {
+		if held[i] == (zlrevision.Revision{}) {
 			return false
 		}
-		if held[i] < r {
+		if held[i].Before(r) {
 			if p.behindSince.IsZero() {
 				p.behindSince = now
 			}
@@ -261,14 +264,14 @@
 
 // pollDelay returns how long this VM waits for its peers before it polls. The caller holds
 // mu.
-func (p *Policy) pollDelay(held [zlwatcher.NumTopics]uint64) time.Duration {
+func (p *Policy) pollDelay(held [zlwatcher.NumTopics]zlrevision.Revision) time.Duration {
 	switch {
 	case p.rank == 0:
 		return 0
 	case p.regained:
 		share := regainDelayShare + regainRankShare*float64(min(p.rank-1, regainMaxRank))
 		return time.Duration(share * float64(p.UpdateBound))
-	case p.confirmedAt.IsZero() && !slices.Contains(held[:], 0):
+	case p.confirmedAt.IsZero() && !slices.Contains(held[:], zlrevision.Revision{}):
 		return time.Duration(startDelayShare * float64(p.UpdateBound))
 	default:
 		return rankDelay * time.Duration(min(p.rank, maxRank))
--- a/core/version/zlregistry/registry.go
+++ b/core/version/zlregistry/registry.go
@@ -220,6 +220,14 @@
 	r.failingSince = time.Time{}
 }
 
+// MarkRestored notes that the platform answers from a copy of an earlier state. Entries
+// that this lost are kept for outageGrace, within which replicas write them again.
+func (r *Registry) MarkRestored() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.recoveredAt = r.Timer.Now()
+}
+
 // inOutage reports whether the platform has been out for at least minOutage. The caller
 // holds mu.
 func (r *Registry) inOutage() bool {
--- a/core/version/zlvmcount/zlvmcount.go
+++ b/core/version/zlvmcount/zlvmcount.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"sync/atomic"
 	"time"
@@ -13,6 +14,7 @@
 	"zinnialock/core/process/zldecision"
 	"zinnialock/core/process/zltimer"
 	"zinnialock/core/process/zlunit"
+	"zinnialock/core/version/zlrevision"
 )
 
 const (
@@ -34,6 +36,10 @@
 	// firstStartLists is how many lists, startInterval apart, the VMs need to see each
 	// other when the whole system starts for the first time.
 	firstStartLists = 3
+	// restoreHold is how long after the store went back the VMs that were counted before
+	// still count without an entry: each VM must list, write its entry again and be
+	// listed by the others.
+	restoreHold = 2*(listInterval+listInterval*jitterPercent/100) + maxLag
 	// newVMDelay is how long after its first entry a new VM is counted by all others:
 	// the longest time between two lists plus the lag of a list.
 	newVMDelay = listInterval + listInterval*jitterPercent/100 + maxLag
@@ -62,8 +68,15 @@
 	DataCentre zlunit.DataCentre
 	// Address is where the VM receives messages of other VMs.
 	Address string
-	// Revision increases with each write.
-	Revision uint64
+	// Revision is the store's revision of the last write.
+	Revision zlrevision.Revision
+}
+
+// Listing is what the store lists.
+type Listing struct {
+	Entries []Entry
+	// Era is that of the store.
+	Era zlrevision.Era
 }
 
 // Store is the platform's store of the entries.
@@ -73,7 +86,7 @@
 	// Withdraw removes this VM's entry.
 	Withdraw(ctx context.Context) error
 	// Entries lists the entries of all VMs; the list may lag by seconds.
-	Entries(ctx context.Context) ([]Entry, error)
+	Entries(ctx context.Context) (*Listing, error)
 }
 
 // Counter keeps this VM's entry and counts the VMs. Exported fields must be set before
@@ -105,6 +118,11 @@
 	firstWritten time.Time
 	// selfListed is true if the last list contained this VM's entry.
 	selfListed bool
+	// era is the newest known era of the store, and restoredAt when the store was seen to
+	// have gone back; zero if it never was. counted are the entries of the last count.
+	era        zlrevision.Era
+	restoredAt time.Time
+	counted    []Entry
 	// lists is the number of successful lists.
 	lists int
 	// from is Count.CountedSince.
@@ -115,7 +133,7 @@
 
 // seenEntry is the newest seen state of an entry.
 type seenEntry struct {
-	revision uint64
+	revision zlrevision.Revision
 	// at is when this revision was first seen.
 	at      time.Time
 	address string
@@ -186,7 +204,7 @@
 // renewal, or it was removed.
 func (c *Counter) mustWrite() bool {
 	age := c.Timer.Now().Sub(c.writtenAt)
-	return age >= renewInterval || age >= maxLag && !c.selfListed
+	return age >= renewInterval || !c.selfListed && (age >= maxLag || c.writtenAt.Before(c.restoredAt))
 }
 
 // announce writes this VM's entry.
@@ -196,7 +214,13 @@
 		c.noteFailure("announce", err)
 		return
 	}
-	c.writtenAt = c.Timer.Now()
+	now := c.Timer.Now()
+	// Others count this VM from its first entry on; if the store lost that, from the
+	// first entry after it.
+	if c.from.IsZero() && c.writtenAt.Before(c.restoredAt) {
+		c.firstWritten = time.Time{}
+	}
+	c.writtenAt = now
 	if c.firstWritten.IsZero() {
 		c.firstWritten = c.writtenAt
 	}
@@ -204,18 +228,27 @@
 
 // list lists the entries and reports the count, or returns false if the list failed.
 func (c *Counter) list(ctx context.Context) bool {
-	entries, err := c.Store.Entries(ctx)
+	listing, err := c.Store.Entries(ctx)
+	if err == nil && listing.Era < c.era {
+		err = errEarlierEra
+	}
 	if err != nil {
 		c.noteFailure("count", err)
 		return false
 	}
 	now := c.Timer.Now()
+	if listing.Era > c.era {
+		if c.era > 0 {
+			c.restoredAt = now
+		}
+		c.era = listing.Era
+	}
 	var alive []Entry
 	c.selfListed = false
-	for _, e := range entries {
+	for _, e := range listing.Entries {
 		c.selfListed = c.selfListed || e.VM == c.Self
 		s, ok := c.seen[e.VM]
-		if !ok || e.Revision > s.revision {
+		if !ok || s.revision.Before(e.Revision) {
 			s = seenEntry{
 				revision: e.Revision,
 				at:       now,
@@ -227,6 +260,10 @@
 			alive = append(alive, e)
 		}
 	}
+	if !c.restoredAt.IsZero() && now.Sub(c.restoredAt) < restoreHold {
+		alive = append(alive, c.lostEntries(alive)...)
+	}
+	c.counted = alive
 	n := max(len(alive), 1)
 	if c.FirstSystemStart && c.lists < firstStartLists-1 {
 		// VMs that started together may not all have written their entries yet.
@@ -252,6 +289,26 @@
 	return true
 }
 
+// errEarlierEra rejects a list from before the store went back.
+var errEarlierEra = errors.New("the list is from before the store went back")
+
+// lostEntries returns the entries of the last count that are not listed any more. The
+// shares of capacity and budgets must not grow while VMs whose entries the store lost
+// write them again.
+func (c *Counter) lostEntries(listed []Entry) []Entry {
+	present := map[zlunit.VM]bool{}
+	for _, e := range listed {
+		present[e.VM] = true
+	}
+	var lost []Entry
+	for _, e := range c.counted {
+		if !present[e.VM] {
+			lost = append(lost, e)
+		}
+	}
+	return lost
+}
+
 // noteFailure notes a failed call to the store in the decision log.
 func (c *Counter) noteFailure(operation string, err error) {
 	if c.Sink != nil {
--- a/core/version/zlvmcount/zlvmcount_test.go
+++ b/core/version/zlvmcount/zlvmcount_test.go
@@ -12,6 +12,7 @@
 
 	"zinnialock/core/process/zltimer"
 	"zinnialock/core/process/zlunit"
+	"zinnialock/core/version/zlrevision"
 )
 
 var errDown = errors.New("down")
@@ -22,14 +23,14 @@
 	self     Entry
 	entries  map[zlunit.VM]Entry
 	listed   []Entry
-	revision uint64
+	revision zlrevision.Revision
 	writes   int
 	down     bool
 }
 
 // put writes an entry. The caller holds mu, or nothing runs yet.
 func (s *store) put(e Entry) {
-	s.revision++
+	s.revision.Number++
 	e.Revision = s.revision
 	s.entries[e.VM] = e
 }
@@ -58,13 +59,16 @@
 	return nil
 }
 
-func (s *store) Entries(context.Context) ([]Entry, error) {
+func (s *store) Entries(context.Context) (*Listing, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.down {
 		return nil, errDown
 	}
-	return s.listed, nil
+	return &Listing{
+		Entries: s.listed,
+		Era:     s.revision.Era,
+	}, nil
 }
 
 // lag updates the list once a second to the entries of a second before.
@@ -251,3 +255,47 @@
 		}
 	})
 }
+
+// Replays a store that lost the entries of VMs, this one's included: the count must not
+// fall before they can have written them again, and the own entry is written at once.
+func TestLostEntriesStillCount(t *testing.T) {
+	before := []Entry{
+		{
+			VM: "b",
+		},
+		{
+			VM: "c",
+		},
+	}
+	runCounter(t, false, before, time.Minute, func(s *store, count func() int) {
+		s.mu.Lock()
+		s.revision.Era = 1
+		s.mu.Unlock()
+		time.Sleep(time.Minute)
+		if n := count(); n != 3 {
+			t.Fatalf("got a count of %d, want 3", n)
+		}
+		s.mu.Lock()
+		writes := s.writes
+		s.revision = zlrevision.Revision{
+			Era:    2,
+			Number: 1,
+		}
+		clear(s.entries)
+		s.listed = nil
+		s.mu.Unlock()
+		for range 50 {
+			time.Sleep(time.Second)
+			if n := count(); n != 3 {
+				t.Fatalf("got a count of %d after the store lost the entries, want 3", n)
+			}
+		}
+		if s.writeCount() == writes {
+			t.Error("the own entry was not written again")
+		}
+		time.Sleep(2 * restoreHold)
+		if n := count(); n != 1 {
+			t.Errorf("got a count of %d long after the others did not return, want 1", n)
+		}
+	})
+}
--- a/core/version/zlwatcher/delta.go
+++ b/core/version/zlwatcher/delta.go
@@ -1,8 +1,11 @@
 package zlwatcher
 
 import (
+	"context"
 	"sync"
 	"time"
+
+	"zinnialock/core/version/zlrevision"
 )
 
 // maxDeltas is how many deltas of a topic are kept for peers that missed some. A peer
@@ -13,8 +16,8 @@
 type Delta struct {
 	// FromRevision and ToRevision are revisions of the store; FromRevision is exclusive,
 	// ToRevision inclusive.
-	FromRevision uint64
-	ToRevision   uint64
+	FromRevision zlrevision.Revision
+	ToRevision   zlrevision.Revision
 	Items        []Item
 	// Full is true if the items are the whole topic at ToRevision; FromRevision is
 	// ignored then.
@@ -24,7 +27,9 @@
 // topicState is what this VM holds of a topic, besides what is in the registry.
 type topicState struct {
 	mu       sync.Mutex
-	revision uint64
+	revision zlrevision.Revision
+	// cancelCall ends the call to the store that is under way, if there is one.
+	cancelCall context.CancelFunc
 	// listed is true if everything up to revision is known.
 	listed bool
 	// watched is true while this VM watches the topic, also between two watches.
@@ -44,6 +49,13 @@
 	return s.listed
 }
 
+// isKnown reports whether anything of the topic is known.
+func (s *topicState) isKnown() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.items != nil
+}
+
 func (s *topicState) isWatched() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -60,7 +72,7 @@
 
 // startWatch notes that this VM watches the topic. It returns the revision to watch from,
 // and whether the watch must be kept short.
-func (s *topicState) startWatch(now time.Time) (fromRevision uint64, keepShort bool) {
+func (s *topicState) startWatch(now time.Time) (fromRevision zlrevision.Revision, keepShort bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if !s.watched {
@@ -77,6 +89,27 @@
 	s.watched = false
 }
 
+// beginCall sets what ends the call that begins.
+func (s *topicState) beginCall(cancel context.CancelFunc) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.cancelCall = cancel
+}
+
+// requireEra makes the watcher list the topic again if it was listed in an earlier era.
+func (s *topicState) requireEra(era zlrevision.Era) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.items == nil || s.revision.Era >= era {
+		return
+	}
+	s.listed = false
+	s.watched = false
+	if s.cancelCall != nil {
+		s.cancelCall()
+	}
+}
+
 // key returns the name of an item within its topic; gone reports that the item is
 // removed.
 func key(i Item) (name string, gone bool) {
@@ -97,12 +130,21 @@
 func (w *Watcher) applyDelta(t Topic, d *Delta, at time.Time, fromStore bool) {
 	s := &w.topics[t]
 	deadline := w.tableDeadline()
+	w.noteEra(d.ToRevision.Era)
 	s.mu.Lock()
-	if d.ToRevision <= s.revision && (!fromStore || !d.Full) {
+	if d.ToRevision.Era < s.revision.Era {
+		// A reply or message that was sent before the store went back.
+		s.mu.Unlock()
+		return
+	}
+	if !s.revision.Before(d.ToRevision) && (!fromStore || !d.Full) {
 		s.mu.Unlock()
 		w.confirm(t, at)
 		return
 	}
+	if t == TopicTable && d.Full {
+		d.Items = s.withNewestTable(d.Items)
+	}
 	if d.Full || s.items == nil {
 		s.items = map[string]Item{}
 	}
@@ -124,17 +166,33 @@
 		}
 		w.apply(t, d.Items, at, deadline)
 	}
-	s.revision = max(s.revision, d.ToRevision)
+	s.revision = zlrevision.Later(s.revision, d.ToRevision)
 	s.mu.Unlock()
 	if fromStore && w.OnUpdate != nil {
 		w.OnUpdate(t, d)
 	}
 }
 
+// withNewestTable returns the items of a whole topic, with the newest table that is
+// known: a store that went back may list an older one until operators write the newer
+// one again, and a VM that starts meanwhile gets it from its peers. The caller holds mu.
+func (s *topicState) withNewestTable(items []Item) []Item {
+	held, ok := s.items["table"].(*TableItem)
+	if !ok {
+		return items
+	}
+	for _, i := range items {
+		if listed, ok := i.(*TableItem); ok && listed.Table != nil && listed.Table.Version >= held.Table.Version {
+			return items
+		}
+	}
+	return []Item{held}
+}
+
 // Revisions returns the revision up to which each topic is known; 0 means that
 // nothing is known.
-func (w *Watcher) Revisions() [NumTopics]uint64 {
-	var revisions [NumTopics]uint64
+func (w *Watcher) Revisions() [NumTopics]zlrevision.Revision {
+	var revisions [NumTopics]zlrevision.Revision
 	for i := range w.topics {
 		s := &w.topics[i]
 		s.mu.Lock()
@@ -152,9 +210,9 @@
 	s := &w.topics[t]
 	s.mu.Lock()
 	known, revision := s.items != nil, s.revision
-	fits := d.Full || (known && d.FromRevision <= revision)
+	fits := d.Full || (known && d.FromRevision.Era == revision.Era && !revision.Before(d.FromRevision))
 	s.mu.Unlock()
-	if known && d.ToRevision <= revision {
+	if known && !revision.Before(d.ToRevision) {
 		return true
 	}
 	if !fits {
@@ -169,20 +227,20 @@
 
 // DeltaSince returns the changes of a topic after a revision, in full if the kept deltas
 // don't reach back that far. It returns nil if nothing is known or nothing changed.
-func (w *Watcher) DeltaSince(t Topic, after uint64) *Delta {
+func (w *Watcher) DeltaSince(t Topic, after zlrevision.Revision) *Delta {
 	s := &w.topics[t]
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.items == nil || after >= s.revision {
+	if s.items == nil || !after.Before(s.revision) {
 		return nil
 	}
 	d := &Delta{
 		FromRevision: after,
 		ToRevision:   s.revision,
 	}
-	if len(s.deltas) > 0 && s.deltas[0].FromRevision <= after && after > 0 {
+	if len(s.deltas) > 0 && !after.Before(s.deltas[0].FromRevision) && after.Number > 0 {
 		for _, kept := range s.deltas {
-			if kept.ToRevision > after {
+			if after.Before(kept.ToRevision) {
 				d.Items = append(d.Items, kept.Items...)
 			}
 		}
--- a/core/version/zlwatcher/fake_test.go
+++ b/core/version/zlwatcher/fake_test.go
@@ -3,19 +3,25 @@
 import (
 	"context"
 	"errors"
+	"maps"
+	"slices"
 	"sync"
 	"time"
+
+	"zinnialock/core/version/zlrevision"
 )
 
 var errDown = errors.New("down")
 
 // fakeStore is a store in memory with switchable faults.
 type fakeStore struct {
-	mu       sync.Mutex
-	revision uint64
+	mu sync.Mutex
+	// era is sent with each reply; 0 stands for a store that knows none.
+	era      zlrevision.Era
+	revision zlrevision.Number
 	items    map[Topic]map[string]Item
 	log      map[Topic][]change
-	dropped  map[Topic]uint64
+	dropped  map[Topic]zlrevision.Number
 	waiters  []chan struct{}
 	// dropsChanges drops changes from the history, so that no watch returns them. Watches
 	// that begin while silentWatches is set return no changes. hangs makes calls hang until
@@ -30,7 +36,7 @@
 }
 
 type change struct {
-	revision uint64
+	revision zlrevision.Number
 	item     Item
 }
 
@@ -38,7 +44,7 @@
 	return &fakeStore{
 		items:       map[Topic]map[string]Item{},
 		log:         map[Topic][]change{},
-		dropped:     map[Topic]uint64{},
+		dropped:     map[Topic]zlrevision.Number{},
 		lists:       map[Topic]int{},
 		failWatches: make(chan struct{}),
 	}
@@ -116,11 +122,20 @@
 	return s.probes, lists
 }
 
-func (s *fakeStore) Probe(ctx context.Context) error {
+func (s *fakeStore) Probe(ctx context.Context) (zlrevision.Era, error) {
 	s.mu.Lock()
 	s.probes++
+	era := s.era
 	s.mu.Unlock()
-	return s.checkFaults(ctx, time.Second)
+	return era, s.checkFaults(ctx, time.Second)
+}
+
+// at returns the store's revision. The caller holds mu.
+func (s *fakeStore) at() zlrevision.Revision {
+	return zlrevision.Revision{
+		Era:    s.era,
+		Number: s.revision,
+	}
 }
 
 func (s *fakeStore) List(ctx context.Context, t Topic, _ string) (*Page, error) {
@@ -131,7 +146,7 @@
 	defer s.mu.Unlock()
 	s.lists[t]++
 	p := &Page{
-		Revision: s.revision,
+		Revision: s.at(),
 	}
 	for _, i := range s.items[t] {
 		p.Items = append(p.Items, i)
@@ -139,30 +154,34 @@
 	return p, nil
 }
 
-func (s *fakeStore) Watch(ctx context.Context, t Topic, revision uint64, wait time.Duration) (*Page, error) {
+func (s *fakeStore) Watch(ctx context.Context, t Topic, after zlrevision.Revision, wait time.Duration) (*Page, error) {
 	if err := s.checkFaults(ctx, wait+time.Second); err != nil {
 		return nil, err
 	}
 	ctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
 	s.mu.Lock()
+	if after.Number > s.revision {
+		s.mu.Unlock()
+		return nil, ErrHistoryGone
+	}
 	silentWatches := s.silentWatches
 	s.mu.Unlock()
 	if silentWatches {
 		<-ctx.Done()
 		return &Page{
-			Revision: revision,
+			Revision: after,
 		}, nil
 	}
 	for {
 		s.mu.Lock()
 		var page Page
 		for _, c := range s.log[t] {
-			if c.revision > revision {
+			if c.revision > after.Number {
 				page.Items = append(page.Items, c.item)
 			}
 		}
-		page.Revision = s.revision
+		page.Revision = s.at()
 		changed := make(chan struct{})
 		s.waiters = append(s.waiters, changed)
 		failWatches := s.failWatches
@@ -176,8 +195,30 @@
 			return nil, errDown
 		case <-ctx.Done():
 			return &Page{
-				Revision: revision,
+				Revision: after,
 			}, nil
 		}
 	}
 }
+
+// copyState returns a function that restores the present state in a new era: the store
+// goes back, gives out the later revisions again, and cuts the waiting watches if
+// cutWatches is set.
+func (s *fakeStore) copyState() (restore func(cutWatches bool)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	revision := s.revision
+	items, log := map[Topic]map[string]Item{}, map[Topic][]change{}
+	for t, list := range s.items {
+		items[t] = maps.Clone(list)
+	}
+	for t, list := range s.log {
+		log[t] = slices.Clone(list)
+	}
+	return func(cutWatches bool) {
+		s.set(func() {
+			s.era++
+			s.revision, s.items, s.log = revision, items, log
+		}, cutWatches)
+	}
+}
--- a/core/version/zlwatcher/watch.go
+++ b/core/version/zlwatcher/watch.go
@@ -21,12 +21,15 @@
 		if err != nil {
 			return 0, err
 		}
-		d.Items = append(d.Items, page.Items...)
-		if after == "" {
+		switch {
+		case after == "":
 			// The watch starts at the first page's revision, so that it also
 			// returns the changes made while the later pages were read.
 			d.ToRevision = page.Revision
+		case page.Revision.Era != d.ToRevision.Era:
+			return 0, errEraChanged
 		}
+		d.Items = append(d.Items, page.Items...)
 		if page.Next == "" {
 			break
 		}
@@ -35,7 +38,7 @@
 		}
 		after = page.Next
 	}
-	if t == TopicTable && len(d.Items) == 0 {
+	if t == TopicTable && len(d.Items) == 0 && !state.isKnown() {
 		return emptyTableDelay, nil
 	}
 	state.mu.Lock()
@@ -59,6 +62,12 @@
 		return 0, err
 	}
 	at := w.Timer.Now()
+	if page.Revision.Era != fromRevision.Era {
+		// The store went back; the changes since fromRevision are not those that this
+		// VM lacks.
+		w.noteEra(page.Revision.Era)
+		return 0, errEraChanged
+	}
 	if len(page.Items) == 0 {
 		w.confirm(t, at)
 		return 0, nil
@@ -161,5 +170,5 @@
 			out[item.DataCentre] = true
 		}
 	}
-	w.Registry.SetOutOfService(out, at)
+	w.Registry.SetOutOfService(w.withHeldOut(out), at)
 }
--- a/core/version/zlwatcher/zlwatcher.go
+++ b/core/version/zlwatcher/zlwatcher.go
@@ -17,6 +17,7 @@
 	"zinnialock/core/process/zltimer"
 	"zinnialock/core/process/zlunit"
 	"zinnialock/core/version/zlregistry"
+	"zinnialock/core/version/zlrevision"
 	"zinnialock/core/version/zltable"
 )
 
@@ -119,7 +120,7 @@
 // Page is one page of a list, or the changes that a watch returned.
 type Page struct {
 	Items    []Item
-	Revision uint64
+	Revision zlrevision.Revision
 	// Next is the token of the next page; empty on the last.
 	Next string
 }
@@ -135,13 +136,14 @@
 // concurrent.
 type Store interface {
 	// Probe probes the store by the cheapest call that shows whether it answers.
-	Probe(ctx context.Context) error
+	// It returns the store's era.
+	Probe(ctx context.Context) (zlrevision.Era, error)
 	// List returns the page of a topic that begins at the token after; "" is the
 	// first page.
 	List(ctx context.Context, t Topic, after string) (*Page, error)
 	// Watch waits up to wait for changes of a topic after the revision. A page
 	// without items means that there were none.
-	Watch(ctx context.Context, t Topic, revision uint64, wait time.Duration) (*Page, error)
+	Watch(ctx context.Context, t Topic, revision zlrevision.Revision, wait time.Duration) (*Page, error)
 }
 
 // PollPolicy decides whether this VM asks the store or relies on the updates of its
@@ -191,6 +193,12 @@
 	regained         chan struct{}
 	storeCtx         context.Context
 	cancelCalls      context.CancelFunc
+	// era is the newest known era of the store.
+	era zlrevision.Era
+	// heldOut names the data centres that were out of service before the store last went
+	// back; until heldOutUntil they stay so.
+	heldOut      map[zlunit.DataCentre]bool
+	heldOutUntil time.Time
 }
 
 // Run follows the topics and returns after Done is closed.
@@ -237,7 +245,7 @@
 			continue
 		}
 		at := w.Timer.Now()
-		err := w.Store.Probe(ctx)
+		era, err := w.Store.Probe(ctx)
 		switch {
 		case ctx.Err() != nil:
 			return
@@ -245,6 +253,7 @@
 			w.markLost("pulse", err)
 		default:
 			w.noteAnswer(at)
+			w.noteEra(era)
 			if w.PollPolicy != nil && w.lost() {
 				w.PollPolicy.StoreRegained()
 			}
@@ -391,14 +400,21 @@
 		}
 		var err error
 		var pause time.Duration
+		callCtx, cancel := context.WithCancel(ctx)
+		state.beginCall(cancel)
 		listed := state.isListed()
 		if listed {
-			pause, err = w.watch(ctx, t, state)
+			pause, err = w.watch(callCtx, t, state)
 		} else {
-			pause, err = w.list(ctx, t, state)
+			pause, err = w.list(callCtx, t, state)
 		}
+		interrupted := callCtx.Err() != nil
+		cancel()
 		switch {
-		case ctx.Err() != nil:
+		case interrupted:
+			state.requireList()
+			continue
+		case errors.Is(err, errEraChanged):
 			state.requireList()
 			continue
 		case err != nil && listed:
--- a/core/version/zlwatcher/zlwatcher_test.go
+++ b/core/version/zlwatcher/zlwatcher_test.go
@@ -8,6 +8,7 @@
 	"zinnialock/core/process/zltimer"
 	"zinnialock/core/process/zlunit"
 	"zinnialock/core/version/zlregistry"
+	"zinnialock/core/version/zlrevision"
 	"zinnialock/core/version/zltable"
 )
 
@@ -255,16 +256,22 @@
 			close(ended)
 		}()
 		w.ApplyPeerDelta(TopicReplicas, &Delta{
-			ToRevision: 1,
-			Full:       true,
-			Items:      []Item{replicaItem("a", 1, false), replicaItem("b", 1, false)},
+			ToRevision: zlrevision.Revision{
+				Number: 1,
+			},
+			Full:  true,
+			Items: []Item{replicaItem("a", 1, false), replicaItem("b", 1, false)},
 		})
 		synctest.Wait()
 		w.markLost("pulse", errDown)
 		time.Sleep(5 * time.Second)
 		w.ApplyPeerDelta(TopicReplicas, &Delta{
-			FromRevision: 1,
-			ToRevision:   2,
+			FromRevision: zlrevision.Revision{
+				Number: 1,
+			},
+			ToRevision: zlrevision.Revision{
+				Number: 2,
+			},
 			Items: []Item{&ReplicaItem{
 				ID: "a",
 			}},
--- a/io/version/zlbroadcast/message.go
+++ b/io/version/zlbroadcast/message.go
@@ -7,6 +7,7 @@
 	"zinnialock/core/process/zlunit"
 	"zinnialock/core/version/zlpoller"
 	"zinnialock/core/version/zlregistry"
+	"zinnialock/core/version/zlrevision"
 	"zinnialock/core/version/zltable"
 	"zinnialock/core/version/zlwatcher"
 
@@ -19,8 +20,11 @@
 	VM zlunit.VM `cbor:"1,keyasint"`
 	// AgeMicros is the age of the store's last confirmation to the sender; -1
 	// means that the message confirms nothing.
-	AgeMicros int64                       `cbor:"2,keyasint"`
-	Revisions [zlwatcher.NumTopics]uint64 `cbor:"3,keyasint"`
+	AgeMicros int64 `cbor:"2,keyasint"`
+	// Revisions and Eras are the two parts of the sender's revisions, by topic. A build
+	// that knows no eras sends none.
+	Revisions [zlwatcher.NumTopics]zlrevision.Number `cbor:"3,keyasint"`
+	Eras      []zlrevision.Era                       `cbor:"8,keyasint,omitempty"`
 	// Topic is what Update belongs to; it means nothing without one.
 	Topic         zlwatcher.Topic           `cbor:"4,keyasint,omitempty"`
 	Update        *delta                    `cbor:"5,keyasint,omitempty"`
@@ -32,12 +36,14 @@
 
 // delta is the encoded form of a zlwatcher.Delta.
 type delta struct {
-	From         uint64             `cbor:"1,keyasint"`
-	To           uint64             `cbor:"2,keyasint"`
+	From         zlrevision.Number  `cbor:"1,keyasint"`
+	To           zlrevision.Number  `cbor:"2,keyasint"`
 	Full         bool               `cbor:"3,keyasint,omitempty"`
 	Table        *tableItem         `cbor:"4,keyasint,omitempty"`
 	Replicas     []replicaItem      `cbor:"5,keyasint,omitempty"`
 	OutOfService []outOfServiceItem `cbor:"6,keyasint,omitempty"`
+	FromEra      zlrevision.Era     `cbor:"7,keyasint,omitempty"`
+	ToEra        zlrevision.Era     `cbor:"8,keyasint,omitempty"`
 }
 
 type tableItem struct {
@@ -81,9 +87,11 @@
 
 func toWire(d *zlwatcher.Delta) *delta {
 	out := &delta{
-		From: d.FromRevision,
-		To:   d.ToRevision,
-		Full: d.Full,
+		From:    d.FromRevision.Number,
+		To:      d.ToRevision.Number,
+		FromEra: d.FromRevision.Era,
+		ToEra:   d.ToRevision.Era,
+		Full:    d.Full,
 	}
 	for _, i := range d.Items {
 		switch i := i.(type) {
@@ -121,9 +129,15 @@
 
 func fromWire(d *delta) *zlwatcher.Delta {
 	out := &zlwatcher.Delta{
-		FromRevision: d.From,
-		ToRevision:   d.To,
-		Full:         d.Full,
+		FromRevision: zlrevision.Revision{
+			Era:    d.FromEra,
+			Number: d.From,
+		},
+		ToRevision: zlrevision.Revision{
+			Era:    d.ToEra,
+			Number: d.To,
+		},
+		Full: d.Full,
 	}
 	if t := d.Table; t != nil {
 		out.Items = append(out.Items, &zlwatcher.TableItem{
@@ -145,10 +159,29 @@
 	return out
 }
 
+// setRevisions sets the sender's revisions.
+func (m *message) setRevisions(revisions [zlwatcher.NumTopics]zlrevision.Revision) {
+	for i, r := range revisions {
+		m.Revisions[i] = r.Number
+		if r.Era > 0 && m.Eras == nil {
+			m.Eras = make([]zlrevision.Era, zlwatcher.NumTopics)
+		}
+		if m.Eras != nil {
+			m.Eras[i] = r.Era
+		}
+	}
+}
+
 func (m *message) heartbeat() *zlpoller.Heartbeat {
-	return &zlpoller.Heartbeat{
-		VM:        m.VM,
-		Age:       time.Duration(m.AgeMicros) * time.Microsecond,
-		Revisions: m.Revisions,
+	b := &zlpoller.Heartbeat{
+		VM:  m.VM,
+		Age: time.Duration(m.AgeMicros) * time.Microsecond,
+	}
+	for i, n := range m.Revisions {
+		b.Revisions[i].Number = n
+		if i < len(m.Eras) {
+			b.Revisions[i].Era = m.Eras[i]
+		}
 	}
+	return b
 }
--- a/io/version/zlbroadcast/zlbroadcast.go
+++ b/io/version/zlbroadcast/zlbroadcast.go
@@ -12,6 +12,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/url"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -22,6 +23,7 @@
 	"zinnialock/core/process/zltimer"
 	"zinnialock/core/process/zlunit"
 	"zinnialock/core/version/zlpoller"
+	"zinnialock/core/version/zlrevision"
 	"zinnialock/core/version/zlwatcher"
 
 	"github.com/fxamacker/cbor/v2"
@@ -239,8 +241,8 @@
 	m := &message{
 		VM:        b.VM,
 		AgeMicros: age.Microseconds(),
-		Revisions: b.Watcher.Revisions(),
 	}
+	m.setRevisions(b.Watcher.Revisions())
 	if age < 0 {
 		m.AgeMicros = -1
 	}
@@ -363,11 +365,15 @@
 
 // fetchTopic fetches the delta of topic t since revision have from a peer and applies
 // it. It does nothing if the peer has no delta.
-func (b *Broadcaster) fetchTopic(peerAddress string, t zlwatcher.Topic, have uint64) error {
+func (b *Broadcaster) fetchTopic(peerAddress string, t zlwatcher.Topic, have zlrevision.Revision) error {
 	ctx, cancel := context.WithTimeout(context.Background(), fetchTimeout)
 	defer cancel()
-	url := "http://" + peerAddress + fetchPath + strconv.Itoa(int(t)) + "?have=" + strconv.FormatUint(have, 10)
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	query := url.Values{
+		"have": []string{strconv.FormatUint(uint64(have.Number), 10)},
+		"era":  []string{strconv.FormatUint(uint64(have.Era), 10)},
+	}
+	target := "http://" + peerAddress + fetchPath + strconv.Itoa(int(t)) + "?" + query.Encode()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, target, nil)
 	if err != nil {
 		return err
 	}
@@ -395,6 +401,25 @@
 	return nil
 }
 
+// parseRevision reads the revision that a fetch names. A build that knows no eras sends
+// none.
+func parseRevision(query url.Values) (zlrevision.Revision, error) {
+	number, err := strconv.ParseUint(query.Get("have"), 10, 64)
+	if err != nil {
+		return zlrevision.Revision{}, err
+	}
+	era := uint64(0)
+	if text := query.Get("era"); text != "" {
+		if era, err = strconv.ParseUint(text, 10, 64); err != nil {
+			return zlrevision.Revision{}, err
+		}
+	}
+	return zlrevision.Revision{
+		Era:    zlrevision.Era(era),
+		Number: zlrevision.Number(number),
+	}, nil
+}
+
 // serveFetch answers a fetch with the delta since the revision that the other
 // VM has, or with 204 No Content if there is none.
 func (b *Broadcaster) serveFetch(w http.ResponseWriter, r *http.Request) {
@@ -403,7 +428,7 @@
 		return
 	}
 	t, err := strconv.Atoi(r.URL.Path[len(fetchPath):])
-	have, haveErr := strconv.ParseUint(r.URL.Query().Get("have"), 10, 64)
+	have, haveErr := parseRevision(r.URL.Query())
 	if err != nil || haveErr != nil || t < 0 || t >= zlwatcher.NumTopics {
 		w.WriteHeader(http.StatusBadRequest)
 		return
--- a/io/version/zlbroadcast/zlbroadcast_test.go
+++ b/io/version/zlbroadcast/zlbroadcast_test.go
@@ -12,6 +12,7 @@
 	"zinnialock/core/process/zlunit"
 	"zinnialock/core/version/zlpoller"
 	"zinnialock/core/version/zlregistry"
+	"zinnialock/core/version/zlrevision"
 	"zinnialock/core/version/zltable"
 	"zinnialock/core/version/zlwatcher"
 
@@ -27,13 +28,13 @@
 // noStore fails every call, so that all updates come from the other VM.
 type noStore struct{}
 
-func (noStore) Probe(context.Context) error { return errNoStore }
+func (noStore) Probe(context.Context) (zlrevision.Era, error) { return 0, errNoStore }
 
 func (noStore) List(context.Context, zlwatcher.Topic, string) (*zlwatcher.Page, error) {
 	return nil, errNoStore
 }
 
-func (noStore) Watch(context.Context, zlwatcher.Topic, uint64, time.Duration) (*zlwatcher.Page, error) {
+func (noStore) Watch(context.Context, zlwatcher.Topic, zlrevision.Revision, time.Duration) (*zlwatcher.Page, error) {
 	return nil, errNoStore
 }
 
@@ -113,8 +114,10 @@
 
 func replicasDelta(n int) *zlwatcher.Delta {
 	d := &zlwatcher.Delta{
-		ToRevision: uint64(n),
-		Full:       true,
+		ToRevision: zlrevision.Revision{
+			Number: zlrevision.Number(n),
+		},
+		Full: true,
 	}
 	for i := range n {
 		id := zlunit.Upstream(fmt.Sprintf("replica-%d", i))
@@ -158,8 +161,10 @@
 		Objective: 100 * time.Millisecond,
 	}
 	d := &zlwatcher.Delta{
-		ToRevision: 9,
-		Full:       true,
+		ToRevision: zlrevision.Revision{
+			Number: 9,
+		},
+		Full: true,
 		Items: []zlwatcher.Item{&zlwatcher.TableItem{
 			Table: zltable.New(5, []zltable.Route{route}, []zltable.Service{{
 				Name:        "s1",
