No share of anything while the VM count is not known

Cause: zlvmcount.AssumedVMs was 100, from the greatest deployment then described; 231 VMs that start together would have used 2.3 times the cold rate and the burst of second sends until they had counted each other. Now the count is unknown until the store has listed the entries: no cold requests, no burst, one connection a replica; the share of its own requests a VM may always send again.

--- a/core/process/zlbalancer/zlbalancer.go
+++ b/core/process/zlbalancer/zlbalancer.go
@@ -85,14 +85,15 @@
 	sites        map[zlunit.DataCentre]*siteHealth
 }
 
-// SetVMCount sets the VM count: how many VMs share the replicas.
+// SetVMCount sets the VM count: how many VMs share the replicas; 0 means that it is not
+// known.
 func (p *Placer) SetVMCount(n int) {
 	p.vmCount.Store(int64(n))
 }
 
-// VMCount returns the VM count, at least 1.
+// VMCount returns the VM count, or 0 while it is not known.
 func (p *Placer) VMCount() int {
-	return max(int(p.vmCount.Load()), 1)
+	return int(p.vmCount.Load())
 }
 
 // Placement is a chosen replica, where one request is already counted as in flight.
@@ -266,21 +267,30 @@
 // ConnectionShare returns how many connections this VM may keep to one replica
 // of s, at least 1.
 func (p *Placer) ConnectionShare(s zltable.Service) int {
-	return max(s.Connections/p.VMCount(), 1)
+	n := p.VMCount()
+	if n == 0 {
+		return 1
+	}
+	return max(s.Connections/n, 1)
 }
 
 // IsScarce reports whether a replica of s takes fewer than two connections of
 // each VM. VMs of other data centres must then not keep connections to it.
 func (p *Placer) IsScarce(s zltable.Service) bool {
-	return s.Connections < 2*p.VMCount()
+	n := p.VMCount()
+	return n == 0 || s.Connections < 2*n
 }
 
 // coldRate returns how many requests a second this VM may send to a replica of s
 // in cold start: its part of coldRateShare of the bound for all VMs together
-// (see Settings.ColdFactor).
+// (see Settings.ColdFactor). It is 0 while the VM count is not known.
 func (p *Placer) coldRate(s zltable.Service) float64 {
+	n := p.VMCount()
+	if n == 0 {
+		return 0
+	}
 	limit := s.ColdRate*p.Settings.ColdFactor + p.Settings.ColdBurst
-	return limit * coldRateShare / float64(p.VMCount())
+	return limit * coldRateShare / float64(n)
 }
 
 func (r *Record) allowCold(now time.Time, rate float64) bool {
--- a/core/process/zlbalancer/zlbalancer_test.go
+++ b/core/process/zlbalancer/zlbalancer_test.go
@@ -341,3 +341,23 @@
 		t.Fatal("got the replica avoided after the reports lapsed, want it chosen")
 	}
 }
+
+// A VM that does not know how many share the replicas must not use a share of its own:
+// no request to cold replicas, and one connection to each replica.
+func TestUnknownVMCountGrantsNoShare(t *testing.T) {
+	r := newFixture()
+	r.SetVMCount(0)
+	for _, e := range r.view.Replicas["finder"] {
+		e.ColdUntil = r.now.Add(time.Minute)
+	}
+	w := &PlacementRequest{
+		Service: "finder",
+	}
+	if _, result := r.Place(r.view, r.now, w); result != AtLimit {
+		t.Errorf("got result %d of Place with cold replicas only, want AtLimit", result)
+	}
+	service := r.view.Table.Services["finder"]
+	if n := r.ConnectionShare(service); n != 1 || !r.IsScarce(service) {
+		t.Errorf("got a share of %d connections, scarce %v, want 1, true", n, r.IsScarce(service))
+	}
+}
--- a/core/request/zlrelay/zlrelay.go
+++ b/core/request/zlrelay/zlrelay.go
@@ -351,7 +351,7 @@
 		w = &zlsendbudget.Window{
 			Length:     r.Settings.BudgetWindow,
 			Share:      r.Settings.BudgetShare * budgetUseShare,
-			Burst:      r.Settings.BudgetBurst * budgetUseShare / float64(r.Placer.VMCount()),
+			Burst:      r.burstShare(),
 			BurstSince: r.BudgetSince,
 			Restarted:  r.Restarted,
 		}
@@ -360,6 +360,16 @@
 	return w
 }
 
+// burstShare returns this VM's share of the burst allowance, which is none while the VM
+// count is not known.
+func (r *Relay) burstShare() float64 {
+	n := r.Placer.VMCount()
+	if n == 0 {
+		return 0
+	}
+	return r.Settings.BudgetBurst * budgetUseShare / float64(n)
+}
+
 // SetBudgetShare recomputes this VM's share of the burst allowance after a change
 // of the VM count, and sets BudgetSince and Restarted.
 func (r *Relay) SetBudgetShare(since time.Time, restarted bool) {
@@ -368,7 +378,7 @@
 	r.BudgetSince = since
 	r.Restarted = restarted
 	for _, w := range r.windows {
-		w.SetBurst(r.Settings.BudgetBurst*budgetUseShare/float64(r.Placer.VMCount()), since, restarted)
+		w.SetBurst(r.burstShare(), since, restarted)
 	}
 }
 
--- a/core/version/zlvmcount/zlvmcount.go
+++ b/core/version/zlvmcount/zlvmcount.go
@@ -43,16 +43,13 @@
 	// newVMDelay is how long after its first entry a new VM is counted by all others:
 	// the longest time between two lists plus the lag of a list.
 	newVMDelay = listInterval + listInterval*jitterPercent/100 + maxLag
-	// AssumedVMs is how many VMs are assumed before the first count: more than the 90
-	// of the platform's documentation.
-	AssumedVMs = 100
 )
 
 // Count is the result of listing the entries.
 type Count struct {
 	// Entries are those of the VMs that count as running.
 	Entries []Entry
-	// VMs is the number of VMs to assume; at least 1.
+	// VMs is the number of VMs; 0 while it is not known.
 	VMs int
 	// CountedSince is the time from which the other VMs count this one too, so that it
 	// may use its share; zero while some may not count it yet.
@@ -267,7 +264,7 @@
 	n := max(len(alive), 1)
 	if c.FirstSystemStart && c.lists < firstStartLists-1 {
 		// VMs that started together may not all have written their entries yet.
-		n = max(n, AssumedVMs)
+		n = 0
 	}
 	c.lists++
 	if int64(n) != c.lastCount.Swap(int64(n)) {
