--- a/core/request/zlrelay/records.go
+++ b/core/request/zlrelay/records.go
@@ -25,7 +25,7 @@
 	slices.SortFunc(all, func(a, b []byte) int {
 		return bytes.Compare(b, a)
 	})
-	all = all[:min(k, len(all))]
+	all = all[:min(max(k, 0), len(all))]
 	out := make([]byte, 0, len(all)*recordSize)
 	for _, record := range all {
 		out = append(out, record...)
--- a/core/request/zlrelay/weighted_picker.go
+++ b/core/request/zlrelay/weighted_picker.go
@@ -12,9 +12,13 @@
 	credit  []float64
 }
 
-// nextTarget returns the service of a route that serves the next request.
+// nextTarget returns the service of a route that serves the next request; it is empty
+// if the route names none.
 func (r *Relay) nextTarget(t *zltable.Table, route *zltable.Route) zlunit.Service {
-	if len(route.Targets) == 1 {
+	switch len(route.Targets) {
+	case 0:
+		return ""
+	case 1:
 		return route.Targets[0].Service
 	}
 	r.mu.Lock()
--- a/io/version/zlbroadcast/message_test.go
+++ b/io/version/zlbroadcast/message_test.go
@@ -4,6 +4,9 @@
 	"net/url"
 	"testing"
 
+	"zinnialock/core/process/zltimer"
+	"zinnialock/core/version/zlpoller"
+	"zinnialock/core/version/zlregistry"
 	"zinnialock/core/version/zlrevision"
 	"zinnialock/core/version/zlwatcher"
 
@@ -65,3 +68,50 @@
 		}
 	}
 }
+
+// A datagram of any content must neither end the process nor stop the receiver.
+func FuzzDatagram(f *testing.F) {
+	m := &message{
+		VM:       "vm",
+		Update:   toWire(replicasDelta(2)),
+		Eras:     []zlrevision.Era{1},
+		Sequence: 7,
+	}
+	data, err := cbor.Marshal(m)
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(data)
+	f.Add([]byte{0xa1, 0x01})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		timer := &zltimer.Service{}
+		watcher := &zlwatcher.Watcher{
+			Timer: timer,
+			Registry: &zlregistry.Registry{
+				Timer: timer,
+			},
+		}
+		policy := &zlpoller.Policy{
+			Timer:     timer,
+			Revisions: watcher.Revisions,
+		}
+		b := &Broadcaster{
+			VM:           "own",
+			Timer:        timer,
+			PollPolicy:   policy,
+			Watcher:      watcher,
+			fetchSources: make(chan string, 1),
+		}
+		var received message
+		if err := decoder.Unmarshal(data, &received); err != nil {
+			return
+		}
+		policy.ForwardTargets(received.VM, received.Sequence)
+		b.handle(&received, "127.0.0.1:1")
+		for i, r := range watcher.Revisions() {
+			watcher.DeltaSince(zlwatcher.Topic(i), zlrevision.Revision{
+				Era: r.Era,
+			})
+		}
+	})
+}
