Fetches between VMs: compressed, and encoded once

Change: a fetch is answered with gzip where the sender accepts it, which net/http of the builds before does too, and the last delta of each topic is encoded once.

--- a/io/version/zlbroadcast/zlbroadcast.go
+++ b/io/version/zlbroadcast/zlbroadcast.go
@@ -14,6 +14,7 @@
 	"net/http"
 	"net/url"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -115,6 +116,8 @@
 	fetchSources chan string
 	sequence     atomic.Uint32
 	mu           sync.Mutex
+	// encoded holds the last delta of each topic that was sent.
+	encoded [zlwatcher.NumTopics]encodedDelta
 	// peerAddrs caches resolved addresses.
 	peerAddrs map[string]*net.UDPAddr
 }
@@ -401,6 +404,16 @@
 	return nil
 }
 
+// encodeFor returns the encoded delta of topic t for the sender of a fetch, and whether
+// it is compressed, which the sender must accept.
+func (b *Broadcaster) encodeFor(r *http.Request, t zlwatcher.Topic, d *zlwatcher.Delta) (data []byte, zipped bool, err error) {
+	if strings.Contains(r.Header.Get("Accept-Encoding"), "gzip") {
+		return b.encoded[t].encode(d)
+	}
+	data, err = cbor.Marshal(toWire(d))
+	return data, false, err
+}
+
 // parseRevision reads the revision that a fetch names. A build that knows no eras sends
 // none.
 func parseRevision(query url.Values) (zlrevision.Revision, error) {
@@ -438,12 +451,15 @@
 		w.WriteHeader(http.StatusNoContent)
 		return
 	}
-	data, err := cbor.Marshal(toWire(d))
+	data, zipped, err := b.encodeFor(r, zlwatcher.Topic(t), d)
 	if err != nil {
 		b.recordFailure(err)
 		w.WriteHeader(http.StatusInternalServerError)
 		return
 	}
+	if zipped {
+		w.Header().Set("Content-Encoding", "gzip")
+	}
 	if _, err := w.Write(data); err != nil && !b.closed() {
 		b.recordFailure(err)
 	}
--- a/io/version/zlbroadcast/zlbroadcast_test.go
+++ b/io/version/zlbroadcast/zlbroadcast_test.go
@@ -5,6 +5,8 @@
 	"errors"
 	"fmt"
 	"net"
+	"net/http"
+	"net/http/httptest"
 	"testing"
 	"time"
 
@@ -232,3 +234,50 @@
 		t.Fatalf("got cached addresses %v, want none", b.peerAddrs)
 	}
 }
+
+// Replays a large table after a change: it is sent compressed, a tenth of its size, and
+// encoded once for all VMs that fetch it. A VM that accepts no compression gets it plain.
+func TestLargeUpdateIsSentCompressed(t *testing.T) {
+	const routes, shards = 400, 50
+	list := make([]zltable.Route, routes)
+	for i := range list {
+		list[i] = zltable.Route{
+			Name:   zltable.RouteName(fmt.Sprintf("route-%d", i)),
+			Host:   "host.example",
+			Prefix: fmt.Sprintf("/prefix%d/", i),
+		}
+		for s := range shards {
+			list[i].Shards = append(list[i].Shards, zlunit.Service(fmt.Sprintf("shard-%d", s)))
+		}
+	}
+	d := &zlwatcher.Delta{
+		Full: true,
+		ToRevision: zlrevision.Revision{
+			Number: 9,
+		},
+		Items: []zlwatcher.Item{&zlwatcher.TableItem{
+			Table: zltable.New(5, list, nil, zltable.Limits{}),
+		}},
+	}
+	b := newPair(t)[0]
+	b.Watcher.ApplyPeerDelta(zlwatcher.TopicTable, d)
+	fetch := func(accept string) (data []byte, encoding string) {
+		w := httptest.NewRecorder()
+		r := httptest.NewRequest(http.MethodGet, fetchPath+"0?have=0", nil)
+		r.Header.Set("Accept-Encoding", accept)
+		b.serveFetch(w, r)
+		return w.Body.Bytes(), w.Header().Get("Content-Encoding")
+	}
+	plain, encoding := fetch("")
+	if encoding != "" || len(plain) == 0 {
+		t.Fatalf("got %d bytes with encoding %q, want a plain delta", len(plain), encoding)
+	}
+	zipped, encoding := fetch("gzip")
+	if encoding != "gzip" || len(zipped) > len(plain)/10 {
+		t.Errorf("got %d bytes with encoding %q for %d bytes, want a tenth, compressed", len(zipped), encoding, len(plain))
+	}
+	first := b.encoded[zlwatcher.TopicTable].data
+	if again, _ := fetch("gzip"); len(again) == 0 || &b.encoded[zlwatcher.TopicTable].data[0] != &first[0] {
+		t.Error("the delta was encoded again for the same fetch")
+	}
+}
