--- a/core/version/zlvmcount/zlvmcount.go
+++ b/core/version/zlvmcount/zlvmcount.go
@@ -234,6 +234,36 @@
 		return false
 	}
 	now := c.Timer.Now()
+	alive := c.aliveEntries(listing, now)
+	c.counted = alive
+	n := max(len(alive), 1)
+	if c.FirstSystemStart && c.lists < firstStartLists-1 {
+		// VMs that started together may not all have written their entries yet.
+		n = 0
+	}
+	c.lists++
+	if int64(n) != c.lastCount.Swap(int64(n)) {
+		if c.Sink != nil {
+			c.Sink.Record(&zldecision.Belief{
+				Topic:   "census",
+				What:    "counted",
+				Version: uint64(n),
+			})
+		}
+	}
+	c.setFrom(now)
+	c.OnCount(&Count{
+		Entries:      alive,
+		VMs:          n,
+		CountedSince: c.from,
+		Restarted:    c.restarted,
+	})
+	return true
+}
+
+// aliveEntries returns the entries of the VMs that count as running, and takes note of
+// the store's era.
+func (c *Counter) aliveEntries(listing *Listing, now time.Time) []Entry {
 	if listing.Era > c.era {
 		if c.era > 0 {
 			c.restoredAt = now
@@ -260,30 +290,7 @@
 	if !c.restoredAt.IsZero() && now.Sub(c.restoredAt) < restoreHold {
 		alive = append(alive, c.lostEntries(alive)...)
 	}
-	c.counted = alive
-	n := max(len(alive), 1)
-	if c.FirstSystemStart && c.lists < firstStartLists-1 {
-		// VMs that started together may not all have written their entries yet.
-		n = 0
-	}
-	c.lists++
-	if int64(n) != c.lastCount.Swap(int64(n)) {
-		if c.Sink != nil {
-			c.Sink.Record(&zldecision.Belief{
-				Topic:   "census",
-				What:    "counted",
-				Version: uint64(n),
-			})
-		}
-	}
-	c.setFrom(now)
-	c.OnCount(&Count{
-		Entries:      alive,
-		VMs:          n,
-		CountedSince: c.from,
-		Restarted:    c.restarted,
-	})
-	return true
+	return alive
 }
 
 // errEarlierEra rejects a list from before the store went back.
--- a/core/version/zlwatcher/era_test.go
+++ b/core/version/zlwatcher/era_test.go
@@ -81,7 +81,7 @@
 		time.Sleep(configBound)
 		restore := s.copyState()
 		s.put(TopicReplicas, "a", replicaItem("a", 2, true))
-		s.remove(TopicReplicas, "b", &ReplicaItem{
+		s.remove("b", &ReplicaItem{
 			ID: "b",
 		})
 		time.Sleep(configBound)
--- a/core/version/zlwatcher/fake_test.go
+++ b/core/version/zlwatcher/fake_test.go
@@ -61,12 +61,13 @@
 	s.changed(t, item)
 }
 
-func (s *fakeStore) remove(t Topic, name string, item Item) {
+// remove removes a replica.
+func (s *fakeStore) remove(name string, item Item) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.revision++
-	delete(s.items[t], name)
-	s.changed(t, item)
+	delete(s.items[TopicReplicas], name)
+	s.changed(TopicReplicas, item)
 }
 
 func (s *fakeStore) changed(t Topic, item Item) {
--- a/core/version/zlwatcher/zlwatcher_test.go
+++ b/core/version/zlwatcher/zlwatcher_test.go
@@ -167,10 +167,10 @@
 	runWatcher(t, func(s *fakeStore, registry *zlregistry.Registry) {
 		s.set(func() { s.down = true }, true)
 		time.Sleep(5 * time.Second)
-		s.remove(TopicReplicas, "a", &ReplicaItem{
+		s.remove("a", &ReplicaItem{
 			ID: "a",
 		})
-		s.remove(TopicReplicas, "b", &ReplicaItem{
+		s.remove("b", &ReplicaItem{
 			ID: "b",
 		})
 		s.set(func() { s.down = false }, false)
@@ -196,7 +196,7 @@
 		if usable(registry) != 1 {
 			t.Fatalf("got %d usable replicas after an older entry of a draining one, want 1", usable(registry))
 		}
-		s.remove(TopicReplicas, "b", &ReplicaItem{
+		s.remove("b", &ReplicaItem{
 			ID: "b",
 		})
 		time.Sleep(time.Second)
--- a/io/version/zlbroadcast/message_test.go
+++ b/io/version/zlbroadcast/message_test.go
@@ -83,7 +83,7 @@
 	}
 	f.Add(data)
 	f.Add([]byte{0xa1, 0x01})
-	f.Fuzz(func(t *testing.T, data []byte) {
+	f.Fuzz(func(_ *testing.T, data []byte) {
 		timer := &zltimer.Service{}
 		watcher := &zlwatcher.Watcher{
 			Timer: timer,
