--- a/core/process/zlbalancer/zlbalancer.go
+++ b/core/process/zlbalancer/zlbalancer.go
@@ -13,6 +13,8 @@
 //     fast failures leave;
 //   - an unreachable data centre: overdue and unreached requests at its
 //     replicas with no answer between them count against all of its replicas;
+//   - replicas that say in their answers that they are leaving, or want no
+//     requests for a time: they get none (see restriction);
 //   - cold replicas: each gets a limited request rate, divided among the VMs.
 package zlbalancer
 
--- a/core/request/zlrelay/attempt.go
+++ b/core/request/zlrelay/attempt.go
@@ -81,7 +81,8 @@
 }
 
 // begin implements Call.Start: it denies the first byte if the attempt was
-// abandoned, the deadline has passed or the replica may no longer be used.
+// abandoned, the deadline has passed, or the replica may no longer be used or asked for
+// no requests since it was chosen.
 func (a *attempt) begin() bool {
 	x := a.part.run
 	now := x.relay.Timer.Now()
