--- a/core/process/zlbalancer/restriction.go
+++ b/core/process/zlbalancer/restriction.go
@@ -6,7 +6,6 @@
 
 	"zinnialock/core/process/zlunit"
 	"zinnialock/core/version/zlregistry"
-	"zinnialock/core/version/zltable"
 )
 
 const (
@@ -162,13 +161,3 @@
 	}
 	return a
 }
-
-// hasRoom reports whether one more request may go to a replica now.
-func (p *Placer) hasRoom(e *zlregistry.Entry, now time.Time, s zltable.Service) bool {
-	r := p.recordFor(e)
-	if until, never := r.restriction.blockedUntil(now, p.Settings.LeavingGrace); never || !until.IsZero() {
-		return false
-	}
-	state := r.snapshot(now)
-	return !state.moved && state.inFlight < state.maxInFlight(p.ConnectionShare(s))
-}
--- a/core/process/zlbalancer/zlbalancer.go
+++ b/core/process/zlbalancer/zlbalancer.go
@@ -209,6 +209,16 @@
 	return false
 }
 
+// hasRoom reports whether one more request may go to a replica now.
+func (p *Placer) hasRoom(e *zlregistry.Entry, now time.Time, s zltable.Service) bool {
+	r := p.recordFor(e)
+	if until, never := r.restriction.blockedUntil(now, p.Settings.LeavingGrace); never || !until.IsZero() {
+		return false
+	}
+	state := r.snapshot(now)
+	return !state.moved && state.inFlight < state.maxInFlight(p.ConnectionShare(s))
+}
+
 // maxInFlight is how many requests may be in flight from this process, at most
 // n.
 func (s *replicaState) maxInFlight(n int) int {
--- a/core/request/zlrelay/attempt.go
+++ b/core/request/zlrelay/attempt.go
@@ -172,6 +172,9 @@
 
 // recordNotice applies what the replica said of itself, and records it.
 func (a *attempt) recordNotice(now time.Time, n Notice) {
+	if n == (Notice{}) {
+		return
+	}
 	e := &zldecision.Belief{
 		Topic:   "replica",
 		Name:    string(a.placement.Entry.ID),
--- a/io/process/zldaemon/texts_test.go
+++ b/io/process/zldaemon/texts_test.go
@@ -13,8 +13,6 @@
 	"zinnialock/core/version/zlview"
 	"zinnialock/io/process/zlconfig"
 	"zinnialock/io/process/zlfleet"
-	"zinnialock/io/process/zlkeys"
-	"zinnialock/io/standin/zlfakeplatform"
 )
 
 // Guards against rewording of texts that leave the process: operators and other
@@ -59,33 +57,10 @@
 }
 
 func TestTextsOfAPlannedStop(t *testing.T) {
-	platform := httptest.NewServer((&zlfakeplatform.Platform{}).Handler())
-	defer platform.Close()
-	authority, err := zlkeys.NewAuthority()
-	if err != nil {
-		t.Fatal(err)
-	}
-	keys, err := authority.Store("nashua-1")
-	if err != nil {
-		t.Fatal(err)
-	}
 	var out bytes.Buffer
-	d := &Daemon{
-		Config: &zlconfig.Config{
-			Name:            "nashua-1",
-			DataCentre:      "nashua",
-			Deployment:      "guild",
-			CallerListen:    "127.0.0.1:0",
-			AdminListen:     "127.0.0.1:0",
-			PeerListen:      "127.0.0.1:0",
-			PlatformAddress: platform.Listener.Addr().String(),
-			PlatformTimeout: time.Second,
-			StopLimit:       20 * time.Second,
-		},
-		Keys: keys,
-		Log:  quietLogger(),
-		Out:  &out,
-	}
+	d := newTestDaemon(t)
+	d.Config.StopLimit = 20 * time.Second
+	d.Out = &out
 	if err := d.Run(); err != nil {
 		t.Fatal(err)
 	}
--- a/io/process/zldaemon/zldaemon_test.go
+++ b/io/process/zldaemon/zldaemon_test.go
@@ -77,9 +77,29 @@
 // TestKillEndsEverything checks that Kill ends all goroutines, and that the admin
 // interface serves the status and rejects an invalid parameter.
 func TestKillEndsEverything(t *testing.T) {
-	defer goleak.VerifyNone(t)
+	t.Cleanup(func() {
+		goleak.VerifyNone(t)
+	})
+	d := newTestDaemon(t)
+	convey.Convey("Kill ends all goroutines of a running daemon", t, func() {
+		convey.So(d.Run(), convey.ShouldBeNil)
+		w := httptest.NewRecorder()
+		d.adminMux().ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/status", nil))
+		var s Status
+		convey.So(json.Unmarshal(w.Body.Bytes(), &s), convey.ShouldBeNil)
+		convey.So(string(s.Fleet.VM), convey.ShouldEqual, "nashua-1")
+		w = httptest.NewRecorder()
+		d.adminMux().ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/events?after=x", nil))
+		convey.So(w.Code, convey.ShouldEqual, http.StatusBadRequest)
+		d.Kill()
+	})
+}
+
+// newTestDaemon returns a daemon with a platform stand-in of its own. It does not run yet.
+func newTestDaemon(t *testing.T) *Daemon {
+	t.Helper()
 	platform := httptest.NewServer((&zlfakeplatform.Platform{}).Handler())
-	defer platform.Close()
+	t.Cleanup(platform.Close)
 	authority, err := zlkeys.NewAuthority()
 	if err != nil {
 		t.Fatal(err)
@@ -88,7 +108,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	d := &Daemon{
+	return &Daemon{
 		Config: &zlconfig.Config{
 			Name:            "nashua-1",
 			DataCentre:      "nashua",
@@ -102,16 +122,4 @@
 		Keys: keys,
 		Log:  quietLogger(),
 	}
-	convey.Convey("Kill ends all goroutines of a running daemon", t, func() {
-		convey.So(d.Run(), convey.ShouldBeNil)
-		w := httptest.NewRecorder()
-		d.adminMux().ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/status", nil))
-		var s Status
-		convey.So(json.Unmarshal(w.Body.Bytes(), &s), convey.ShouldBeNil)
-		convey.So(string(s.Fleet.VM), convey.ShouldEqual, "nashua-1")
-		w = httptest.NewRecorder()
-		d.adminMux().ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/events?after=x", nil))
-		convey.So(w.Code, convey.ShouldEqual, http.StatusBadRequest)
-		d.Kill()
-	})
 }
--- /dev/null
+++ b/io/version/zlbroadcast/fetch.go
@@ -0,0 +1,146 @@
+package zlbroadcast
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+
+	"zinnialock/core/version/zlrevision"
+	"zinnialock/core/version/zlwatcher"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/rotisserie/eris"
+)
+
+// runFetches fetches the revisions that heartbeats announce and datagrams did
+// not bring, until Done is closed.
+func (b *Broadcaster) runFetches() {
+	for {
+		select {
+		case <-b.Done:
+			return
+		case from := <-b.fetchSources:
+			if err := b.fetch(from); err != nil && !b.closed() {
+				b.recordFailure(err)
+			}
+			b.Timer.Sleep(b.Done, minFetchPause)
+		}
+	}
+}
+
+// fetch fetches all topics from the VM at an address.
+func (b *Broadcaster) fetch(peerAddress string) error {
+	have := b.Watcher.Revisions()
+	for t := range zlwatcher.NumTopics {
+		if err := b.fetchTopic(peerAddress, zlwatcher.Topic(t), have[t]); err != nil {
+			return &Error{
+				Op:   peerAddress,
+				Kind: KindFetch,
+				Err:  err,
+			}
+		}
+	}
+	return nil
+}
+
+// fetchTopic fetches the delta of topic t since revision have from a peer and applies
+// it. It does nothing if the peer has no delta.
+func (b *Broadcaster) fetchTopic(peerAddress string, t zlwatcher.Topic, have zlrevision.Revision) error {
+	ctx, cancel := context.WithTimeout(context.Background(), fetchTimeout)
+	defer cancel()
+	query := url.Values{
+		"have": []string{strconv.FormatUint(uint64(have.Number), 10)},
+		"era":  []string{strconv.FormatUint(uint64(have.Era), 10)},
+	}
+	target := "http://" + peerAddress + fetchPath + strconv.Itoa(int(t)) + "?" + query.Encode()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, target, nil)
+	if err != nil {
+		return err
+	}
+	resp, err := b.client.Do(req)
+	if err != nil {
+		return err
+	}
+	defer func() {
+		_ = resp.Body.Close()
+	}()
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxFetchBytes))
+	switch {
+	case err != nil:
+		return err
+	case resp.StatusCode == http.StatusNoContent:
+		return nil
+	case resp.StatusCode != http.StatusOK:
+		return eris.Errorf("unexpected status %d", resp.StatusCode)
+	}
+	var d delta
+	if err := decoder.Unmarshal(data, &d); err != nil {
+		return err
+	}
+	b.Watcher.ApplyPeerDelta(t, fromWire(&d))
+	return nil
+}
+
+// encodeFor returns the encoded delta of topic t for the sender of a fetch, and whether
+// it is compressed, which the sender must accept.
+func (b *Broadcaster) encodeFor(r *http.Request, t zlwatcher.Topic, d *zlwatcher.Delta) (data []byte, zipped bool, err error) {
+	if strings.Contains(r.Header.Get("Accept-Encoding"), "gzip") {
+		return b.encoded[t].encode(d)
+	}
+	data, err = cbor.Marshal(toWire(d))
+	return data, false, err
+}
+
+// parseRevision reads the revision that a fetch names. A build that knows no eras sends
+// none.
+func parseRevision(query url.Values) (zlrevision.Revision, error) {
+	number, err := strconv.ParseUint(query.Get("have"), 10, 64)
+	if err != nil {
+		return zlrevision.Revision{}, err
+	}
+	era := uint64(0)
+	if text := query.Get("era"); text != "" {
+		if era, err = strconv.ParseUint(text, 10, 64); err != nil {
+			return zlrevision.Revision{}, err
+		}
+	}
+	return zlrevision.Revision{
+		Era:    zlrevision.Era(era),
+		Number: zlrevision.Number(number),
+	}, nil
+}
+
+// serveFetch answers a fetch with the delta since the revision that the other
+// VM has, or with 204 No Content if there is none.
+func (b *Broadcaster) serveFetch(w http.ResponseWriter, r *http.Request) {
+	if len(r.URL.Path) <= len(fetchPath) {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	t, err := strconv.Atoi(r.URL.Path[len(fetchPath):])
+	have, haveErr := parseRevision(r.URL.Query())
+	if err != nil || haveErr != nil || t < 0 || t >= zlwatcher.NumTopics {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	d := b.Watcher.DeltaSince(zlwatcher.Topic(t), have)
+	if d == nil {
+		w.WriteHeader(http.StatusNoContent)
+		return
+	}
+	data, zipped, err := b.encodeFor(r, zlwatcher.Topic(t), d)
+	if err != nil {
+		b.recordFailure(err)
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
+	if zipped {
+		w.Header().Set("Content-Encoding", "gzip")
+	}
+	if _, err := w.Write(data); err != nil && !b.closed() {
+		b.recordFailure(err)
+	}
+}
