--- a/core/request/zlrelay/notice_test.go
+++ b/core/request/zlrelay/notice_test.go
@@ -93,36 +93,38 @@
 	}
 }
 
-// A replica that leaves says so in an error too; the request is served elsewhere, and
-// the replica gets no other request.
+// A replica that leaves says so in good answers and in errors; requests are served
+// elsewhere, and the replica gets no other one.
 func TestLeavingIsTakenFromAnyAnswer(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		s := &noticing{
-			reply: func(e *zlregistry.Entry) Reply {
-				resp := &Response{
-					Status:    http.StatusOK,
-					Signature: string(e.ID),
-				}
-				if e.ID == "s0-0" {
-					resp.Status = http.StatusInternalServerError
-					resp.Leaving = true
+	for _, status := range []int{http.StatusOK, http.StatusInternalServerError} {
+		synctest.Test(t, func(t *testing.T) {
+			s := &noticing{
+				reply: func(e *zlregistry.Entry) Reply {
+					resp := &Response{
+						Status:    http.StatusOK,
+						Signature: string(e.ID),
+					}
+					if e.ID == "s0-0" {
+						resp.Status = status
+						resp.Leaving = true
+					}
+					return resp
+				},
+			}
+			r := newTestRelay(s, singleRoute(true, 2))
+			r.Placer.Random = func() float64 {
+				return 0
+			}
+			for range 50 {
+				if a, ok := r.Serve(context.Background(), request("/one/x")).(*Served); !ok || a.Response.Status != http.StatusOK {
+					t.Fatalf("status %d: got answer %+v, want one that was served", status, a)
 				}
-				return resp
-			},
-		}
-		r := newTestRelay(s, singleRoute(true, 2))
-		r.Placer.Random = func() float64 {
-			return 0
-		}
-		for range 50 {
-			if a, ok := r.Serve(context.Background(), request("/one/x")).(*Served); !ok || a.Response.Status != http.StatusOK {
-				t.Fatalf("got answer %+v, want one served by another replica", a)
+				time.Sleep(50 * time.Millisecond)
 			}
-			time.Sleep(50 * time.Millisecond)
-		}
-		r.Wait()
-		if n := len(s.sends["s0-0"]); n != 1 {
-			t.Errorf("the leaving replica got %d requests, want only the first", n)
-		}
-	})
+			r.Wait()
+			if n := len(s.sends["s0-0"]); n != 1 {
+				t.Errorf("status %d: the leaving replica got %d requests, want only the first", status, n)
+			}
+		})
+	}
 }
