--- a/core/process/zlbalancer/restriction.go
+++ b/core/process/zlbalancer/restriction.go
@@ -38,6 +38,8 @@
 	leavingSince time.Time
 	// backoffUntil is the end of the time for which the replica wants no requests.
 	backoffUntil time.Time
+	// rate is the replica's rate limit.
+	rate rateLimit
 }
 
 // blockedUntil returns when the replica may be sent requests again: zero if it may now,
--- a/core/process/zldecision/zldecision.go
+++ b/core/process/zldecision/zldecision.go
@@ -177,6 +177,8 @@
 	What    string
 	Service zlunit.Service
 	Version uint64
+	// RateLimit is what a replica takes from all VMs together, in requests a second.
+	RateLimit float64
 }
 
 // Dependency is the event of a dependency that was lost or regained.
--- a/core/request/zlrelay/attempt.go
+++ b/core/request/zlrelay/attempt.go
@@ -138,9 +138,12 @@
 	outcome := zlbalancer.OutcomeServed
 	retryAfter := time.Duration(0)
 	var notice Notice
+	// genuine is set if the answer is certainly the replica's own.
+	genuine := false
 	switch rep := reply.(type) {
 	case *Response:
 		notice = rep.Notice
+		genuine = true
 		if rep.Status >= http.StatusInternalServerError {
 			outcome = zlbalancer.OutcomeFailed
 		} else {
@@ -150,6 +153,7 @@
 		notice = rep.Notice
 		retryAfter = rep.RetryAfter
 		outcome = zlbalancer.OutcomeRefused
+		genuine = rep.Arrived && rep.Reason == zldecision.ReasonRefused
 		switch {
 		case !rep.Arrived:
 			outcome = zlbalancer.OutcomeUnreached
@@ -161,6 +165,7 @@
 		outcome = zlbalancer.OutcomeFailed
 	}
 	a.recordNotice(now, notice)
+	a.recordRateLimit(now, notice, genuine)
 	if ctx.Err() != nil && outcome != zlbalancer.OutcomeServed {
 		outcome = zlbalancer.OutcomeGivenUp
 		if started && a.isPastOverdueTime(now) {
@@ -192,6 +197,29 @@
 	}
 }
 
+// recordRateLimit applies the rate limit that the replica named, and records a change. A
+// genuine answer without one ends the limit.
+func (a *attempt) recordRateLimit(now time.Time, n Notice, genuine bool) {
+	what := "limited"
+	switch {
+	case n.RateLimited:
+		if !a.placement.Flight.SetRateLimit(now, n.RateLimit) {
+			return
+		}
+	case !genuine || !a.placement.Flight.ClearRateLimit():
+		return
+	default:
+		what = "unlimited"
+	}
+	a.part.run.relay.note(&zldecision.Belief{
+		Topic:     "replica",
+		Name:      string(a.placement.Entry.ID),
+		Service:   a.part.service,
+		What:      what,
+		RateLimit: n.RateLimit,
+	})
+}
+
 func (a *attempt) isPastOverdueTime(now time.Time) bool {
 	return !now.Before(a.overdueAt)
 }
--- a/core/request/zlrelay/zlrelay.go
+++ b/core/request/zlrelay/zlrelay.go
@@ -112,6 +112,10 @@
 	// Backoff is how long the replica wants no requests from this VM; 0 if it did not
 	// say so.
 	Backoff time.Duration
+	// RateLimited is set if the replica limits its requests, and RateLimit is how many
+	// a second it takes from all VMs together.
+	RateLimited bool
+	RateLimit   float64
 }
 
 // Response is a complete response of the replica to this request.
--- a/io/process/zljournal/write.go
+++ b/io/process/zljournal/write.go
@@ -47,6 +47,9 @@
 		line.Str("event", "belief").Str("topic", e.Topic).Str("name", e.Name).Str("what", e.What)
 		addNonEmpty(line, "service", string(e.Service))
 		line.Uint64("version", e.Version)
+		if e.RateLimit > 0 {
+			line.Float64("rateLimit", e.RateLimit)
+		}
 	case *zldecision.Dependency:
 		line.Str("event", "dependency").Str("name", e.Name).Str("state", e.State).Str("why", e.Why).
 			Int64("outMs", e.Out.Milliseconds())
