Waiting for one shard after another no longer polls without a pause

Found while fixing LIMIT: a scattered request that waits for admission joins the queue of the shard that blocks it. When that one got capacity and another blocked, the first kept its time of the next search, which had passed, so the request searched again at once, until the end of its wait (up to 27 ms of processor time), and stayed in the first shard's queue. It leaves the earlier queue now. TestAdmissionWaitsForTheShardThatBlocks failed before: next step due 0 s ago.

--- a/core/request/zlrelay/run.go
+++ b/core/request/zlrelay/run.go
@@ -71,8 +71,10 @@
 	overdueAfter    time.Duration
 	// replyTarget is the time within which the reply of a replica is of use.
 	replyTarget time.Duration
-	// admitted is set once enough shards had capacity at the same time.
+	// admitted is set once enough shards had capacity at the same time; until then
+	// awaited is the part in whose queue the request waits.
 	admitted bool
+	awaited  *part
 	// likelyRetry is set if the caller was probably refused before.
 	likelyRetry bool
 }
@@ -253,6 +255,11 @@
 		x.admitted = true
 		return "", true
 	}
+	if x.awaited != nil && x.awaited != blocked {
+		x.awaited.leaveQueue()
+		x.awaited.nextPlacement = time.Time{}
+	}
+	x.awaited = blocked
 	blocked.joinQueue(now)
 	return blocked.service, false
 }
