--- a/core/process/zlbalancer/ratelimit.go
+++ b/core/process/zlbalancer/ratelimit.go
@@ -1,9 +1,26 @@
 package zlbalancer
 
-import "time"
+import (
+	"time"
+
+	"zinnialock/core/process/zlunit"
+	"zinnialock/core/version/zlregistry"
+)
+
+const (
+	// rateBurst is the time for which a VM saves up its unused share of a rate limit.
+	rateBurst = 1250 * time.Millisecond
+	// minRateLimit is the rate, in requests a second of all VMs together, at which a
+	// replica is still asked that named less, so that the end of its limit is noticed.
+	minRateLimit = 0.5
+)
 
 // rateLimit is the request rate that a replica named in its answers: what it takes from
-// all VMs together, for as long as it names it.
+// all VMs together, for as long as it names it. Each VM uses an equal share of it.
+//
+// Load pattern: replicas in need limit their rate while the load goes on. Their VMs send
+// what the limit allows, the rest goes to other replicas, and what none of them takes is
+// refused at once.
 type rateLimit struct {
 	// active is set while the replica names a limit.
 	active bool
@@ -11,23 +28,105 @@
 	perSecond float64
 	// since is when this process learnt of the limit.
 	since time.Time
+	// level is what is left of this VM's share, in requests, at updatedAt. It may be
+	// negative.
+	level     float64
+	updatedAt time.Time
+}
+
+// share returns this VM's share of the limit in requests a second, 0 while the VM count
+// is not known.
+func (l *rateLimit) share(vms int) float64 {
+	if vms == 0 {
+		return 0
+	}
+	return max(l.perSecond, minRateLimit) / float64(vms)
+}
+
+// refill brings level up to date and returns the share.
+func (l *rateLimit) refill(now time.Time, vms int) float64 {
+	share := l.share(vms)
+	if now.After(l.updatedAt) {
+		l.level = min(l.level+share*now.Sub(l.updatedAt).Seconds(), share*rateBurst.Seconds())
+		l.updatedAt = now
+	}
+	return share
+}
+
+// permits reports whether the share allows one more request. If it is less than one
+// request a second, whole requests are not saved up, since all VMs could send theirs at
+// the same time; draw, in [0, 1) and one for each caller's request, then decides with the
+// odds of the level. reserve is what must be left.
+func (l *rateLimit) permits(now time.Time, vms int, draw, reserve float64) bool {
+	if !l.active {
+		return true
+	}
+	share := l.refill(now, vms)
+	if share*rateBurst.Seconds() >= 1 {
+		return l.level >= 1+reserve
+	}
+	return l.level-reserve > draw
+}
+
+// set notes a limit and reports whether it is new or has changed. phase, in [0, 1), is
+// different for each VM, so that they don't all send at the same time.
+func (l *rateLimit) set(now time.Time, perSecond, phase float64) bool {
+	if l.active && l.perSecond == perSecond {
+		return false
+	}
+	if !l.active {
+		l.since = now
+		l.level = -phase
+		l.updatedAt = now
+	}
+	l.active = true
+	l.perSecond = perSecond
+	return true
+}
+
+func (x *restriction) isRateLimited() bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.rate.active
+}
+
+// mayUseRate reports whether the rate limit allows a request now.
+func (x *restriction) mayUseRate(now time.Time, vms int, draw, reserve float64) bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.rate.permits(now, vms, draw, reserve)
+}
+
+// useRate uses the rate limit for one request, unless that is not allowed. counted is set
+// if there is a limit.
+func (x *restriction) useRate(now time.Time, vms int, draw, reserve float64) (counted, ok bool) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if !x.rate.active {
+		return false, true
+	}
+	if !x.rate.permits(now, vms, draw, reserve) {
+		return false, false
+	}
+	x.rate.level--
+	return true, true
+}
+
+// returnRate returns what useRate took for a request that was not sent.
+func (x *restriction) returnRate() {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.rate.level++
 }
 
 // SetRateLimit notes that the replica named a rate limit, in requests a second from all
 // VMs together, and reports whether it is new or has changed.
 func (f *Flight) SetRateLimit(now time.Time, perSecond float64) bool {
+	f.restricted.Store(true)
 	x := f.record.restriction
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	if x.rate.active && x.rate.perSecond == perSecond {
-		return false
-	}
-	if !x.rate.active {
-		x.rate.since = now
-	}
-	x.rate.active = true
-	x.rate.perSecond = perSecond
-	return true
+	return x.rate.set(now, perSecond, f.random())
 }
 
 // ClearRateLimit notes that the replica named no rate limit in its answer to the request,
@@ -46,3 +145,41 @@
 	x.rate = rateLimit{}
 	return true
 }
+
+// RateLimitWait returns how long a request to a service waits for the rate limits of its
+// replicas, behind those that wait before it; w is its own place in the queue, nil if it
+// has none. It is 0 if a replica that may be sent requests has no limit.
+func (p *Placer) RateLimitWait(v *zlregistry.View, now time.Time, s zlunit.Service, w *Waiter) time.Duration {
+	if !p.restricted.Load() {
+		return 0
+	}
+	vms := p.VMCount()
+	needed, rate := float64(1+p.queueFor(s).before(w)), 0.0
+	for _, e := range v.Replicas[s] {
+		r := p.recordFor(e)
+		until, never := r.restriction.blockedUntil(now, p.Settings.LeavingGrace)
+		if v.OutOfService[e.DataCentre] || never || !until.IsZero() || r.snapshot(now).moved {
+			continue
+		}
+		r.restriction.mu.Lock()
+		l := &r.restriction.rate
+		if !l.active {
+			r.restriction.mu.Unlock()
+			return 0
+		}
+		rate += l.refill(now, vms)
+		needed -= l.level
+		r.restriction.mu.Unlock()
+	}
+	switch {
+	case needed <= 0:
+		return 0
+	case rate <= 0:
+		return maxRateWait
+	default:
+		return min(time.Duration(needed/rate*float64(time.Second)), maxRateWait)
+	}
+}
+
+// maxRateWait bounds RateLimitWait.
+const maxRateWait = time.Minute
--- a/core/process/zlbalancer/record.go
+++ b/core/process/zlbalancer/record.go
@@ -96,6 +96,11 @@
 	restricted   *atomic.Bool
 	// sentAt is when the first byte went out; zero before that.
 	sentAt time.Time
+	// draw is that of PlacementRequest, and vms the VM count.
+	draw float64
+	vms  int
+	// rateCounted is set if the request is counted in the replica's rate limit.
+	rateCounted bool
 }
 
 // Outcome is how a request to a replica ended.
@@ -245,6 +250,9 @@
 		}
 	}
 	r.mu.Unlock()
+	if f.rateCounted && f.sentAt.IsZero() {
+		r.restriction.returnRate()
+	}
 	f.waiters.wakeFirst()
 }
 
--- a/core/process/zlbalancer/restriction.go
+++ b/core/process/zlbalancer/restriction.go
@@ -125,10 +125,23 @@
 }
 
 // MaySend reports whether the request may still be sent: it may not if the replica
-// asked for no requests since it was chosen.
+// asked for no requests since it was chosen, or limited its rate to less.
 func (f *Flight) MaySend(now time.Time) bool {
-	until, never := f.record.restriction.blockedUntil(now, f.leavingGrace)
-	return until.IsZero() && !never
+	x := f.record.restriction
+	if until, never := x.blockedUntil(now, f.leavingGrace); never || !until.IsZero() {
+		return false
+	}
+	if f.rateCounted {
+		return true
+	}
+	var ok bool
+	f.rateCounted, ok = x.useRate(now, f.vms, f.draw, 0)
+	return ok
+}
+
+// Restricted reports whether any replica ever restricted the requests that it gets.
+func (p *Placer) Restricted() bool {
+	return p.restricted.Load()
 }
 
 // Availability is whether a service has replicas that may be sent requests.
--- a/core/process/zlbalancer/wait.go
+++ b/core/process/zlbalancer/wait.go
@@ -103,6 +103,16 @@
 	}
 }
 
+// before returns how many wait before w, or before one that is not in the queue.
+func (q *waitQueue) before(w *Waiter) int {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if i := slices.Index(q.waiters, w); i >= 0 {
+		return i
+	}
+	return len(q.waiters)
+}
+
 // hasBefore reports whether someone of a lower rank waits, who is served
 // first.
 func (q *waitQueue) hasBefore(rank int) bool {
--- a/core/process/zlbalancer/zlbalancer.go
+++ b/core/process/zlbalancer/zlbalancer.go
@@ -15,6 +15,8 @@
 //     replicas with no answer between them count against all of its replicas;
 //   - replicas that say in their answers that they are leaving, or want no
 //     requests for a time: they get none (see restriction);
+//   - replicas that limit their request rate: each VM uses a share of the limit, and
+//     what exceeds it goes elsewhere or is refused (see rateLimit);
 //   - cold replicas: each gets a limited request rate, divided among the VMs.
 package zlbalancer
 
@@ -120,6 +122,12 @@
 	HealthyOnly bool
 	// Target is the time within which the answer is useful; 0 means any time.
 	Target time.Duration
+	// Draw, in [0, 1), is the same for all parts of a caller's request. It decides where
+	// the share of a rate limit is a fraction of a request (see rateLimit).
+	Draw float64
+	// Waiter is the request's place in the queue of the service, nil if it has none. What
+	// a rate limit allows goes to the first of the queue.
+	Waiter *Waiter
 	// Notify, if set, is called when another request at the chosen replica is
 	// overdue. It must not block.
 	Notify func()
@@ -138,6 +146,9 @@
 	AtLimit
 	// BackingOff: all replicas that may serve asked for no requests for a time.
 	BackingOff
+	// RateLimited: all replicas that may serve limit their request rate, and this VM has
+	// used its share.
+	RateLimited
 )
 
 type candidate struct {
@@ -186,33 +197,68 @@
 	for len(candidates) > 0 {
 		i := cheapest(candidates)
 		c := candidates[i]
-		if !c.cold || c.record.allowCold(now, p.coldRate(service)) {
-			return p.start(&c, w), Placed
+		placement, denied := p.tryStart(&c, now, service, w)
+		if placement != nil {
+			return placement, Placed
+		}
+		if result != AtLimit {
+			result = denied
 		}
-		result = AtLimit
 		candidates = slices.Delete(candidates, i, i+1)
 	}
 	return nil, result
 }
 
+// tryStart counts the request as in flight at the replica, unless its rate limit or its
+// cold start doesn't allow one more.
+func (p *Placer) tryStart(c *candidate, now time.Time, s zltable.Service, w *PlacementRequest) (*Placement, Result) {
+	reserve := 0.0
+	switch {
+	case w.HealthyOnly:
+		reserve = 1
+	case c.record.restriction.isRateLimited() && p.queueFor(w.Service).before(w.Waiter) > 0:
+		return nil, RateLimited
+	}
+	counted, ok := c.record.restriction.useRate(now, p.VMCount(), w.Draw, reserve)
+	if !ok {
+		return nil, RateLimited
+	}
+	if c.cold && !c.record.allowCold(now, p.coldRate(s)) {
+		if counted {
+			c.record.restriction.returnRate()
+		}
+		return nil, AtLimit
+	}
+	placement := p.start(c, w)
+	placement.Flight.rateCounted = counted
+	return placement, Placed
+}
+
 // HasCapacity reports whether a request of the given rank would find a place at a
 // service now, without passing over a waiter of a lower rank.
-func (p *Placer) HasCapacity(v *zlregistry.View, now time.Time, s zlunit.Service, rank int) bool {
-	if p.queueFor(s).hasBefore(rank) {
+func (p *Placer) HasCapacity(v *zlregistry.View, now time.Time, w *PlacementRequest, rank int) bool {
+	q := p.queueFor(w.Service)
+	if q.hasBefore(rank) {
 		return false
 	}
-	for _, e := range v.Replicas[s] {
-		if !v.OutOfService[e.DataCentre] && p.hasRoom(e, now, v.Table.Services[s]) {
+	isFirst := q.before(w.Waiter) == 0
+	for _, e := range v.Replicas[w.Service] {
+		if !v.OutOfService[e.DataCentre] && p.hasRoom(e, now, v.Table.Services[w.Service], w.Draw, isFirst) {
 			return true
 		}
 	}
 	return false
 }
 
-// hasRoom reports whether one more request may go to a replica now.
-func (p *Placer) hasRoom(e *zlregistry.Entry, now time.Time, s zltable.Service) bool {
+// hasRoom reports whether one more request may go to a replica now; isFirst is set if
+// none waits before it.
+func (p *Placer) hasRoom(e *zlregistry.Entry, now time.Time, s zltable.Service, draw float64, isFirst bool) bool {
 	r := p.recordFor(e)
-	if until, never := r.restriction.blockedUntil(now, p.Settings.LeavingGrace); never || !until.IsZero() {
+	x := r.restriction
+	if until, never := x.blockedUntil(now, p.Settings.LeavingGrace); never || !until.IsZero() {
+		return false
+	}
+	if x.isRateLimited() && !(isFirst && x.mayUseRate(now, p.VMCount(), draw, 0)) {
 		return false
 	}
 	state := r.snapshot(now)
@@ -319,6 +365,8 @@
 		waiters: p.queueFor(w.Service),
 		site:    p.siteFor(c.entry.DataCentre),
 		target:  w.Target,
+		draw:    w.Draw,
+		vms:     p.VMCount(),
 
 		leavingGrace: p.Settings.LeavingGrace,
 		random:       p.random,
--- a/core/process/zldecision/zldecision.go
+++ b/core/process/zldecision/zldecision.go
@@ -35,6 +35,9 @@
 	ReasonNoRoom Reason = "noRoom"
 	// ReasonBackoff: all replicas that may serve asked for no requests for a time.
 	ReasonBackoff Reason = "backoff"
+	// ReasonRateLimited: all replicas that may serve limit their request rate, and this
+	// VM's share of it comes too late.
+	ReasonRateLimited Reason = "rateLimited"
 	// ReasonTooFewShards: fewer parts can be had than the route needs, and
 	// nothing has run.
 	ReasonTooFewShards     Reason = "tooFewShards"
--- a/core/request/zlrelay/answer.go
+++ b/core/request/zlrelay/answer.go
@@ -301,6 +301,9 @@
 	if s != "" {
 		retryAfter = max(retryAfter, r.untilServable(route, s))
 	}
+	if reason == zldecision.ReasonRateLimited {
+		retryAfter = max(retryAfter, r.Placer.RateLimitWait(v, r.Timer.Now(), s, nil))
+	}
 	e := &zldecision.Refused{
 		Subject:    r.subject(v, req, route),
 		Reason:     reason,
--- a/core/request/zlrelay/part.go
+++ b/core/request/zlrelay/part.go
@@ -136,6 +136,8 @@
 		Skip:        p.tried,
 		HealthyOnly: hedge,
 		Target:      x.replyTarget,
+		Draw:        x.draw,
+		Waiter:      p.waiter,
 		Notify:      x.wake,
 	})
 	if result == zlbalancer.Placed {
@@ -164,6 +166,8 @@
 		p.markLost(zldecision.ReasonNoReplica)
 	case result == zlbalancer.BackingOff:
 		p.markLost(zldecision.ReasonBackoff)
+	case result == zlbalancer.RateLimited && p.rateComesTooLate(now):
+		p.markLost(zldecision.ReasonRateLimited)
 	default:
 		p.joinQueue(now)
 	}
@@ -199,6 +203,9 @@
 		return
 	}
 	p.nextPlacement = now.Add(placementRetryInterval)
+	if end := x.placementEnd(); end.Before(p.nextPlacement) {
+		p.nextPlacement = end
+	}
 	if p.waiter != nil {
 		return
 	}
@@ -211,6 +218,17 @@
 	x.relay.Placer.Wait(p.waiter)
 }
 
+// rateComesTooLate reports whether the replicas' rate limits allow the part only when an
+// answer is of no use any more.
+func (p *part) rateComesTooLate(now time.Time) bool {
+	x := p.run
+	until := x.placementEnd()
+	if x.route.IsSharded() {
+		until = x.partialAnswerAt.Add(-x.expectedLatency)
+	}
+	return now.Add(x.relay.Placer.RateLimitWait(x.view, now, p.service, p.waiter)).After(until)
+}
+
 // leaveQueue removes the part from the queue for capacity, if it is in it.
 func (p *part) leaveQueue() {
 	if p.waiter != nil {
--- a/core/request/zlrelay/run.go
+++ b/core/request/zlrelay/run.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"zinnialock/core/process/zlbalancer"
 	"zinnialock/core/process/zldecision"
 	"zinnialock/core/process/zlquantile"
 	"zinnialock/core/process/zlunit"
@@ -77,6 +78,8 @@
 	awaited  *part
 	// likelyRetry is set if the caller was probably refused before.
 	likelyRetry bool
+	// draw is that of zlbalancer.PlacementRequest.
+	draw float64
 }
 
 // result is the outcome of an attempt.
@@ -119,6 +122,9 @@
 		}
 	}
 	x.likelyRetry = r.isLikelyRetry(x.route, req)
+	if r.Placer.Restricted() {
+		x.draw = r.randomFloat()
+	}
 	x.results = make(chan result, len(services)*maxSendsPerPart)
 	return x
 }
@@ -215,10 +221,13 @@
 func (x *run) step(now time.Time) Answer {
 	if !x.admitted {
 		if s, ok := x.admit(now); !ok {
-			if now.Before(x.placementDeadline) {
+			reason := zldecision.ReasonNoRoom
+			if !x.admissible(now) {
+				reason = zldecision.ReasonRateLimited
+			} else if now.Before(x.placementDeadline) {
 				return nil
 			}
-			return x.relay.refuse(x.view, x.req, x.route, zldecision.ReasonNoRoom, s)
+			return x.relay.refuse(x.view, x.req, x.route, reason, s)
 		}
 	}
 	if now.Before(x.deadline) {
@@ -245,7 +254,12 @@
 	var blocked *part
 	for i := range x.parts {
 		p := &x.parts[i]
-		if x.relay.Placer.HasCapacity(x.view, now, p.service, x.rank()) {
+		w := &zlbalancer.PlacementRequest{
+			Service: p.service,
+			Draw:    x.draw,
+			Waiter:  p.waiter,
+		}
+		if x.relay.Placer.HasCapacity(x.view, now, w, x.rank()) {
 			available++
 		} else if x.relay.Placer.Available(x.view, now, p.service).Replicas > 0 {
 			blocked = p
@@ -264,6 +278,18 @@
 	return blocked.service, false
 }
 
+// admissible reports whether the rate limits of the replicas may still allow enough
+// shards before placementDeadline.
+func (x *run) admissible(now time.Time) bool {
+	n := 0
+	for i := range x.parts {
+		if x.relay.Placer.RateLimitWait(x.view, now, x.parts[i].service, x.parts[i].waiter) <= x.placementDeadline.Sub(now) {
+			n++
+		}
+	}
+	return n >= x.route.MinParts()
+}
+
 // rank returns the request's rank in the queue for capacity at a replica; the lowest
 // goes first. It orders by the priority of the route, then puts retries of callers
 // that were refused before first attempts, so that no caller is refused twice while
