Log the fingerprint of a request whose connection broke

The logs could not tell a request that comes again from others that were under way at the same replica when it ended. failed lines have a hash of method, host, path and body then.

--- a/core/process/zldecision/zldecision.go
+++ b/core/process/zldecision/zldecision.go
@@ -138,6 +138,8 @@
 	// last.
 	Absent   []zlunit.Service
 	Upstream zlunit.Upstream
+	// Fingerprint is that of a request whose connection to a replica broke; 0 otherwise.
+	Fingerprint zlunit.Fingerprint
 }
 
 // Sent is the event of a request to a replica beyond the plain first send.
--- a/core/process/zlunit/zlunit.go
+++ b/core/process/zlunit/zlunit.go
@@ -2,6 +2,8 @@
 // share. It contains no logic.
 package zlunit
 
+import "fmt"
+
 // VM names an entry VM, and also the daemon on it, since each VM runs one.
 type VM string
 
@@ -33,6 +35,14 @@
 // RequestID is the id that the caller gave a request.
 type RequestID string
 
+// Fingerprint is a hash of a caller's request without what differs between its attempts.
+type Fingerprint uint64
+
+// String returns the fingerprint as 16 hexadecimal digits.
+func (f Fingerprint) String() string {
+	return fmt.Sprintf("%016x", uint64(f))
+}
+
 // QueryID identifies one execution of a query inside the query tier. It is
 // never reused.
 type QueryID string
--- a/core/request/zlrelay/answer.go
+++ b/core/request/zlrelay/answer.go
@@ -107,6 +107,7 @@
 		p.sendReason = rep.Reason
 	case *Unknown:
 		p.sendReason = rep.Reason
+		x.broken = x.broken || rep.Reason == zldecision.ReasonConnectionBroken
 	}
 	p.nextPlacement = time.Time{}
 }
@@ -271,6 +272,9 @@
 		NotIdempotent: !x.route.Idempotent,
 		Absent:        x.missingShards(),
 	}
+	if x.broken {
+		f.Fingerprint = x.req.Message.Fingerprint()
+	}
 	for i := range x.parts {
 		if tried := x.parts[i].tried; len(tried) > 0 && x.parts[i].response == nil {
 			f.Upstream = tried[len(tried)-1]
--- a/core/request/zlrelay/run.go
+++ b/core/request/zlrelay/run.go
@@ -80,6 +80,8 @@
 	likelyRetry bool
 	// draw is that of zlbalancer.PlacementRequest.
 	draw float64
+	// broken is set once a connection broke after the request was sent.
+	broken bool
 }
 
 // result is the outcome of an attempt.
--- a/io/process/zljournal/write.go
+++ b/io/process/zljournal/write.go
@@ -31,6 +31,9 @@
 		line.Str("reason", string(e.Reason)).Int("status", e.Status).Int("sends", e.Sends).Int("parts", e.Parts).
 			Bool("once", e.NotIdempotent)
 		addNonEmpty(line, "upstream", string(e.Upstream))
+		if e.Fingerprint != 0 {
+			line.Str("fingerprint", e.Fingerprint.String())
+		}
 		addAbsent(line, e.Absent)
 	case *zldecision.Sent:
 		addSubject(line.Str("event", "sent"), &e.Subject)
