Failing test: a request that crashes replicas is not repeated

A fleet of five VMs under virtual time; the request comes twice a second at one VM after the other, to one service or over four shards, beside 100 innocent requests a second.

--- /dev/null
+++ b/core/request/zlrelay/crash_test.go
@@ -0,0 +1,181 @@
+package zlrelay
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"zinnialock/core/process/zldecision"
+	"zinnialock/core/process/zlunit"
+	"zinnialock/core/version/zlregistry"
+	"zinnialock/core/version/zltable"
+)
+
+const (
+	// crashPath marks the request that crashes each replica that begins to run it.
+	crashPath = "crash"
+	// crashRunTime is how long a replica runs it until it crashes, and restartTime how
+	// long the replica is down then.
+	crashRunTime = 5 * time.Millisecond
+	restartTime  = 2 * time.Second
+	// contactWindow is the time after the third crash from which on retries count.
+	contactWindow = 4 * time.Second
+	// maxCountedRetries is how many retries may reach replicas after that time.
+	maxCountedRetries = 3
+)
+
+// crashableReplicas is a Sender for all VMs of a fleet. A replica that crashes breaks all
+// connections and takes none until it is back.
+type crashableReplicas struct {
+	mu sync.Mutex
+	// crashed is closed when the replica crashes, and downUntil is when it is back.
+	crashed   map[zlunit.Upstream]chan struct{}
+	downUntil map[zlunit.Upstream]time.Time
+	crashes   []time.Time
+	// retries holds the ids of the crashing attempts that reached a replica later than
+	// contactWindow after the third crash.
+	retries map[zlunit.RequestID]bool
+}
+
+func (s *crashableReplicas) Send(ctx context.Context, e *zlregistry.Entry, c *Call) Reply {
+	s.mu.Lock()
+	crashed, ok := s.crashed[e.ID]
+	if !ok {
+		crashed = make(chan struct{})
+		s.crashed[e.ID] = crashed
+	}
+	down := time.Now().Before(s.downUntil[e.ID])
+	s.mu.Unlock()
+	if down || !c.Start() {
+		return &NotRun{
+			Reason: zldecision.ReasonUnreached,
+		}
+	}
+	if strings.Contains(c.Request.Message.Path, crashPath) {
+		s.countCrashing(c.Request.ID)
+		time.AfterFunc(crashRunTime, func() {
+			s.crash(e.ID, crashed)
+		})
+	}
+	select {
+	case <-crashed:
+	case <-ctx.Done():
+	case <-time.After(15 * time.Millisecond):
+		return &Response{
+			Status:    http.StatusOK,
+			Body:      make([]byte, recordSize),
+			Signature: string(e.ID),
+		}
+	}
+	return &Unknown{
+		Reason: zldecision.ReasonConnectionBroken,
+	}
+}
+
+func (s *crashableReplicas) countCrashing(id zlunit.RequestID) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.crashes) >= 3 && time.Since(s.crashes[2]) > contactWindow {
+		s.retries[id] = true
+	}
+}
+
+func (s *crashableReplicas) crash(id zlunit.Upstream, crashed chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.crashed[id] != crashed {
+		return
+	}
+	close(crashed)
+	delete(s.crashed, id)
+	s.crashes = append(s.crashes, time.Now())
+	s.downUntil[id] = time.Now().Add(restartTime)
+}
+
+// newCrashFleet returns the relays of n VMs and the replicas that they share.
+func newCrashFleet(n int, routes ...zltable.Route) ([]*Relay, *crashableReplicas) {
+	s := &crashableReplicas{
+		crashed:   map[zlunit.Upstream]chan struct{}{},
+		downUntil: map[zlunit.Upstream]time.Time{},
+		retries:   map[zlunit.RequestID]bool{},
+	}
+	var fleet []*Relay
+	for vm := range n {
+		r := newTestRelay(s, routes...)
+		r.Placer.SetVMCount(n)
+		r.Placer.Random = lockedRandom(uint64(vm))
+		r.Random = lockedRandom(uint64(vm))
+		fleet = append(fleet, r)
+	}
+	return fleet, s
+}
+
+func crashRoutes() []zltable.Route {
+	return []zltable.Route{
+		singleRoute(false, 1),
+		scatterRoute("all", []zlunit.Service{"s0", "s1", "s2", "s3"}, 120*time.Millisecond, 1, 1),
+	}
+}
+
+// playCrashes sends the crashing request to one VM after the other, and innocent requests
+// to all; it returns how many of the latter were served.
+func playCrashes(fleet []*Relay, path string) (innocent, served int) {
+	var mu sync.Mutex
+	var requests sync.WaitGroup
+	began := time.Now()
+	for i := 0; time.Since(began) < 15*time.Second; i++ {
+		if i%50 == 0 {
+			requests.Go(func() {
+				req := request(path + crashPath)
+				req.ID = zlunit.RequestID(fmt.Sprintf("crashing-%d", i))
+				fleet[i/50%len(fleet)].Serve(context.Background(), req)
+			})
+		}
+		requests.Go(func() {
+			req := request(fmt.Sprintf("/all/%d", i))
+			req.ID = zlunit.RequestID(fmt.Sprintf("innocent-%d", i))
+			answer := fleet[i%len(fleet)].Serve(context.Background(), req)
+			mu.Lock()
+			defer mu.Unlock()
+			innocent++
+			if _, ok := answer.(*Merged); ok {
+				served++
+			}
+		})
+		time.Sleep(10 * time.Millisecond)
+	}
+	requests.Wait()
+	return innocent, served
+}
+
+// Guards against a request that crashes replicas and comes again at any VM: it may not
+// take down one replica after the other, and the requests beside it are served.
+func TestRequestThatCrashesReplicasIsNotRepeated(t *testing.T) {
+	for path, maxCrashes := range map[string]int{
+		"/one/": 5,
+		"/all/": 10,
+	} {
+		t.Run(path, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				fleet, s := newCrashFleet(5, crashRoutes()...)
+				innocent, served := playCrashes(fleet, path)
+				if len(s.retries) > maxCountedRetries {
+					t.Errorf("%d attempts reached replicas later than %v after the third crash, want %d at most",
+						len(s.retries), contactWindow, maxCountedRetries)
+				}
+				if len(s.crashes) > maxCrashes {
+					t.Errorf("%d replicas crashed, want %d at most", len(s.crashes), maxCrashes)
+				}
+				if float64(served) < 0.99*float64(innocent) {
+					t.Errorf("served %d of %d innocent requests, want 0.99 of them", served, innocent)
+				}
+				t.Logf("%d crashes, %d counted retries, served %d of %d innocent requests", len(s.crashes), len(s.retries), served, innocent)
+			})
+		})
+	}
+}
