--- a/core/process/zldecision/zldecision.go
+++ b/core/process/zldecision/zldecision.go
@@ -73,6 +73,8 @@
 	// ReasonWrongReplica: another replica answered at the address.
 	ReasonWrongReplica Reason = "wrongReplica"
 	ReasonOutOfService Reason = "outOfService"
+	// ReasonQuarantined: the request crashed replicas and is not sent any more.
+	ReasonQuarantined Reason = "quarantined"
 )
 
 // Subject is the request that an event is about, with what the process knew at
--- a/core/request/zlrelay/answer.go
+++ b/core/request/zlrelay/answer.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"zinnialock/core/process/zldecision"
+	"zinnialock/core/process/zlquarantine"
 	"zinnialock/core/process/zlunit"
 	"zinnialock/core/version/zlregistry"
 	"zinnialock/core/version/zltable"
@@ -85,6 +86,7 @@
 		return
 	}
 	p.removeAttempt(a)
+	x.noteReply(a, res.reply)
 	switch rep := res.reply.(type) {
 	case *Response:
 		switch {
@@ -305,8 +307,12 @@
 	if s != "" {
 		retryAfter = max(retryAfter, r.untilServable(route, s))
 	}
-	if reason == zldecision.ReasonRateLimited {
+	switch reason {
+	case zldecision.ReasonRateLimited:
 		retryAfter = max(retryAfter, r.Placer.RateLimitWait(v, r.Timer.Now(), s, nil))
+	case zldecision.ReasonQuarantined:
+		retryAfter = zlquarantine.Duration
+	default:
 	}
 	e := &zldecision.Refused{
 		Subject:    r.subject(v, req, route),
--- a/core/request/zlrelay/attempt.go
+++ b/core/request/zlrelay/attempt.go
@@ -29,6 +29,8 @@
 	overdueAt time.Time
 	charged   bool
 	overdue   bool
+	// round is that of crashState.
+	round int
 }
 
 // isOverdue reports whether the attempt is overdue. If another request to the same
@@ -51,6 +53,7 @@
 		overdueAt: now.Add(x.overdueAfter),
 		charged:   charged,
 	}
+	x.noteLaunch(a)
 	p.inFlight = append(p.inFlight, a)
 	p.tried = append(p.tried, placement.Entry.ID)
 	p.sends++
@@ -122,6 +125,9 @@
 func (p *part) removeUnstarted(a *attempt) {
 	a.cancel()
 	p.removeAttempt(a)
+	if p.run.crash.canary == a {
+		p.run.crash.canary = nil
+	}
 	p.mayHaveRun--
 	p.arrivals--
 	if a.charged {
--- /dev/null
+++ b/core/request/zlrelay/crash.go
@@ -0,0 +1,119 @@
+package zlrelay
+
+import (
+	"time"
+
+	"zinnialock/core/process/zldecision"
+	"zinnialock/core/process/zlquarantine"
+	"zinnialock/core/process/zlunit"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// crashState is what a run knows of replicas that ended while they had its request.
+type crashState struct {
+	// fingerprint is that of the request; 0 until it is needed.
+	fingerprint zlunit.Fingerprint
+	// round counts the rounds of sends; see zlquarantine.Round.
+	round int
+	// suspected is set while the request may go to one replica at a time only: canary is
+	// that send, nil if none is under way.
+	suspected bool
+	canary    *attempt
+	// proven is set once a replica answered the request, so that it does not crash them.
+	proven bool
+}
+
+func (x *run) fingerprint() zlunit.Fingerprint {
+	if x.crash.fingerprint == 0 {
+		x.crash.fingerprint = x.req.Message.Fingerprint()
+	}
+	return x.crash.fingerprint
+}
+
+// verdict returns what may be done with the request.
+func (x *run) verdict() zlquarantine.Verdict {
+	l := x.relay.Quarantine
+	if l == nil || x.crash.proven || !l.Active() {
+		return zlquarantine.Unsuspected
+	}
+	return l.Verdict(x.fingerprint())
+}
+
+// mayCrash reports whether a send must wait or may not be made, since the request is
+// suspected to crash replicas, or is known to.
+func (p *part) mayCrash(now time.Time) bool {
+	x := p.run
+	switch x.verdict() {
+	case zlquarantine.Quarantined:
+		p.markLost(zldecision.ReasonQuarantined)
+		return true
+	case zlquarantine.Suspected:
+		x.crash.suspected = true
+	default:
+	}
+	if !x.crash.suspected || x.crash.canary == nil {
+		return false
+	}
+	p.nextPlacement = now.Add(placementRetryInterval)
+	return true
+}
+
+// noteLaunch notes a send.
+func (x *run) noteLaunch(a *attempt) {
+	a.round = x.crash.round
+	if x.crash.suspected {
+		x.crash.canary = a
+	}
+}
+
+// noteReply updates what is known of the request from the reply to a send.
+func (x *run) noteReply(a *attempt, reply Reply) {
+	l := x.relay.Quarantine
+	if l == nil {
+		return
+	}
+	if x.crash.canary == a {
+		x.crash.canary = nil
+		x.searchNow()
+	}
+	switch rep := reply.(type) {
+	case *Response:
+		x.crash.proven = true
+		x.crash.suspected = false
+		if l.Active() {
+			l.Clear(x.fingerprint())
+		}
+	case *Unknown:
+		if rep.ReplicaEnded && !x.crash.proven && a.part.isOpen() {
+			x.strike(a)
+		}
+	}
+}
+
+// strike notes that the replica of a send ended. The sends of one round count once: none
+// of them was made in the knowledge of another's end.
+func (x *run) strike(a *attempt) {
+	x.relay.Quarantine.Strike(&zlquarantine.Strike{
+		Fingerprint: x.fingerprint(),
+		Round:       roundOf(x.req.ID, a.round),
+		Upstream:    a.placement.Entry.ID,
+		Incarnation: a.placement.Entry.Incarnation,
+	})
+	if a.round == x.crash.round {
+		x.crash.round++
+	}
+	x.crash.suspected = true
+}
+
+// roundOf identifies a round of an attempt for all VMs.
+func roundOf(id zlunit.RequestID, round int) zlquarantine.Round {
+	return zlquarantine.Round(xxhash.Sum64String(string(id)) + uint64(round))
+}
+
+// searchNow lets all parts that wait for the canary search for a replica at once.
+func (x *run) searchNow() {
+	for i := range x.parts {
+		x.parts[i].nextPlacement = time.Time{}
+	}
+}
--- a/core/request/zlrelay/crash_test.go
+++ b/core/request/zlrelay/crash_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"zinnialock/core/process/zldecision"
+	"zinnialock/core/process/zlquarantine"
 	"zinnialock/core/process/zlunit"
 	"zinnialock/core/version/zlregistry"
 	"zinnialock/core/version/zltable"
@@ -23,6 +24,8 @@
 	// long the replica is down then.
 	crashRunTime = 5 * time.Millisecond
 	restartTime  = 2 * time.Second
+	// messageTime is how long a message between VMs takes.
+	messageTime = 2 * time.Millisecond
 	// contactWindow is the time after the third crash from which on retries count.
 	contactWindow = 4 * time.Second
 	// maxCountedRetries is how many retries may reach replicas after that time.
@@ -62,8 +65,12 @@
 			s.crash(e.ID, crashed)
 		})
 	}
+	unknown := &Unknown{
+		Reason: zldecision.ReasonConnectionBroken,
+	}
 	select {
 	case <-crashed:
+		unknown.ReplicaEnded = true
 	case <-ctx.Done():
 	case <-time.After(15 * time.Millisecond):
 		return &Response{
@@ -72,9 +79,7 @@
 			Signature: string(e.ID),
 		}
 	}
-	return &Unknown{
-		Reason: zldecision.ReasonConnectionBroken,
-	}
+	return unknown
 }
 
 func (s *crashableReplicas) countCrashing(id zlunit.RequestID) {
@@ -105,20 +110,40 @@
 		retries:   map[zlunit.RequestID]bool{},
 	}
 	var fleet []*Relay
+	tell := func(from *zlquarantine.Ledger, report *zlquarantine.Report) {
+		for _, r := range fleet {
+			if r.Quarantine != from {
+				time.AfterFunc(messageTime, func() {
+					r.Quarantine.Apply(report)
+				})
+			}
+		}
+	}
 	for vm := range n {
 		r := newTestRelay(s, routes...)
 		r.Placer.SetVMCount(n)
 		r.Placer.Random = lockedRandom(uint64(vm))
 		r.Random = lockedRandom(uint64(vm))
+		l := &zlquarantine.Ledger{
+			Timer: r.Timer,
+		}
+		l.OnReport = func(report *zlquarantine.Report) {
+			tell(l, report)
+		}
+		r.Quarantine = l
 		fleet = append(fleet, r)
 	}
 	return fleet, s
 }
 
 func crashRoutes() []zltable.Route {
+	repeatable := singleRoute(true, 3)
+	repeatable.Name = "repeatable"
+	repeatable.Prefix = "/repeatable/"
 	return []zltable.Route{
 		singleRoute(false, 1),
-		scatterRoute("all", []zlunit.Service{"s0", "s1", "s2", "s3"}, 120*time.Millisecond, 1, 1),
+		repeatable,
+		scatterRoute("all", []zlunit.Service{"s0", "s1", "s2", "s3"}, 120*time.Millisecond, 1, 0.75),
 	}
 }
 
@@ -157,8 +182,9 @@
 // take down one replica after the other, and the requests beside it are served.
 func TestRequestThatCrashesReplicasIsNotRepeated(t *testing.T) {
 	for path, maxCrashes := range map[string]int{
-		"/one/": 5,
-		"/all/": 10,
+		"/one/":        5,
+		"/repeatable/": 5,
+		"/all/":        10,
 	} {
 		t.Run(path, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
--- a/core/request/zlrelay/part.go
+++ b/core/request/zlrelay/part.go
@@ -99,6 +99,9 @@
 		p.nextPlacement = x.deadline
 		return
 	}
+	if x.crash.suspected {
+		return
+	}
 	p.placeAndSend(now, reason, first.placement.Entry.ID, true)
 }
 
@@ -126,6 +129,9 @@
 // nothing has reached a replica before.
 func (p *part) placeAndSend(now time.Time, reason zldecision.Reason, from zlunit.Upstream, hedge bool) {
 	x := p.run
+	if p.mayCrash(now) {
+		return
+	}
 	charged := p.arrivals > 0 || hedge
 	if charged && !p.window.Spend(now, x.budgetReserve(hedge)) {
 		p.holdForBudget(now, reason, from, hedge)
--- a/core/request/zlrelay/run.go
+++ b/core/request/zlrelay/run.go
@@ -7,6 +7,7 @@
 	"zinnialock/core/process/zlbalancer"
 	"zinnialock/core/process/zldecision"
 	"zinnialock/core/process/zlquantile"
+	"zinnialock/core/process/zlquarantine"
 	"zinnialock/core/process/zlunit"
 	"zinnialock/core/version/zlregistry"
 	"zinnialock/core/version/zltable"
@@ -82,6 +83,7 @@
 	draw float64
 	// broken is set once a connection broke after the request was sent.
 	broken bool
+	crash  crashState
 }
 
 // result is the outcome of an attempt.
@@ -149,6 +151,10 @@
 	for i := range x.parts {
 		x.parts[i].window.Request(now)
 	}
+	if x.verdict() == zlquarantine.Quarantined {
+		x.relay.Quarantine.Refuse(x.fingerprint())
+		return x.relay.refuse(x.view, x.req, x.route, zldecision.ReasonQuarantined, "")
+	}
 	if x.route.IsSharded() {
 		if s, ok := x.enoughShardsAvailable(); !ok {
 			return x.relay.refuse(x.view, x.req, x.route, zldecision.ReasonTooFewShards, s)
--- a/core/request/zlrelay/scripted_test.go
+++ b/core/request/zlrelay/scripted_test.go
@@ -220,6 +220,7 @@
 		Message: &Message{
 			Method: "GET",
 			Host:   "h",
+			Target: path,
 			Path:   path,
 		},
 		Received: time.Now(),
--- a/core/request/zlrelay/zlrelay.go
+++ b/core/request/zlrelay/zlrelay.go
@@ -18,6 +18,7 @@
 	"zinnialock/core/process/zlbalancer"
 	"zinnialock/core/process/zldecision"
 	"zinnialock/core/process/zlquantile"
+	"zinnialock/core/process/zlquarantine"
 	"zinnialock/core/process/zlsendbudget"
 	"zinnialock/core/process/zltimer"
 	"zinnialock/core/process/zlunit"
@@ -149,6 +150,9 @@
 	Notice
 	// Reason is why there is no usable response.
 	Reason zldecision.Reason
+	// ReplicaEnded is set if the replica ended the connection before any byte of an
+	// answer, as it does when it crashes.
+	ReplicaEnded bool
 }
 
 func (*Response) reply() {}
@@ -238,6 +242,8 @@
 	Sender Sender
 	// Sink receives an event for each decision; nil drops the events.
 	Sink zldecision.Sink
+	// Quarantine recognises requests that crash replicas; nil sends them like others.
+	Quarantine *zlquarantine.Ledger
 	// Settings holds the limits of the deployment.
 	Settings Settings
 	// Start is when this process started.
--- a/core/version/zlpoller/groups.go
+++ b/core/version/zlpoller/groups.go
@@ -55,6 +55,17 @@
 	return groupsOf(p.Members(), p.Self.VM, turn)
 }
 
+// AllGroups returns the groups of all data centres, this one's included.
+func (p *Policy) AllGroups(turn uint32) []Group {
+	out := p.Groups(turn)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, list := range p.remoteMembers {
+		out = append(out, groupsOf(list, p.Self.VM, turn)...)
+	}
+	return out
+}
+
 // ForwardTargets returns the members to which this VM forwards the message of a turn that it
 // received from its sender.
 func (p *Policy) ForwardTargets(sender zlunit.VM, turn uint32) []Member {
--- a/core/version/zlpoller/groups_test.go
+++ b/core/version/zlpoller/groups_test.go
@@ -64,6 +64,33 @@
 	}
 }
 
+// A message for the VMs of all data centres reaches each other VM exactly once.
+func TestMessageToAllDataCentresArrivesOnce(t *testing.T) {
+	all := membersOf(195)
+	for i := range all {
+		all[i].DataCentre = zlunit.DataCentre(fmt.Sprintf("dc%d", i%5))
+	}
+	sender := policyOf(all[7], all)
+	for turn := range uint32(9) {
+		got := map[zlunit.VM]int{}
+		for _, g := range sender.AllGroups(turn) {
+			got[g.Forwarder.VM]++
+			for _, m := range policyOf(g.Forwarder, all).ForwardTargets(sender.Self.VM, turn) {
+				got[m.VM]++
+			}
+		}
+		for _, m := range all {
+			want := 1
+			if m.VM == sender.Self.VM {
+				want = 0
+			}
+			if got[m.VM] != want {
+				t.Fatalf("turn %d: %s received the message %d times, want %d", turn, m.VM, got[m.VM], want)
+			}
+		}
+	}
+}
+
 // With dead members that forward nothing, no member misses three messages in a row.
 // A confirmation stays valid for at least that long.
 func TestDeadMembersCostFewMessagesInARow(t *testing.T) {
--- a/core/version/zlpoller/zlpoller.go
+++ b/core/version/zlpoller/zlpoller.go
@@ -91,6 +91,8 @@
 	mu sync.Mutex
 	// members are the other VMs of the data centre, in the order of their score.
 	members []Member
+	// remoteMembers are the VMs of the other data centres.
+	remoteMembers map[zlunit.DataCentre][]Member
 	// rank is this VM's place in the order of all; the VM of rank 0 polls.
 	rank int
 	// membersKnown is true once SetMembers was called.
@@ -119,10 +121,15 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.members = p.members[:0]
+	p.remoteMembers = map[zlunit.DataCentre][]Member{}
 	rank := 0
 	own := score(p.Self.VM)
 	for _, m := range all {
-		if m.VM == p.Self.VM || m.DataCentre != p.Self.DataCentre || m.Address == "" {
+		if m.VM == p.Self.VM || m.Address == "" {
+			continue
+		}
+		if m.DataCentre != p.Self.DataCentre {
+			p.remoteMembers[m.DataCentre] = append(p.remoteMembers[m.DataCentre], m)
 			continue
 		}
 		p.members = append(p.members, m)
--- a/io/request/zlexchange/exchange.go
+++ b/io/request/zlexchange/exchange.go
@@ -2,9 +2,11 @@
 
 import (
 	"bytes"
+	"errors"
 	"io"
 	"net/http"
 	"net/url"
+	"os"
 	"strconv"
 	"strings"
 	"time"
@@ -133,7 +135,7 @@
 			resp, err = http.ReadResponse(c.reader, req)
 		}
 		if err != nil {
-			return c.readFailure(), false
+			return c.headFailure(err), false
 		}
 		c.allowance = maxReplyBytes + maxFramingBytes
 		body, err := io.ReadAll(io.LimitReader(resp.Body, maxReplyBytes+1))
@@ -170,6 +172,17 @@
 	return unknown(zldecision.ReasonConnectionBroken)
 }
 
+// headFailure returns the reply to a call for which no head of an answer could be read.
+func (c *conn) headFailure(err error) zlrelay.Reply {
+	if c.allowance < maxHeadBytes || c.reader.Buffered() > 0 || errors.Is(err, os.ErrDeadlineExceeded) {
+		return c.readFailure()
+	}
+	return &zlrelay.Unknown{
+		Reason:       zldecision.ReasonConnectionBroken,
+		ReplicaEnded: true,
+	}
+}
+
 func unknown(reason zldecision.Reason) zlrelay.Reply {
 	return &zlrelay.Unknown{
 		Reason: reason,
--- a/io/request/zlexchange/zlexchange_test.go
+++ b/io/request/zlexchange/zlexchange_test.go
@@ -255,6 +255,34 @@
 	}
 }
 
+// Only a connection that ends before any byte of an answer looks like a crash: not an
+// answer that breaks off, not bytes that are none, and not a call that was cancelled.
+func TestReplicaThatEndsWithoutAnAnswer(t *testing.T) {
+	for answer, want := range map[string]bool{
+		"":                       true,
+		"HTTP/1.1 200 OK\r\nCon": false,
+		"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nab": false,
+		"nonsense\r\n\r\n": false,
+	} {
+		_, x, e := newReplica(t, func(_ int, _ string, c net.Conn) bool {
+			_, _ = c.Write([]byte(answer))
+			return false
+		})
+		u, ok := send(x, e, "1").(*zlrelay.Unknown)
+		if !ok || u.ReplicaEnded != want {
+			t.Errorf("answer %q: got reply %+v, want an unknown outcome with ReplicaEnded %v", answer, u, want)
+		}
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	_, x, e := newReplica(t, func(int, string, net.Conn) bool {
+		cancel()
+		return true
+	})
+	if u, ok := x.Send(ctx, e, call("1")).(*zlrelay.Unknown); !ok || u.ReplicaEnded {
+		t.Errorf("cancelled: got reply %+v, want an unknown outcome without ReplicaEnded", u)
+	}
+}
+
 // Guards against a request being sent on an idle connection that the replica has
 // closed: such a connection is detected before it is used.
 func TestClosedIdleConnectionIsNotUsed(t *testing.T) {
--- /dev/null
+++ b/io/version/zlbroadcast/crash.go
@@ -0,0 +1,111 @@
+package zlbroadcast
+
+import (
+	"math/rand/v2"
+	"net"
+
+	"zinnialock/core/process/zlquarantine"
+
+	"github.com/fxamacker/cbor/v2"
+)
+
+const (
+	// maxCrashReports bounds the reports that wait to be sent. Beyond that they are
+	// dropped: what is in quarantine travels with the heartbeats as well.
+	maxCrashReports = 256
+	// maxStrikesPerMessage is how many strikes fit a datagram.
+	maxStrikesPerMessage = 12
+)
+
+// SendCrashReport sends a report on requests that crash replicas to the VMs of all data
+// centres. It does not block.
+func (b *Broadcaster) SendCrashReport(report *zlquarantine.Report) {
+	select {
+	case b.crashReports <- report:
+	default:
+	}
+}
+
+// runCrashReports sends the reports, those that wait in one message.
+func (b *Broadcaster) runCrashReports() {
+	for {
+		select {
+		case <-b.Done:
+			return
+		case report := <-b.crashReports:
+			b.sendAll(&message{
+				VM:        b.VM,
+				AgeMicros: -1,
+				Crash:     b.joinReports(report),
+			})
+		}
+	}
+}
+
+// joinReports adds the reports that wait to the first one, as far as they fit a message.
+func (b *Broadcaster) joinReports(first *zlquarantine.Report) *zlquarantine.Report {
+	out := *first
+	for len(out.Strikes)+len(out.Cleared) < maxStrikesPerMessage {
+		select {
+		case next := <-b.crashReports:
+			out.Strikes = append(out.Strikes, next.Strikes...)
+			out.Cleared = append(out.Cleared, next.Cleared...)
+		default:
+			return &out
+		}
+	}
+	return &out
+}
+
+// askQuarantine asks another VM what it has in quarantine, until one has told: a process
+// that just started has to know, and the heartbeats may not reach it yet.
+func (b *Broadcaster) askQuarantine() {
+	if b.quarantineKnown.Load() {
+		return
+	}
+	groups := b.PollPolicy.AllGroups(b.sequence.Load())
+	if len(groups) == 0 {
+		return
+	}
+	b.sendMessageTo(b.resolve(groups[rand.IntN(len(groups))].Forwarder.Address), &message{
+		VM:        b.VM,
+		AgeMicros: -1,
+		Ask:       true,
+	})
+}
+
+// handleCrash takes in what a message says of requests that crash replicas, and reports
+// whether there is nothing else in it.
+func (b *Broadcaster) handleCrash(m *message, from *net.UDPAddr) bool {
+	if m.Ask {
+		b.sendMessageTo(from, &message{
+			VM:        b.VM,
+			AgeMicros: -1,
+			Reply:     true,
+			Crash: &zlquarantine.Report{
+				Quarantined: b.Quarantine.Quarantined(),
+			},
+		})
+		return true
+	}
+	if m.Reply {
+		b.quarantineKnown.Store(true)
+	}
+	if m.Crash != nil {
+		b.Quarantine.Apply(m.Crash)
+	}
+	return m.Reply || m.Crash != nil && m.AgeMicros < 0 && m.Update == nil
+}
+
+func (b *Broadcaster) sendMessageTo(addr *net.UDPAddr, m *message) {
+	if addr == nil {
+		return
+	}
+	data, err := cbor.Marshal(m)
+	if err != nil {
+		b.recordFailure(err)
+		return
+	}
+	// A question that is lost is asked again.
+	_, _ = b.socket.WriteToUDP(data, addr)
+}
--- /dev/null
+++ b/io/version/zlbroadcast/crash_test.go
@@ -0,0 +1,55 @@
+package zlbroadcast
+
+import (
+	"testing"
+	"time"
+
+	"zinnialock/core/process/zlquarantine"
+	"zinnialock/core/process/zlunit"
+)
+
+const crashing = zlunit.Fingerprint(7)
+
+func strike(b *Broadcaster, n int) {
+	b.Quarantine.Strike(&zlquarantine.Strike{
+		Fingerprint: crashing,
+		Round:       zlquarantine.Round(n),
+		Upstream:    zlunit.Upstream(rune('a' + n)),
+	})
+}
+
+// A request that crashes replicas comes at any VM: what two VMs of different data centres
+// saw counts together at both, and an answer to it clears it at both.
+func TestStrikesCountAcrossDataCentres(t *testing.T) {
+	b := newPairIn(t, [2]zlunit.DataCentre{"lowell", "nashua"})
+	strike(b[0], 0)
+	strike(b[0], 1)
+	strike(b[1], 2)
+	for _, x := range b {
+		eventually(t, "the request is in quarantine", func() bool {
+			return x.Quarantine.Verdict(crashing) == zlquarantine.Quarantined
+		})
+	}
+	b[0].Quarantine.Clear(crashing)
+	for _, x := range b {
+		eventually(t, "the request is cleared", func() bool {
+			return x.Quarantine.Verdict(crashing) == zlquarantine.Unsuspected
+		})
+	}
+}
+
+// A process that starts after the strikes learns of the quarantine, also if no heartbeat
+// reaches it.
+func TestQuarantineIsKnownAfterAStart(t *testing.T) {
+	b := newPairIn(t, [2]zlunit.DataCentre{"lowell", "nashua"})
+	b[0].Quarantine.Apply(&zlquarantine.Report{
+		Quarantined: []zlquarantine.Sentence{{
+			Fingerprint: crashing,
+			Left:        time.Minute,
+		}},
+	})
+	b[1].quarantineKnown.Store(false)
+	eventually(t, "the request is in quarantine", func() bool {
+		return b[1].Quarantine.Verdict(crashing) == zlquarantine.Quarantined
+	})
+}
--- a/io/version/zlbroadcast/message.go
+++ b/io/version/zlbroadcast/message.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"zinnialock/core/process/zlbalancer"
+	"zinnialock/core/process/zlquarantine"
 	"zinnialock/core/process/zlunit"
 	"zinnialock/core/version/zlpoller"
 	"zinnialock/core/version/zlregistry"
@@ -32,6 +33,11 @@
 	// Sequence counts the messages of the VM; the VMs that forward this message
 	// follow from it.
 	Sequence uint32 `cbor:"7,keyasint,omitempty"`
+	// Crash is what the sender knows of requests that crash replicas. Ask asks the receiver
+	// for that, and Reply marks the answer; neither is forwarded.
+	Crash *zlquarantine.Report `cbor:"9,keyasint,omitempty"`
+	Ask   bool                 `cbor:"10,keyasint,omitempty"`
+	Reply bool                 `cbor:"11,keyasint,omitempty"`
 }
 
 // delta is the encoded form of a zlwatcher.Delta.
--- a/io/version/zlbroadcast/message_test.go
+++ b/io/version/zlbroadcast/message_test.go
@@ -1,9 +1,11 @@
 package zlbroadcast
 
 import (
+	"net"
 	"net/url"
 	"testing"
 
+	"zinnialock/core/process/zlquarantine"
 	"zinnialock/core/process/zltimer"
 	"zinnialock/core/version/zlpoller"
 	"zinnialock/core/version/zlregistry"
@@ -101,13 +103,19 @@
 			PollPolicy:   policy,
 			Watcher:      watcher,
 			fetchSources: make(chan string, 1),
+			Quarantine: &zlquarantine.Ledger{
+				Timer: timer,
+			},
 		}
 		var received message
 		if err := decoder.Unmarshal(data, &received); err != nil {
 			return
 		}
 		policy.ForwardTargets(received.VM, received.Sequence)
-		b.handle(&received, "127.0.0.1:1")
+		b.handle(&received, &net.UDPAddr{
+			IP:   net.IPv4(127, 0, 0, 1),
+			Port: 1,
+		})
 		for i, r := range watcher.Revisions() {
 			watcher.DeltaSince(zlwatcher.Topic(i), zlrevision.Revision{
 				Era: r.Era,
--- a/io/version/zlbroadcast/zlbroadcast.go
+++ b/io/version/zlbroadcast/zlbroadcast.go
@@ -16,6 +16,7 @@
 
 	"zinnialock/core/process/zlbalancer"
 	"zinnialock/core/process/zldecision"
+	"zinnialock/core/process/zlquarantine"
 	"zinnialock/core/process/zltimer"
 	"zinnialock/core/process/zlunit"
 	"zinnialock/core/version/zlpoller"
@@ -100,9 +101,17 @@
 	HealthReports func() []zlbalancer.HealthReport
 	// OnHealthReports is called with the health reports of another VM.
 	OnHealthReports func(vm zlunit.VM, list []zlbalancer.HealthReport)
+	// Quarantine holds what the VMs tell each other of requests that crash replicas; nil
+	// if they don't.
+	Quarantine *zlquarantine.Ledger
 	// Done ends Run when it is closed.
 	Done <-chan struct{}
 
+	// crashReports holds the reports to send.
+	crashReports chan *zlquarantine.Report
+	// quarantineKnown is set once another VM told what it has in quarantine.
+	quarantineKnown atomic.Bool
+
 	socket   *net.UDPConn
 	listener net.Listener
 	client   *http.Client
@@ -142,6 +151,7 @@
 		}
 	}
 	b.fetchSources = make(chan string, 1)
+	b.crashReports = make(chan *zlquarantine.Report, maxCrashReports)
 	b.peerAddrs = map[string]*net.UDPAddr{}
 	b.client = &http.Client{
 		Timeout: fetchTimeout,
@@ -174,6 +184,12 @@
 			b.sendHeartbeat(0, nil)
 		})
 	})
+	if b.Quarantine != nil {
+		group.Go(b.runCrashReports)
+		group.Go(func() {
+			b.Timer.Subscribe(b.Done, heartbeatPeriod, 0, b.askQuarantine)
+		})
+	}
 	if b.HealthReports != nil {
 		group.Go(func() {
 			b.Timer.Subscribe(b.Done, healthReportPeriod, healthReportJitter, b.sendHealthReports)
@@ -247,11 +263,29 @@
 		m.Topic = t
 		m.Update = toWire(d)
 	}
+	if b.Quarantine != nil {
+		if list := b.Quarantine.Quarantined(); len(list) > 0 {
+			m.Crash = &zlquarantine.Report{
+				Quarantined: list,
+			}
+		}
+	}
 	b.send(m)
 }
 
+// send sends a message to the VMs of the data centre.
 func (b *Broadcaster) send(m *message) {
 	m.Sequence = b.sequence.Add(1)
+	b.sendGroups(m, b.PollPolicy.Groups(m.Sequence))
+}
+
+// sendAll sends a message to the VMs of all data centres.
+func (b *Broadcaster) sendAll(m *message) {
+	m.Sequence = b.sequence.Add(1)
+	b.sendGroups(m, b.PollPolicy.AllGroups(m.Sequence))
+}
+
+func (b *Broadcaster) sendGroups(m *message, groups []zlpoller.Group) {
 	data, err := cbor.Marshal(m)
 	if err == nil && len(data) > maxDatagramBytes && m.Update != nil {
 		m.Update = nil
@@ -261,7 +295,7 @@
 		b.recordFailure(err)
 		return
 	}
-	for _, g := range b.PollPolicy.Groups(m.Sequence) {
+	for _, g := range groups {
 		b.sendTo(g.Forwarder, data)
 	}
 }
@@ -304,14 +338,19 @@
 			b.recordFailure(eris.Wrapf(err, "decode datagram from %v", from))
 			continue
 		}
-		for _, member := range b.PollPolicy.ForwardTargets(m.VM, m.Sequence) {
-			b.sendTo(member, buffer[:n])
+		if !m.Ask && !m.Reply {
+			for _, member := range b.PollPolicy.ForwardTargets(m.VM, m.Sequence) {
+				b.sendTo(member, buffer[:n])
+			}
 		}
-		b.handle(&m, from.String())
+		b.handle(&m, from)
 	}
 }
 
-func (b *Broadcaster) handle(m *message, from string) {
+func (b *Broadcaster) handle(m *message, from *net.UDPAddr) {
+	if b.Quarantine != nil && b.handleCrash(m, from) {
+		return
+	}
 	if m.Update != nil && m.Topic >= 0 && int(m.Topic) < zlwatcher.NumTopics {
 		b.Watcher.ApplyPeerDelta(m.Topic, fromWire(m.Update))
 	}
@@ -323,7 +362,7 @@
 	}
 	if b.PollPolicy.HandleHeartbeat(m.heartbeat()) {
 		select {
-		case b.fetchSources <- from:
+		case b.fetchSources <- from.String():
 		default:
 		}
 	}
--- a/io/version/zlbroadcast/zlbroadcast_test.go
+++ b/io/version/zlbroadcast/zlbroadcast_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"zinnialock/core/process/zlquarantine"
 	"zinnialock/core/process/zltimer"
 	"zinnialock/core/process/zlunit"
 	"zinnialock/core/version/zlpoller"
@@ -43,6 +44,12 @@
 // newPair starts the Broadcasters of two VMs on loopback ports in this process; they
 // stop at the end of the test.
 func newPair(t *testing.T) [2]*Broadcaster {
+	t.Helper()
+	return newPairIn(t, [2]zlunit.DataCentre{})
+}
+
+// newPairIn is newPair with the data centres of the two VMs.
+func newPairIn(t *testing.T, dataCentres [2]zlunit.DataCentre) [2]*Broadcaster {
 	t.Helper()
 	var broadcasters [2]*Broadcaster
 	var members []zlpoller.Member
@@ -53,8 +60,9 @@
 			t.Fatal(err)
 		}
 		members = append(members, zlpoller.Member{
-			VM:      zlunit.VM(fmt.Sprintf("vm%d", i)),
-			Address: l.Addr().String(),
+			VM:         zlunit.VM(fmt.Sprintf("vm%d", i)),
+			DataCentre: dataCentres[i],
+			Address:    l.Addr().String(),
 		})
 		_ = l.Close()
 	}
@@ -82,8 +90,12 @@
 			Timer:      timer,
 			PollPolicy: policy,
 			Watcher:    watcher,
-			Done:       done,
+			Quarantine: &zlquarantine.Ledger{
+				Timer: timer,
+			},
+			Done: done,
 		}
+		broadcasters[i].Quarantine.OnReport = broadcasters[i].SendCrashReport
 		if err := broadcasters[i].Open(); err != nil {
 			t.Fatal(err)
 		}
