Quarantine queries that crash upstreams in zinnialock serve too

They use the same ledger now: an unknown result by connectionReset is a strike, a query with a strike goes to one upstream at a time, three rounds at three upstreams put it in quarantine. Strikes pass from neighbour to neighbour, what is new only; the list goes with each digest, so daemons that start or were cut off learn it.

--- a/core/process/zlquarantine/zlquarantine.go
+++ b/core/process/zlquarantine/zlquarantine.go
@@ -212,17 +212,27 @@
 	}
 }
 
-// Apply takes in the report of another VM.
-func (l *Ledger) Apply(report *Report) {
-	for i := range report.Strikes {
-		l.addStrike(&report.Strikes[i])
+// Apply takes in the report of another VM. It returns what of the strikes and cleared
+// requests was not known, or nil.
+func (l *Ledger) Apply(report *Report) *Report {
+	news := &Report{}
+	for _, s := range report.Strikes {
+		if l.addStrike(&s) {
+			news.Strikes = append(news.Strikes, s)
+		}
 	}
 	for _, f := range report.Cleared {
-		l.clearRecord(f)
+		if l.clearRecord(f) {
+			news.Cleared = append(news.Cleared, f)
+		}
 	}
 	for _, q := range report.Quarantined {
 		l.quarantine(q)
 	}
+	if len(news.Strikes) == 0 && len(news.Cleared) == 0 {
+		return nil
+	}
+	return news
 }
 
 // Quarantined returns the requests in quarantine, at most maxListed, those that stay
--- a/core/request/zlcoordinator/crash_test.go
+++ b/core/request/zlcoordinator/crash_test.go
@@ -8,6 +8,7 @@
 	"testing/synctest"
 	"time"
 
+	"zinnialock/core/process/zlquarantine"
 	"zinnialock/core/process/zlunit"
 	"zinnialock/core/request/zlquery"
 )
@@ -66,6 +67,19 @@
 			respond: u.respond,
 		})
 		c.Views.Store(wideView(4))
+		l := &zlquarantine.Ledger{
+			Timer: c.Timer,
+		}
+		l.OnReport = func(report *zlquarantine.Report) {
+			for _, other := range fleet {
+				if other.Quarantine != l {
+					time.AfterFunc(time.Millisecond, func() {
+						other.Quarantine.Apply(report)
+					})
+				}
+			}
+		}
+		c.Quarantine = l
 		fleet = append(fleet, c)
 	}
 	return fleet, u
--- a/core/request/zlcoordinator/overdue.go
+++ b/core/request/zlcoordinator/overdue.go
@@ -49,7 +49,7 @@
 func (r *queryRun) handleOverdue(shard zlunit.Shard, st *shardState, now time.Time) {
 	stalled := r.sinceStart(now)-st.overdueAt > max(r.hedgeDelay, stallThreshold)
 	st.overdueAt = r.sinceStart(now) + r.hedgeDelay
-	if stalled {
+	if stalled || r.crash.suspected {
 		return
 	}
 	sub := &r.subs[st.lastSub]
--- a/core/request/zlcoordinator/reply.go
+++ b/core/request/zlcoordinator/reply.go
@@ -23,6 +23,7 @@
 		r.countDropped(zlquery.ReasonCancelled)
 		return
 	}
+	r.noteCrash(sub, reply.Result, now)
 	switch result := reply.Result.(type) {
 	case zlquery.Done:
 		r.handleDone(reply.Sub, &result, now)
--- a/core/request/zlcoordinator/retry.go
+++ b/core/request/zlcoordinator/retry.go
@@ -45,9 +45,15 @@
 // gives the shard up or tries all of them again after a backoff, depending on
 // the reasons.
 func (r *queryRun) retryShard(shard zlunit.Shard, reason zlquery.Reason, now time.Time) {
+	if r.holdSuspected(shard, reason, now) {
+		return
+	}
 	st := &r.shards[shard]
 	candidate, good, ok := r.pickReplica(shard, now, r.pickPurpose())
 	switch {
+	case ok && st.lastSub < 0:
+		// The first send, which waited until the query was cleared.
+		r.sendExtra(shard, candidate, r.firstCause(), zlquery.ReasonNone)
 	case !ok && r.allReplicasLostVersion(shard):
 		r.handleVersionGone(shard, reason, now)
 	case !ok && len(r.plan.Shards[shard]) == 0:
--- a/core/request/zlcoordinator/run.go
+++ b/core/request/zlcoordinator/run.go
@@ -39,6 +39,8 @@
 	retryAt time.Duration
 	// retryReason is the reason of the scheduled retry.
 	retryReason zlquery.Reason
+	// awaitsCanary is true while the shard waits for the canary of crashState.
+	awaitsCanary bool
 	// reason is why the shard has no part, as far as is known.
 	reason zlquery.Reason
 	// retryAfter is the delay that the last refusal asked for, or 0.
@@ -68,6 +70,8 @@
 	reason      zlquery.Reason
 	// requestedVersion is the index version that the sub-request asks for.
 	requestedVersion zlunit.IndexVersion
+	// crashRound is the round of crashState in which it was sent.
+	crashRound int
 }
 
 func (s *subState) ended() bool {
@@ -122,6 +126,7 @@
 	latencies []time.Duration
 	// rearmNeeded is true if the wake-up timer may have to fire earlier than set.
 	rearmNeeded bool
+	crash       crashState
 }
 
 // answer runs the query and returns its answer.
--- a/core/request/zlcoordinator/send.go
+++ b/core/request/zlcoordinator/send.go
@@ -21,6 +21,9 @@
 	cause := r.firstCause()
 	sentAt := r.sinceStart(now)
 	for s := range r.shards {
+		if r.holdSuspected(zlunit.Shard(s), zlquery.ReasonNone, now) {
+			continue
+		}
 		choice, ok := r.coordinator.Router.Pick(now, r.plan.Shards[s], nil, purpose)
 		if !ok {
 			r.giveUpShard(zlunit.Shard(s), r.noReplicaReason(zlunit.Shard(s)))
@@ -98,10 +101,15 @@
 	s.end = zltrace.EndOpen
 	s.open = true
 	s.requestedVersion = r.plan.Version
+	s.crashRound = r.crash.round
+	if r.crash.suspected {
+		r.crash.canarySent, r.crash.canary = true, int(id)
+	}
 	st.lastSub = int(id)
 	st.openSubs++
 	st.overdueAt = s.sentAt + r.hedgeDelay
 	st.retryAt = 0
+	st.awaitsCanary = false
 	candidate.Record.Sent()
 	r.rearmNeeded = true
 	return id
--- a/core/request/zlcoordinator/zlcoordinator.go
+++ b/core/request/zlcoordinator/zlcoordinator.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"zinnialock/core/process/zlquantile"
+	"zinnialock/core/process/zlquarantine"
 	"zinnialock/core/process/zlroute"
 	"zinnialock/core/process/zltimer"
 	"zinnialock/core/process/zlunit"
@@ -88,6 +89,8 @@
 	Counter Counter
 	// Traces receives the trace of each query; nil switches traces off.
 	Traces zltrace.Sink
+	// Quarantine recognises queries that crash upstreams; nil sends them like others.
+	Quarantine *zlquarantine.Ledger
 	// Disabled lists the mechanisms that are switched off.
 	Disabled Disabled
 
@@ -127,6 +130,10 @@
 	if !now.Before(req.Deadline) {
 		return c.refuse(req, now, zlquery.ReasonDeadline)
 	}
+	if c.verdict(req) == zlquarantine.Quarantined {
+		c.Quarantine.Refuse(fingerprintOf(req))
+		return c.refuse(req, now, zlquery.ReasonQuarantined)
+	}
 	if !c.Disabled.EarlyRefusal && profile.deadlineUnreachable(now, req.Deadline.Sub(now)) {
 		return c.refuse(req, now, zlquery.ReasonDeadline)
 	}
@@ -149,6 +156,7 @@
 		query:       zlunit.QueryID(uuid.NewString()),
 		start:       now,
 	}
+	r.crash.suspected = c.verdict(req) == zlquarantine.Suspected
 	return r.answer()
 }
 
@@ -160,7 +168,11 @@
 		Outcome: zlquery.OutcomeNotRun,
 		Reason:  reason,
 	}
-	if reason != zlquery.ReasonUnknownService {
+	switch reason {
+	case zlquery.ReasonUnknownService:
+	case zlquery.ReasonQuarantined:
+		a.RetryAfter = zlquarantine.Duration
+	default:
 		a.RetryAfter = defaultRetryAfter
 	}
 	if c.Traces != nil {
--- a/core/request/zlquery/zlquery.go
+++ b/core/request/zlquery/zlquery.go
@@ -92,6 +92,8 @@
 	ReasonStopping Reason = "stopping"
 	// ReasonOverload: the work cannot be done in time, or the retry budget is used up.
 	ReasonOverload Reason = "overload"
+	// ReasonQuarantined: the query crashed upstreams and is not sent any more.
+	ReasonQuarantined Reason = "quarantined"
 )
 
 // Outcome says whether a request ran.
--- a/io/process/zldaemon/sync.go
+++ b/io/process/zldaemon/sync.go
@@ -37,7 +37,9 @@
 		Log:         d.Log,
 		ListedKinds: []string{string(zlplatform.ObjectSettings), string(zlplatform.ObjectMarks)},
 		Count:       count,
+		Quarantine:  d.quarantine,
 	}
+	d.quarantine.OnReport = d.gossip.SendCrashReport
 	d.watcher.OnUpdate = d.gossip.TriggerRound
 }
 
--- a/io/process/zldaemon/zldaemon.go
+++ b/io/process/zldaemon/zldaemon.go
@@ -19,6 +19,7 @@
 
 	"zinnialock/core/connection/zlreadbudget"
 	"zinnialock/core/process/zlevent"
+	"zinnialock/core/process/zlquarantine"
 	"zinnialock/core/process/zlroute"
 	"zinnialock/core/process/zltimer"
 	"zinnialock/core/request/zlcoordinator"
@@ -94,12 +95,14 @@
 	// Disabled disables mechanisms of queries, for experiments.
 	Disabled zlcoordinator.Disabled
 
-	timer          *zltimer.Service
-	views          *zlview.CurrentView
-	metrics        *zlmetric.Metrics
-	platform       *zlplatform.Client
-	watcher        *zlsync.Watcher
-	gossip         *zlgossip.Gossip
+	timer    *zltimer.Service
+	views    *zlview.CurrentView
+	metrics  *zlmetric.Metrics
+	platform *zlplatform.Client
+	watcher  *zlsync.Watcher
+	gossip   *zlgossip.Gossip
+	// quarantine holds the queries that crash upstreams.
+	quarantine     *zlquarantine.Ledger
 	upstreamCaller *zlupstreamclient.Caller
 	executor       *zlexecutor.Executor
 	node           *zlpeer.Node
@@ -166,6 +169,9 @@
 			d.journal.platformTurn(t)
 		},
 	}
+	d.quarantine = &zlquarantine.Ledger{
+		Timer: d.timer,
+	}
 	d.buildSync()
 	d.upstreamCaller = &zlupstreamclient.Caller{
 		Budget: &zlreadbudget.Budget{
@@ -190,6 +196,7 @@
 	}
 	d.traces = &zltrace.Store{}
 	d.buildJournal()
+	d.quarantine.Sink = d.journal.writer
 	d.coordinator = &zlcoordinator.Coordinator{
 		Self:  cfg.Name,
 		Timer: d.timer,
@@ -201,6 +208,7 @@
 		Counter:    d.metrics,
 		Disabled:   d.Disabled,
 		Traces:     d.journal,
+		Quarantine: d.quarantine,
 	}
 	d.buildClaims()
 	d.buildFleet()
--- a/io/version/zlgossip/round.go
+++ b/io/version/zlgossip/round.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"zinnialock/core/process/zlquarantine"
 	"zinnialock/core/process/zlunit"
 	"zinnialock/core/version/zlobject"
 	"zinnialock/core/version/zlroster"
@@ -17,6 +18,11 @@
 // Run exchanges updates with other daemons in rounds until ctx ends.
 func (g *Gossip) Run(ctx context.Context) {
 	g.init()
+	var reports sync.WaitGroup
+	defer reports.Wait()
+	reports.Go(func() {
+		g.runCrashReports(ctx)
+	})
 	for ctx.Err() == nil {
 		wait := Period + time.Duration(rand.Float64()*periodJitter*float64(Period))
 		timer := g.Timer.After(wait)
@@ -170,6 +176,11 @@
 	}, &r); err != nil {
 		return err
 	}
+	if g.Quarantine != nil {
+		g.Quarantine.Apply(&zlquarantine.Report{
+			Quarantined: r.Quarantined,
+		})
+	}
 	inSync := r.Same
 	if !inSync {
 		var err error
--- a/io/version/zlgossip/zlgossip.go
+++ b/io/version/zlgossip/zlgossip.go
@@ -13,6 +13,7 @@
 	"sync/atomic"
 	"time"
 
+	"zinnialock/core/process/zlquarantine"
 	"zinnialock/core/process/zltimer"
 	"zinnialock/core/process/zlunit"
 	"zinnialock/core/version/zlobject"
@@ -82,6 +83,7 @@
 	TopicDigest = "news.digest"
 	TopicItems  = "news.items"
 	TopicStatus = "news.status"
+	TopicCrash  = "news.crash"
 )
 
 // Requester sends a request to the daemon at an address and returns its reply.
@@ -120,10 +122,15 @@
 	ListedKinds []string
 	// Count, if set, counts failures by reason.
 	Count func(what, reason string)
+	// Quarantine holds what the daemons tell each other of queries that crash upstreams;
+	// nil if they don't.
+	Quarantine *zlquarantine.Ledger
 
 	once sync.Once
 	// wake starts a round with all neighbours.
-	wake           chan struct{}
+	wake chan struct{}
+	// crashReports holds the reports to pass on.
+	crashReports   chan *zlquarantine.Report
 	neighbourCache atomic.Pointer[cachedNeighbours]
 	// mu guards rounds and unreachable.
 	mu          sync.Mutex
@@ -144,6 +151,8 @@
 	// time since its last confirmation, as of the reply.
 	Confirmed bool          `cbor:"3,keyasint,omitempty"`
 	Age       time.Duration `cbor:"4,keyasint,omitempty"`
+	// Quarantined are the queries that crash upstreams.
+	Quarantined []zlquarantine.Sentence `cbor:"5,keyasint,omitempty"`
 }
 
 type rankEntry struct {
@@ -164,6 +173,7 @@
 func (g *Gossip) init() {
 	g.once.Do(func() {
 		g.wake = make(chan struct{}, 1)
+		g.crashReports = make(chan *zlquarantine.Report, maxCrashReports)
 		g.unreachable = map[zlunit.VM]bool{}
 	})
 }
@@ -189,6 +199,8 @@
 		reply, err = g.answerItems(body)
 	case TopicStatus:
 		reply, err = encode(g.Status())
+	case TopicCrash:
+		reply, err = g.answerCrash(body)
 	default:
 		return nil, false, nil
 	}
@@ -206,6 +218,9 @@
 		r.Confirmed = true
 		r.Age = g.Timer.Now().Sub(confirmedAt)
 	}
+	if g.Quarantine != nil {
+		r.Quarantined = g.Quarantine.Quarantined()
+	}
 	store := g.Objects.Store()
 	r.Same = store.Digest() == q.Digest
 	if !r.Same {
--- a/io/version/zlgossip/zlgossip_test.go
+++ b/io/version/zlgossip/zlgossip_test.go
@@ -15,6 +15,7 @@
 	"github.com/phuslu/log"
 	"github.com/smartystreets/goconvey/convey"
 
+	"zinnialock/core/process/zlquarantine"
 	"zinnialock/core/process/zltimer"
 	"zinnialock/core/process/zlunit"
 	"zinnialock/core/version/zlmark"
@@ -89,7 +90,11 @@
 		Views:     views,
 		Objects:   n.watcher,
 		Log:       quiet,
+		Quarantine: &zlquarantine.Ledger{
+			Timer: timer,
+		},
 	}
+	n.Quarantine.OnReport = n.SendCrashReport
 	n.watcher.OnUpdate = n.TriggerRound
 	w.nodes[vm] = n
 	return n
