--- a/io/request/zlserver/zlserver_test.go
+++ b/io/request/zlserver/zlserver_test.go
@@ -210,3 +210,62 @@
 		t.Error(err)
 	}
 }
+
+// Replays callers that send a long part of a head each and then nothing: all of them
+// together may not hold more than the budget, so most of the connections are closed.
+func TestUnfinishedHeadsAreBoundedInSum(t *testing.T) {
+	const (
+		callers   = 50
+		headBytes = 100 << 10
+		budget    = 1 << 20
+	)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &Server{
+		Listener: l,
+		Handler:  http.NotFoundHandler(),
+		Limits: func() (time.Duration, time.Duration) {
+			return maxHeadTime, maxHeadTime
+		},
+		Budget: &zlreadbudget.Budget{
+			Limit: budget,
+		},
+	}
+	ended := make(chan error, 1)
+	go func() {
+		ended <- s.Run()
+	}()
+	closed := make(chan struct{}, callers)
+	var conns []net.Conn
+	for range callers {
+		c, err := net.Dial("tcp", l.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		conns = append(conns, c)
+		go func() {
+			line := "X-Y: " + strings.Repeat("z", 1000) + "\r\n"
+			_, _ = io.WriteString(c, "GET / HTTP/1.1\r\n"+strings.Repeat(line, headBytes/len(line)))
+			_, _ = io.Copy(io.Discard, c)
+			closed <- struct{}{}
+		}()
+	}
+	giveUp := time.After(30 * time.Second)
+	for n := range callers - budget/headBytes {
+		select {
+		case <-closed:
+		case <-giveUp:
+			t.Fatalf("%d of %d connections were closed, want %d: more is held than the budget", n, callers, callers-budget/headBytes)
+		}
+	}
+	for _, c := range conns {
+		_ = c.Close()
+	}
+	s.stopping.Store(true)
+	_ = l.Close()
+	if err := <-ended; err != nil {
+		t.Error(err)
+	}
+}
