Refuse for want of room where no replica names a rate limit

Found by reading the diff: a request whose timer fired after its placement deadline was refused as rateLimited although no replica limits its rate. TestRefusalWithoutRateLimitsIsForNoRoom failed before. Comments and a constant in their places.

--- a/core/process/zlbalancer/ratelimit.go
+++ b/core/process/zlbalancer/ratelimit.go
@@ -18,6 +18,8 @@
 	// minRateLimit is the rate, in requests a second of all VMs together, at which a
 	// replica is still asked that named less, so that the end of its limit is noticed.
 	minRateLimit = 0.2
+	// maxRateWait bounds RateLimitWait.
+	maxRateWait = time.Minute
 )
 
 // rateLimit is the request rate that a replica named in its answers: what it takes from
@@ -123,7 +125,8 @@
 	return x.rate.active
 }
 
-// mayUseRate reports whether the rate limit allows a request now.
+// mayUseRate reports whether the rate limit allows a request now. A draw that fails uses
+// up the chance (see permits).
 func (x *restriction) mayUseRate(now time.Time, vms int, draw, reserve float64) bool {
 	x.mu.Lock()
 	defer x.mu.Unlock()
@@ -213,6 +216,3 @@
 		return min(time.Duration(needed/rate*float64(time.Second)), maxRateWait)
 	}
 }
-
-// maxRateWait bounds RateLimitWait.
-const maxRateWait = time.Minute
--- a/core/request/zlrelay/admission_test.go
+++ b/core/request/zlrelay/admission_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"zinnialock/core/process/zlbalancer"
+	"zinnialock/core/process/zldecision"
 	"zinnialock/core/process/zlunit"
 )
 
@@ -50,3 +51,28 @@
 		}
 	})
 }
+
+// A request that no replica has room for is refused for that reason, not for a rate limit
+// that none of them named, also if its timer is late.
+func TestRefusalWithoutRateLimitsIsForNoRoom(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		route := scatterRoute("all", []zlunit.Service{"s0"}, 100*time.Millisecond, 1, 1)
+		r := newTestRelay(newScripted(nil), route)
+		r.Placer.SetVMCount(30)
+		view := r.Registry.Current()
+		for range 3 {
+			if _, result := r.Placer.Place(view, time.Now(), &zlbalancer.PlacementRequest{
+				Service: "s0",
+			}); result != zlbalancer.Placed {
+				t.Fatalf("got result %d of Place, want Placed", result)
+			}
+		}
+		x := r.start(context.Background(), view, &route, request("/all/x"))
+		defer x.cancelAll()
+		x.setLatencies(time.Now())
+		time.Sleep(time.Until(x.placementDeadline) + time.Millisecond)
+		if a, ok := x.step(time.Now()).(*Refused); !ok || a.Reason != zldecision.ReasonNoRoom {
+			t.Errorf("got answer %+v, want a refusal for want of room", a)
+		}
+	})
+}
--- a/core/request/zlrelay/answer.go
+++ b/core/request/zlrelay/answer.go
@@ -275,7 +275,7 @@
 		Absent:        x.missingShards(),
 	}
 	if x.broken {
-		f.Fingerprint = x.req.Message.Fingerprint()
+		f.Fingerprint = x.fingerprint()
 	}
 	for i := range x.parts {
 		if tried := x.parts[i].tried; len(tried) > 0 && x.parts[i].response == nil {
--- a/core/request/zlrelay/run.go
+++ b/core/request/zlrelay/run.go
@@ -291,7 +291,8 @@
 func (x *run) admissible(now time.Time) bool {
 	n := 0
 	for i := range x.parts {
-		if x.relay.Placer.RateLimitWait(x.view, now, x.parts[i].service, x.parts[i].waiter) <= x.placementDeadline.Sub(now) {
+		wait := x.relay.Placer.RateLimitWait(x.view, now, x.parts[i].service, x.parts[i].waiter)
+		if wait == 0 || wait <= x.placementDeadline.Sub(now) {
 			n++
 		}
 	}
--- a/io/version/zlbroadcast/zlbroadcast.go
+++ b/io/version/zlbroadcast/zlbroadcast.go
@@ -1,5 +1,6 @@
 // Package zlbroadcast exchanges updates of the platform's store and health reports
-// between the relay's VMs of a data centre; its counterpart in zinnialock serve is
+// between the relay's VMs of a data centre, and reports of requests that crash replicas
+// between all its VMs; its counterpart in zinnialock serve is
 // zlgossip. Heartbeats and small updates travel as UDP datagrams, which avoid
 // connections between all VMs: a heartbeat is outdated within seconds, and the next
 // one replaces a lost one. An update that is too large or was lost is fetched over
