--- a/core/process/zlquarantine/zlquarantine.go
+++ b/core/process/zlquarantine/zlquarantine.go
@@ -22,15 +22,15 @@
 )
 
 const (
-	// maxStrikes is how many rounds of sends, and how many replicas, must have ended
+	// minCrashes is how many rounds of sends, and how many replicas, must have ended
 	// under a request until it is quarantined.
-	maxStrikes = 3
-	// suspicionTime is how long a strike counts.
+	minCrashes = 3
+	// suspicionTime is how long a crash counts.
 	suspicionTime = 2 * time.Minute
 	// clearedTime is how long a request that was answered is not suspected.
 	clearedTime = 30 * time.Second
-	// maxStrikesKept bounds the strikes of a request.
-	maxStrikesKept = 64
+	// maxCrashesKept bounds the crashes of a request.
+	maxCrashesKept = 64
 	// maxRequests bounds the requests that are remembered.
 	maxRequests = 1024
 	// maxListed bounds the list of Quarantined, so that it fits a datagram.
@@ -57,25 +57,25 @@
 // them was found to have ended a replica.
 type Round uint64
 
-// Strike is the evidence that a replica ended while it had the request.
-type Strike struct {
+// Crash is the evidence that a replica ended while it had the request.
+type Crash struct {
 	Fingerprint zlunit.Fingerprint `cbor:"1,keyasint"`
 	Round       Round              `cbor:"2,keyasint"`
 	Upstream    zlunit.Upstream    `cbor:"3,keyasint"`
 	Incarnation int64              `cbor:"4,keyasint"`
 }
 
-// Sentence is a request in quarantine and how long it stays there.
-type Sentence struct {
+// Entry is a request in quarantine and how long it stays there.
+type Entry struct {
 	Fingerprint zlunit.Fingerprint `cbor:"1,keyasint"`
 	Left        time.Duration      `cbor:"2,keyasint"`
 }
 
 // Report is what a VM tells the others.
 type Report struct {
-	Strikes     []Strike             `cbor:"1,keyasint,omitempty"`
+	Crashes     []Crash              `cbor:"1,keyasint,omitempty"`
 	Cleared     []zlunit.Fingerprint `cbor:"2,keyasint,omitempty"`
-	Quarantined []Sentence           `cbor:"3,keyasint,omitempty"`
+	Quarantined []Entry              `cbor:"3,keyasint,omitempty"`
 }
 
 // Ledger holds what is known against requests. Exported fields must be set before use; the
@@ -97,9 +97,9 @@
 
 // record is what is known of one request.
 type record struct {
-	strikes []Strike
-	// struckAt is when the last strike became known.
-	struckAt time.Time
+	crashes []Crash
+	// lastCrash is when the last crash became known.
+	lastCrash time.Time
 	// quarantinedUntil is the end of the quarantine; zero if there is none.
 	quarantinedUntil time.Time
 	// clearedAt is when the request was found to be answered.
@@ -108,7 +108,7 @@
 
 // end returns when the record is no longer needed.
 func (r *record) end() time.Time {
-	end := r.struckAt.Add(suspicionTime)
+	end := r.lastCrash.Add(suspicionTime)
 	if r.quarantinedUntil.After(end) {
 		end = r.quarantinedUntil
 	}
@@ -122,17 +122,17 @@
 	switch {
 	case now.Before(r.quarantinedUntil):
 		return Quarantined
-	case !r.quarantinedUntil.IsZero(), len(r.strikes) > 0 && now.Before(r.struckAt.Add(suspicionTime)):
+	case !r.quarantinedUntil.IsZero(), len(r.crashes) > 0 && now.Before(r.lastCrash.Add(suspicionTime)):
 		return Suspected
 	default:
 		return Unsuspected
 	}
 }
 
-// countRound returns how many strikes of a round are known.
+// countRound returns how many crashes of a round are known.
 func (r *record) countRound(round Round) int {
 	n := 0
-	for _, s := range r.strikes {
+	for _, s := range r.crashes {
 		if s.Round == round {
 			n++
 		}
@@ -140,9 +140,9 @@
 	return n
 }
 
-// isGuilty reports whether the strikes are enough for a quarantine; after an earlier one
-// a single strike is.
-func (r *record) isGuilty() bool {
+// mustQuarantine reports whether the crashes are enough for a quarantine; after an earlier one
+// a single crash is.
+func (r *record) mustQuarantine() bool {
 	if !r.quarantinedUntil.IsZero() {
 		return true
 	}
@@ -152,7 +152,7 @@
 		incarnation int64
 	}
 	var replicas []replica
-	for _, s := range r.strikes {
+	for _, s := range r.crashes {
 		if !slices.Contains(rounds, s.Round) {
 			rounds = append(rounds, s.Round)
 		}
@@ -160,7 +160,7 @@
 			replicas = append(replicas, x)
 		}
 	}
-	return len(rounds) >= maxStrikes && len(replicas) >= maxStrikes
+	return len(rounds) >= minCrashes && len(replicas) >= minCrashes
 }
 
 // Active reports whether anything was ever known against any request.
@@ -193,11 +193,11 @@
 	}
 }
 
-// Strike notes that a replica ended while it had the request, and tells the other VMs.
-func (l *Ledger) Strike(s *Strike) {
-	if l.addStrike(s) && l.OnReport != nil {
+// RecordCrash notes that a replica ended while it had the request, and tells the other VMs.
+func (l *Ledger) RecordCrash(s *Crash) {
+	if l.addCrash(s) && l.OnReport != nil {
 		l.OnReport(&Report{
-			Strikes: []Strike{*s},
+			Crashes: []Crash{*s},
 		})
 	}
 }
@@ -212,13 +212,13 @@
 	}
 }
 
-// Apply takes in the report of another VM. It returns what of the strikes and cleared
+// Apply takes in the report of another VM. It returns what of the crashes and cleared
 // requests was not known, or nil.
 func (l *Ledger) Apply(report *Report) *Report {
 	news := &Report{}
-	for _, s := range report.Strikes {
-		if l.addStrike(&s) {
-			news.Strikes = append(news.Strikes, s)
+	for _, s := range report.Crashes {
+		if l.addCrash(&s) {
+			news.Crashes = append(news.Crashes, s)
 		}
 	}
 	for _, f := range report.Cleared {
@@ -229,7 +229,7 @@
 	for _, q := range report.Quarantined {
 		l.quarantine(q)
 	}
-	if len(news.Strikes) == 0 && len(news.Cleared) == 0 {
+	if len(news.Crashes) == 0 && len(news.Cleared) == 0 {
 		return nil
 	}
 	return news
@@ -237,53 +237,53 @@
 
 // Quarantined returns the requests in quarantine, at most maxListed, those that stay
 // longest first.
-func (l *Ledger) Quarantined() []Sentence {
+func (l *Ledger) Quarantined() []Entry {
 	if !l.active.Load() {
 		return nil
 	}
 	now := l.Timer.Now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	var list []Sentence
+	var list []Entry
 	for f, r := range l.requests {
 		if r.verdict(now) == Quarantined {
-			list = append(list, Sentence{
+			list = append(list, Entry{
 				Fingerprint: f,
 				Left:        r.quarantinedUntil.Sub(now),
 			})
 		}
 	}
-	slices.SortFunc(list, func(a, b Sentence) int {
+	slices.SortFunc(list, func(a, b Entry) int {
 		return cmp.Compare(b.Left, a.Left)
 	})
 	return list[:min(len(list), maxListed)]
 }
 
-// addStrike adds a strike and reports whether it is new and counts.
-func (l *Ledger) addStrike(s *Strike) bool {
+// addCrash adds a crash and reports whether it is new and counts.
+func (l *Ledger) addCrash(s *Crash) bool {
 	now := l.Timer.Now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	r := l.recordFor(s.Fingerprint, now)
-	if now.After(r.struckAt.Add(suspicionTime)) && r.quarantinedUntil.IsZero() {
-		r.strikes = nil
+	if now.After(r.lastCrash.Add(suspicionTime)) && r.quarantinedUntil.IsZero() {
+		r.crashes = nil
 	}
-	if now.Before(r.clearedAt.Add(clearedTime)) || slices.Contains(r.strikes, *s) || r.countRound(s.Round) >= maxStrikes {
+	if now.Before(r.clearedAt.Add(clearedTime)) || slices.Contains(r.crashes, *s) || r.countRound(s.Round) >= minCrashes {
 		return false
 	}
-	if len(r.strikes) >= maxStrikesKept {
-		r.strikes = r.strikes[1:]
+	if len(r.crashes) >= maxCrashesKept {
+		r.crashes = r.crashes[1:]
 	}
-	r.strikes = append(r.strikes, *s)
-	r.struckAt = now
-	if r.isGuilty() {
+	r.crashes = append(r.crashes, *s)
+	r.lastCrash = now
+	if r.mustQuarantine() {
 		l.start(s.Fingerprint, r, now, now.Add(Duration))
 	}
 	return true
 }
 
 // quarantine takes in a request that another VM has in quarantine.
-func (l *Ledger) quarantine(q Sentence) {
+func (l *Ledger) quarantine(q Entry) {
 	now := l.Timer.Now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/core/process/zlquarantine/zlquarantine_test.go
+++ b/core/process/zlquarantine/zlquarantine_test.go
@@ -17,10 +17,10 @@
 	}
 }
 
-// strikes adds n strikes, each of another round at another replica.
-func strikes(l *Ledger, f zlunit.Fingerprint, n int) {
+// recordCrashes adds n crashes, each of another round at another replica.
+func recordCrashes(l *Ledger, f zlunit.Fingerprint, n int) {
 	for i := range n {
-		l.Strike(&Strike{
+		l.RecordCrash(&Crash{
 			Fingerprint: f,
 			Round:       Round(i),
 			Upstream:    zlunit.Upstream(rune('a' + i)),
@@ -30,35 +30,35 @@
 
 // Requests that were only under way when a replica ended are not taken for the one that
 // ended it: neither one that lost all its sends at once, nor one that one replica broke
-// again and again, nor one that was answered in between, nor one whose strikes are old.
+// again and again, nor one that was answered in between, nor one whose crashes are old.
 func TestRequestsUnderWayAtACrashAreNotQuarantined(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		l := newLedger()
 		for i := range 30 {
-			l.Strike(&Strike{
+			l.RecordCrash(&Crash{
 				Fingerprint: 1,
 				Round:       1,
 				Upstream:    zlunit.Upstream(rune('a' + i)),
 			})
-			l.Strike(&Strike{
+			l.RecordCrash(&Crash{
 				Fingerprint: 2,
 				Round:       Round(i),
 				Upstream:    "flaky",
 			})
 		}
-		strikes(l, 3, maxStrikes-1)
+		recordCrashes(l, 3, minCrashes-1)
 		l.Clear(3)
-		strikes(l, 3, maxStrikes)
+		recordCrashes(l, 3, minCrashes)
 		for f, want := range map[zlunit.Fingerprint]Verdict{1: Suspected, 2: Suspected, 3: Unsuspected} {
 			if got := l.Verdict(f); got != want {
 				t.Errorf("request %d: got verdict %d, want %d", f, got, want)
 			}
 		}
-		strikes(l, 4, maxStrikes-1)
+		recordCrashes(l, 4, minCrashes-1)
 		time.Sleep(suspicionTime + time.Second)
-		strikes(l, 4, 1)
+		recordCrashes(l, 4, 1)
 		if got := l.Verdict(4); got != Suspected {
-			t.Errorf("old strikes: got verdict %d, want Suspected", got)
+			t.Errorf("old crashes: got verdict %d, want Suspected", got)
 		}
 	})
 }
@@ -68,7 +68,7 @@
 func TestQuarantineLastsWhileTheRequestComes(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		l, other := newLedger(), newLedger()
-		strikes(l, request, maxStrikes)
+		recordCrashes(l, request, minCrashes)
 		for range 5 {
 			time.Sleep(Duration - time.Second)
 			if l.Verdict(request) != Quarantined {
@@ -94,7 +94,7 @@
 			if got := x.Verdict(request); got != Suspected {
 				t.Fatalf("after the quarantine: got verdict %d, want Suspected", got)
 			}
-			x.Strike(&Strike{
+			x.RecordCrash(&Crash{
 				Fingerprint: request,
 				Round:       99,
 				Upstream:    "z",
@@ -110,9 +110,9 @@
 func TestLedgerIsBounded(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		l := newLedger()
-		strikes(l, request, maxStrikes)
+		recordCrashes(l, request, minCrashes)
 		for i := range 3 * maxRequests {
-			strikes(l, zlunit.Fingerprint(100+i), 1)
+			recordCrashes(l, zlunit.Fingerprint(100+i), 1)
 		}
 		if n := len(l.requests); n > maxRequests {
 			t.Errorf("got %d requests remembered, want %d at most", n, maxRequests)
--- a/core/request/zlcoordinator/crash.go
+++ b/core/request/zlcoordinator/crash.go
@@ -23,8 +23,8 @@
 	suspected  bool
 	canarySent bool
 	canary     int
-	// proven is set once an upstream answered the query, so that it does not crash them.
-	proven bool
+	// answered is set once an upstream answered the query, so that it does not crash them.
+	answered bool
 }
 
 // fingerprintOf returns the fingerprint of a query: its service, kind and text.
@@ -51,7 +51,7 @@
 // way, and the shard waits.
 func (r *queryRun) holdSuspected(shard zlunit.Shard, reason zlquery.Reason, now time.Time) bool {
 	c := &r.crash
-	if !c.proven {
+	if !c.answered {
 		switch r.coordinator.verdict(r.req) {
 		case zlquarantine.Quarantined:
 			r.giveUpShard(shard, zlquery.ReasonQuarantined)
@@ -75,12 +75,12 @@
 // noteCrash updates what is known of the query from the result of a sub-request.
 func (r *queryRun) noteCrash(sub *subState, result zlquery.Result, now time.Time) {
 	l := r.coordinator.Quarantine
-	if l == nil || r.crash.proven {
+	if l == nil || r.crash.answered {
 		return
 	}
 	switch result := result.(type) {
 	case zlquery.Done:
-		r.crash.proven = true
+		r.crash.answered = true
 		if r.crash.suspected {
 			r.crash.suspected = false
 			r.resumeShards(now)
@@ -92,7 +92,7 @@
 		if result.Reason != zlquery.ReasonConnectionReset {
 			return
 		}
-		l.Strike(&zlquarantine.Strike{
+		l.RecordCrash(&zlquarantine.Crash{
 			Fingerprint: fingerprintOf(r.req),
 			Round:       zlquarantine.Round(xxhash.Sum64String(string(r.query)) + uint64(sub.crashRound)),
 			Upstream:    sub.candidate.Upstream,
--- a/core/request/zlcoordinator/crash_test.go
+++ b/core/request/zlcoordinator/crash_test.go
@@ -103,7 +103,7 @@
 				})
 			}
 			req := testRequest()
-			req.Text = fmt.Sprintf("innocent-%d", i)
+			req.Text = fmt.Sprintf("sound-%d", i)
 			all++
 			if a := c.Answer(context.Background(), req); a.Outcome == zlquery.OutcomeDone && a.Complete {
 				answered++
@@ -121,8 +121,8 @@
 			t.Errorf("%d upstreams crashed, want 10 at most", u.crashes)
 		}
 		if float64(answered) < 0.95*float64(all) {
-			t.Errorf("answered %d of %d innocent queries, want 0.95 of them", answered, all)
+			t.Errorf("answered %d of %d sound queries, want 0.95 of them", answered, all)
 		}
-		t.Logf("%d crashes, %d late queries, answered %d of %d innocent queries", u.crashes, len(u.lateQueries), answered, all)
+		t.Logf("%d crashes, %d late queries, answered %d of %d sound queries", u.crashes, len(u.lateQueries), answered, all)
 	})
 }
--- a/core/request/zlrelay/crash.go
+++ b/core/request/zlrelay/crash.go
@@ -20,8 +20,8 @@
 	// that send, nil if none is under way.
 	suspected bool
 	canary    *attempt
-	// proven is set once a replica answered the request, so that it does not crash them.
-	proven bool
+	// answered is set once a replica answered the request, so that it does not crash them.
+	answered bool
 }
 
 func (x *run) fingerprint() zlunit.Fingerprint {
@@ -34,7 +34,7 @@
 // verdict returns what may be done with the request.
 func (x *run) verdict() zlquarantine.Verdict {
 	l := x.relay.Quarantine
-	if l == nil || x.crash.proven || !l.Active() {
+	if l == nil || x.crash.answered || !l.Active() {
 		return zlquarantine.Unsuspected
 	}
 	return l.Verdict(x.fingerprint())
@@ -79,22 +79,22 @@
 	}
 	switch rep := reply.(type) {
 	case *Response:
-		x.crash.proven = true
+		x.crash.answered = true
 		x.crash.suspected = false
 		if l.Active() {
 			l.Clear(x.fingerprint())
 		}
 	case *Unknown:
-		if rep.ReplicaEnded && !x.crash.proven && a.part.isOpen() {
-			x.strike(a)
+		if rep.ReplicaEnded && !x.crash.answered && a.part.isOpen() {
+			x.recordCrash(a)
 		}
 	}
 }
 
-// strike notes that the replica of a send ended. The sends of one round count once: none
+// recordCrash notes that the replica of a send ended. The sends of one round count once: none
 // of them was made in the knowledge of another's end.
-func (x *run) strike(a *attempt) {
-	x.relay.Quarantine.Strike(&zlquarantine.Strike{
+func (x *run) recordCrash(a *attempt) {
+	x.relay.Quarantine.RecordCrash(&zlquarantine.Crash{
 		Fingerprint: x.fingerprint(),
 		Round:       roundOf(x.req.ID, a.round),
 		Upstream:    a.placement.Entry.ID,
--- a/core/request/zlrelay/crash_test.go
+++ b/core/request/zlrelay/crash_test.go
@@ -147,9 +147,9 @@
 	}
 }
 
-// playCrashes sends the crashing request to one VM after the other, and innocent requests
+// playCrashes sends the crashing request to one VM after the other, and sound requests
 // to all; it returns how many of the latter were served.
-func playCrashes(fleet []*Relay, path string) (innocent, served int) {
+func playCrashes(fleet []*Relay, path string) (sound, served int) {
 	var mu sync.Mutex
 	var requests sync.WaitGroup
 	began := time.Now()
@@ -163,11 +163,11 @@
 		}
 		requests.Go(func() {
 			req := request(fmt.Sprintf("/all/%d", i))
-			req.ID = zlunit.RequestID(fmt.Sprintf("innocent-%d", i))
+			req.ID = zlunit.RequestID(fmt.Sprintf("sound-%d", i))
 			answer := fleet[i%len(fleet)].Serve(context.Background(), req)
 			mu.Lock()
 			defer mu.Unlock()
-			innocent++
+			sound++
 			if _, ok := answer.(*Merged); ok {
 				served++
 			}
@@ -175,7 +175,7 @@
 		time.Sleep(10 * time.Millisecond)
 	}
 	requests.Wait()
-	return innocent, served
+	return sound, served
 }
 
 // Guards against a request that crashes replicas and comes again at any VM: it may not
@@ -189,7 +189,7 @@
 		t.Run(path, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				fleet, s := newCrashFleet(5, crashRoutes()...)
-				innocent, served := playCrashes(fleet, path)
+				sound, served := playCrashes(fleet, path)
 				if len(s.retries) > maxCountedRetries {
 					t.Errorf("%d attempts reached replicas later than %v after the third crash, want %d at most",
 						len(s.retries), contactWindow, maxCountedRetries)
@@ -197,10 +197,10 @@
 				if len(s.crashes) > maxCrashes {
 					t.Errorf("%d replicas crashed, want %d at most", len(s.crashes), maxCrashes)
 				}
-				if float64(served) < 0.99*float64(innocent) {
-					t.Errorf("served %d of %d innocent requests, want 0.99 of them", served, innocent)
+				if float64(served) < 0.99*float64(sound) {
+					t.Errorf("served %d of %d sound requests, want 0.99 of them", served, sound)
 				}
-				t.Logf("%d crashes, %d counted retries, served %d of %d innocent requests", len(s.crashes), len(s.retries), served, innocent)
+				t.Logf("%d crashes, %d counted retries, served %d of %d sound requests", len(s.crashes), len(s.retries), served, sound)
 			})
 		})
 	}
--- a/io/version/zlbroadcast/crash.go
+++ b/io/version/zlbroadcast/crash.go
@@ -13,8 +13,8 @@
 	// maxCrashReports bounds the reports that wait to be sent. Beyond that they are
 	// dropped: what is in quarantine travels with the heartbeats as well.
 	maxCrashReports = 256
-	// maxStrikesPerMessage is how many strikes fit a datagram.
-	maxStrikesPerMessage = 12
+	// maxCrashesPerMessage is how many crashes fit a datagram.
+	maxCrashesPerMessage = 12
 	// quarantinePeriod is the number of heartbeats of which one has the list of requests
 	// in quarantine: 4 s.
 	quarantinePeriod = 16
@@ -48,10 +48,10 @@
 // joinReports adds the reports that wait to the first one, as far as they fit a message.
 func (b *Broadcaster) joinReports(first *zlquarantine.Report) *zlquarantine.Report {
 	out := *first
-	for len(out.Strikes)+len(out.Cleared) < maxStrikesPerMessage {
+	for len(out.Crashes)+len(out.Cleared) < maxCrashesPerMessage {
 		select {
 		case next := <-b.crashReports:
-			out.Strikes = append(out.Strikes, next.Strikes...)
+			out.Crashes = append(out.Crashes, next.Crashes...)
 			out.Cleared = append(out.Cleared, next.Cleared...)
 		default:
 			return &out
--- a/io/version/zlbroadcast/crash_test.go
+++ b/io/version/zlbroadcast/crash_test.go
@@ -10,8 +10,8 @@
 
 const crashing = zlunit.Fingerprint(7)
 
-func strike(b *Broadcaster, n int) {
-	b.Quarantine.Strike(&zlquarantine.Strike{
+func recordCrash(b *Broadcaster, n int) {
+	b.Quarantine.RecordCrash(&zlquarantine.Crash{
 		Fingerprint: crashing,
 		Round:       zlquarantine.Round(n),
 		Upstream:    zlunit.Upstream(rune('a' + n)),
@@ -20,11 +20,11 @@
 
 // A request that crashes replicas comes at any VM: what two VMs of different data centres
 // saw counts together at both, and an answer to it clears it at both.
-func TestStrikesCountAcrossDataCentres(t *testing.T) {
+func TestCrashesCountAcrossDataCentres(t *testing.T) {
 	b := newPairIn(t, [2]zlunit.DataCentre{"lowell", "nashua"})
-	strike(b[0], 0)
-	strike(b[0], 1)
-	strike(b[1], 2)
+	recordCrash(b[0], 0)
+	recordCrash(b[0], 1)
+	recordCrash(b[1], 2)
 	for _, x := range b {
 		eventually(t, "the request is in quarantine", func() bool {
 			return x.Quarantine.Verdict(crashing) == zlquarantine.Quarantined
@@ -38,12 +38,12 @@
 	}
 }
 
-// A process that starts after the strikes learns of the quarantine, also if no heartbeat
+// A process that starts after the crashes learns of the quarantine, also if no heartbeat
 // reaches it.
 func TestQuarantineIsKnownAfterAStart(t *testing.T) {
 	b := newPairIn(t, [2]zlunit.DataCentre{"lowell", "nashua"})
 	b[0].Quarantine.Apply(&zlquarantine.Report{
-		Quarantined: []zlquarantine.Sentence{{
+		Quarantined: []zlquarantine.Entry{{
 			Fingerprint: crashing,
 			Left:        time.Minute,
 		}},
--- a/io/version/zlgossip/crash_test.go
+++ b/io/version/zlgossip/crash_test.go
@@ -12,7 +12,7 @@
 // A query that crashes upstreams comes at any daemon: what three of them saw counts
 // together at all of them within a second, and one that was cut off learns it after its
 // return.
-func TestStrikesReachAllDaemons(t *testing.T) {
+func TestCrashesReachAllDaemons(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		const crashing = zlunit.Fingerprint(7)
 		w := newFleet(4, 25, exactClock)
@@ -23,7 +23,7 @@
 		w.mu.Unlock()
 		time.Sleep(5 * time.Second)
 		for i, vm := range []string{"dc0-0", "dc1-3", "dc2-9"} {
-			w.nodes[vm].Quarantine.Strike(&zlquarantine.Strike{
+			w.nodes[vm].Quarantine.RecordCrash(&zlquarantine.Crash{
 				Fingerprint: crashing,
 				Round:       zlquarantine.Round(i),
 				Upstream:    zlunit.Upstream(vm),
--- a/io/version/zlgossip/zlgossip.go
+++ b/io/version/zlgossip/zlgossip.go
@@ -152,7 +152,7 @@
 	Confirmed bool          `cbor:"3,keyasint,omitempty"`
 	Age       time.Duration `cbor:"4,keyasint,omitempty"`
 	// Quarantined are the queries that crash upstreams.
-	Quarantined []zlquarantine.Sentence `cbor:"5,keyasint,omitempty"`
+	Quarantined []zlquarantine.Entry `cbor:"5,keyasint,omitempty"`
 }
 
 type rankEntry struct {
