--- a/core/process/zlquarantine/zlquarantine.go
+++ b/core/process/zlquarantine/zlquarantine.go
@@ -156,7 +156,11 @@
 		if !slices.Contains(rounds, s.Round) {
 			rounds = append(rounds, s.Round)
 		}
-		if x := (replica{s.Upstream, s.Incarnation}); !slices.Contains(replicas, x) {
+		x := replica{
+			id:          s.Upstream,
+			incarnation: s.Incarnation,
+		}
+		if !slices.Contains(replicas, x) {
 			replicas = append(replicas, x)
 		}
 	}
--- a/core/request/zlrelay/rate_limit_test.go
+++ b/core/request/zlrelay/rate_limit_test.go
@@ -226,30 +226,67 @@
 func TestRateLimitOfAReplicaHoldsForAllVMsTogether(t *testing.T) {
 	checkLimitLoads(t, map[string]*limitLoad{
 		"two of three limited": {
-			vms: 7, limited: 2, limit: 30, rate: constantRate(180), share: equalShare(7), path: "/all/x",
+			vms:       7,
+			limited:   2,
+			limit:     30,
+			rate:      constantRate(180),
+			share:     equalShare(7),
+			path:      "/all/x",
 			minServed: 1,
 		},
 		"two of three limited, one busy VM": {
-			vms: 7, limited: 2, limit: 30, rate: constantRate(180), share: unequalShare(7), path: "/all/x",
+			vms:       7,
+			limited:   2,
+			limit:     30,
+			rate:      constantRate(180),
+			share:     unequalShare(7),
+			path:      "/all/x",
 			minServed: 1,
 		},
 		"all limited to half of the load": {
-			vms: 7, limited: 3, limit: 30, rate: constantRate(180), share: equalShare(7), path: "/all/x",
+			vms:     7,
+			limited: 3,
+			limit:   30,
+			rate:    constantRate(180),
+			share:   equalShare(7),
+			path:    "/all/x",
 			minUsed: 0.8,
 		},
 		"all limited, one service": {
-			vms: 7, limited: 3, limit: 30, rate: constantRate(180), share: equalShare(7), path: "/one/x",
-			minUsed: 0.8, minServed: 0.4,
+			vms:       7,
+			limited:   3,
+			limit:     30,
+			rate:      constantRate(180),
+			share:     equalShare(7),
+			path:      "/one/x",
+			minUsed:   0.8,
+			minServed: 0.4,
 		},
 		"all limited, one busy VM": {
-			vms: 7, limited: 3, limit: 30, rate: constantRate(180), share: unequalShare(7), path: "/one/x",
-			minUsed: 0.8, minServed: 0.4,
+			vms:       7,
+			limited:   3,
+			limit:     30,
+			rate:      constantRate(180),
+			share:     unequalShare(7),
+			path:      "/one/x",
+			minUsed:   0.8,
+			minServed: 0.4,
 		},
 		"a burst after a calm": {
-			vms: 7, limited: 3, limit: 6, rate: calmThenBurst, share: equalShare(7), path: "/all/x",
+			vms:     7,
+			limited: 3,
+			limit:   6,
+			rate:    calmThenBurst,
+			share:   equalShare(7),
+			path:    "/all/x",
 		},
 		"a limit of nothing": {
-			vms: 7, limited: 3, limit: 0, rate: constantRate(60), share: equalShare(7), path: "/one/x",
+			vms:     7,
+			limited: 3,
+			limit:   0,
+			rate:    constantRate(60),
+			share:   equalShare(7),
+			path:    "/one/x",
 		},
 	})
 }
@@ -259,18 +296,36 @@
 func TestRateLimitOfAReplicaIsUsedByHundredsOfVMs(t *testing.T) {
 	checkLimitLoads(t, map[string]*limitLoad{
 		"hundreds of VMs": {
-			vms: 195, limited: 3, limit: 16, rate: constantRate(100), share: equalShare(195), path: "/all/x",
+			vms:     195,
+			limited: 3,
+			limit:   16,
+			rate:    constantRate(100),
+			share:   equalShare(195),
+			path:    "/all/x",
 			minUsed: 0.8,
 		},
 		"hundreds of VMs, limits above the load": {
-			vms: 195, limited: 3, limit: 40, rate: constantRate(100), share: equalShare(195), path: "/all/x",
+			vms:       195,
+			limited:   3,
+			limit:     40,
+			rate:      constantRate(100),
+			share:     equalShare(195),
+			path:      "/all/x",
 			minServed: 0.9,
 		},
 		"hundreds of VMs, a burst": {
-			vms: 195, limited: 3, limit: 16, rate: calmThenBurst, share: equalShare(195), path: "/all/x",
+			vms:     195,
+			limited: 3,
+			limit:   16,
+			rate:    calmThenBurst,
+			share:   equalShare(195),
+			path:    "/all/x",
 		},
 		"hundreds of VMs, a burst when all know the limits and none uses them": {
-			vms: 195, limited: 3, limit: 16, rate: func(at time.Duration) float64 {
+			vms:     195,
+			limited: 3,
+			limit:   16,
+			rate: func(at time.Duration) float64 {
 				switch {
 				case at < 7*time.Second:
 					return 300
@@ -279,7 +334,9 @@
 				default:
 					return 800
 				}
-			}, share: equalShare(195), path: "/all/x",
+			},
+			share: equalShare(195),
+			path:  "/all/x",
 		},
 	})
 }
