Split zlbalancer.go and zlrelay.go; one source of random numbers in tests

The choice of a replica is in place.go, the messages of a relay in message.go; what was moved is the same to the letter. The simulation's random numbers come from lockedRandom, with the same seeds.

--- /dev/null
+++ b/core/process/zlbalancer/place.go
@@ -0,0 +1,290 @@
+package zlbalancer
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"zinnialock/core/process/zlunit"
+	"zinnialock/core/version/zlregistry"
+)
+
+// Costs are in units of one request in flight at the usual latency.
+const (
+	// remoteCost is for a replica in another data centre: a round trip of
+	// twice 1.4 ms, against 5 to 15 ms of work, and the price of the traffic.
+	remoteCost = 0.7
+	// failedCost ranks a replica that has just failed behind one with five
+	// requests in flight.
+	failedCost = 5
+	// overdueCost ranks a paused replica behind one that has just failed.
+	overdueCost = 10
+	// failureRateCost times the failure rate, from 0 to 1, is added to the cost
+	// of a replica; one that fails every request gets the whole.
+	failureRateCost = 20
+	// coldCost is added to the cost of a replica in cold start; it counts as
+	// much as four requests in flight.
+	coldCost = 4
+	// tieBreakJitter is the range of the random part that chooses among equal
+	// replicas.
+	tieBreakJitter = 0.05
+)
+
+// Placement is a chosen replica, where one request is already counted as in flight.
+type Placement struct {
+	Entry  *zlregistry.Entry
+	Flight *Flight
+	// Remote: the replica lies in another data centre.
+	Remote bool
+	// Overdue: the replica was chosen although a request there is overdue.
+	Overdue bool
+	// InFlight is how many requests this process had in flight there before.
+	InFlight int
+}
+
+// PlacementRequest describes the request that Place places.
+type PlacementRequest struct {
+	Service zlunit.Service
+	// Skip lists replicas that must not be chosen.
+	Skip []zlunit.Upstream
+	// HealthyOnly: the request is optional, such as a hedge, and only goes to a
+	// healthy replica.
+	HealthyOnly bool
+	// Target is the time within which the answer is useful; 0 means any time.
+	Target time.Duration
+	// Draw, in [0, 1), is the same for all parts of a caller's request. It decides where
+	// the share of a rate limit is a fraction of a request (see rateLimit).
+	Draw float64
+	// Waiter is the request's place in the queue of the service, nil if it has none. What
+	// a rate limit allows goes to the first of the queue.
+	Waiter *Waiter
+	// Notify, if set, is called when another request at the chosen replica is
+	// overdue. It must not block.
+	Notify func()
+}
+
+// Result is whether a replica was chosen, or why not.
+type Result int
+
+// The results of Place.
+const (
+	// Placed: a replica was chosen.
+	Placed Result = iota
+	// NoReplica: no replica is known that may serve.
+	NoReplica
+	// AtLimit: all replicas that may serve are at their limit for this process.
+	AtLimit
+	// BackingOff: all replicas that may serve asked for no requests for a time.
+	BackingOff
+	// RateLimited: all replicas that may serve limit their request rate, and this VM has
+	// used its share.
+	RateLimited
+)
+
+type candidate struct {
+	entry  *zlregistry.Entry
+	record *Record
+	state  replicaState
+	cost   float64
+	cold   bool
+}
+
+// Place chooses the cheapest replica of the service in v and counts the
+// request as in flight there. The Placement is nil unless the Result is Placed.
+func (p *Placer) Place(v *zlregistry.View, now time.Time, w *PlacementRequest) (*Placement, Result) {
+	service := v.Table.Services[w.Service]
+	share := p.ConnectionShare(service)
+	var list [16]candidate
+	candidates := list[:0]
+	result := NoReplica
+	for _, e := range v.Replicas[w.Service] {
+		if v.OutOfService[e.DataCentre] || slices.Contains(w.Skip, e.ID) {
+			continue
+		}
+		c := candidate{
+			entry:  e,
+			record: p.recordFor(e),
+			cold:   e.Cold(now),
+		}
+		c.state = c.record.snapshot(now)
+		until, never := c.record.restriction.blockedUntil(now, p.Settings.LeavingGrace)
+		if c.state.moved || never {
+			continue
+		}
+		if !until.IsZero() {
+			if result == NoReplica {
+				result = BackingOff
+			}
+			continue
+		}
+		if c.state.inFlight >= c.state.maxInFlight(share) || (w.HealthyOnly && !c.isHealthy()) {
+			result = AtLimit
+			continue
+		}
+		c.cost = p.cost(&c, now)
+		candidates = append(candidates, c)
+	}
+	for len(candidates) > 0 {
+		i := cheapest(candidates)
+		c := candidates[i]
+		placement, denied := p.tryStart(v, &c, now, w)
+		if placement != nil {
+			return placement, Placed
+		}
+		if result != AtLimit {
+			result = denied
+		}
+		candidates = slices.Delete(candidates, i, i+1)
+	}
+	return nil, result
+}
+
+// tryStart counts the request as in flight at the replica, unless its rate limit or its
+// cold start doesn't allow one more.
+func (p *Placer) tryStart(v *zlregistry.View, c *candidate, now time.Time, w *PlacementRequest) (*Placement, Result) {
+	draw, counted := w.Draw, false
+	if c.record.restriction.isRateLimited() {
+		reserve := 0.0
+		switch {
+		case w.HealthyOnly:
+			reserve = 1
+		case p.queueFor(w.Service).before(w.Waiter) > 0:
+			return nil, RateLimited
+		}
+		draw = drawFor(v.Replicas[w.Service], c.entry, w.Draw)
+		var ok bool
+		if counted, ok = c.record.restriction.useRate(now, p.VMCount(), draw, reserve); !ok {
+			return nil, RateLimited
+		}
+	}
+	if c.cold && !c.record.allowCold(now, p.coldRate(v.Table.Services[w.Service])) {
+		if counted {
+			c.record.restriction.returnRate()
+		}
+		return nil, AtLimit
+	}
+	placement := p.start(c, w)
+	placement.Flight.draw = draw
+	placement.Flight.rateCounted = counted
+	return placement, Placed
+}
+
+// HasCapacity reports whether a request of the given rank would find a place at a
+// service now, without passing over a waiter of a lower rank.
+func (p *Placer) HasCapacity(v *zlregistry.View, now time.Time, w *PlacementRequest, rank int) bool {
+	q := p.queueFor(w.Service)
+	if q.hasBefore(rank) {
+		return false
+	}
+	isFirst := q.before(w.Waiter) == 0
+	for _, e := range v.Replicas[w.Service] {
+		if !v.OutOfService[e.DataCentre] && p.hasRoom(v, e, now, w, isFirst) {
+			return true
+		}
+	}
+	return false
+}
+
+// hasRoom reports whether one more request may go to a replica now; isFirst is set if
+// none waits before it.
+func (p *Placer) hasRoom(v *zlregistry.View, e *zlregistry.Entry, now time.Time, w *PlacementRequest, isFirst bool) bool {
+	r := p.recordFor(e)
+	x := r.restriction
+	if until, never := x.blockedUntil(now, p.Settings.LeavingGrace); never || !until.IsZero() {
+		return false
+	}
+	if x.isRateLimited() {
+		draw := drawFor(v.Replicas[w.Service], e, w.Draw)
+		if !isFirst || !x.mayUseRate(now, p.VMCount(), draw, 0) {
+			return false
+		}
+	}
+	state := r.snapshot(now)
+	return !state.moved && state.inFlight < state.maxInFlight(p.ConnectionShare(v.Table.Services[w.Service]))
+}
+
+// maxInFlight is how many requests may be in flight from this process, at most
+// n.
+func (s *replicaState) maxInFlight(n int) int {
+	if s.inFlightLimit > 0 {
+		return min(n, int(s.inFlightLimit))
+	}
+	return n
+}
+
+func (c *candidate) isHealthy() bool {
+	return !c.state.overdue && !c.state.failed && !c.state.away && !c.cold && !c.state.leaving
+}
+
+func cheapest(list []candidate) int {
+	best := 0
+	for i := range list {
+		if list[i].cost < list[best].cost {
+			best = i
+		}
+	}
+	return best
+}
+
+func (p *Placer) cost(c *candidate, now time.Time) float64 {
+	s := &c.state
+	cost := (float64(s.inFlight)+1)*max(s.latencyRatio, 0.25) + s.failureRate*failureRateCost + p.random()*tieBreakJitter
+	if c.entry.DataCentre != p.Settings.Home {
+		cost += remoteCost
+		if p.siteFor(c.entry.DataCentre).isUnreachable(now) {
+			cost += unreachableCost
+		}
+	}
+	if s.failed || s.away {
+		cost += failedCost
+	}
+	if s.overdue {
+		cost += overdueCost
+	}
+	if s.reported {
+		cost += reportedCost
+	}
+	if c.cold {
+		cost += coldCost
+	}
+	if s.leaving {
+		cost += leavingCost
+	}
+	return cost
+}
+
+func (p *Placer) random() float64 {
+	if p.Random != nil {
+		return p.Random()
+	}
+	return rand.Float64()
+}
+
+// start counts the request as in flight at the replica.
+func (p *Placer) start(c *candidate, w *PlacementRequest) *Placement {
+	f := &Flight{
+		Notify:  w.Notify,
+		record:  c.record,
+		waiters: p.queueFor(w.Service),
+		site:    p.siteFor(c.entry.DataCentre),
+		target:  w.Target,
+		vms:     p.VMCount(),
+
+		leavingGrace: p.Settings.LeavingGrace,
+		random:       p.random,
+		restricted:   &p.restricted,
+	}
+	c.record.mu.Lock()
+	if c.record.inFlight == nil {
+		c.record.inFlight = map[*Flight]struct{}{}
+	}
+	c.record.inFlight[f] = struct{}{}
+	c.record.mu.Unlock()
+	return &Placement{
+		Entry:    c.entry,
+		Flight:   f,
+		Remote:   c.entry.DataCentre != p.Settings.Home,
+		Overdue:  c.state.overdue,
+		InFlight: c.state.inFlight,
+	}
+}
--- a/core/request/zlrelay/crash_test.go
+++ b/core/request/zlrelay/crash_test.go
@@ -122,8 +122,8 @@
 	for vm := range n {
 		r := newTestRelay(s, routes...)
 		r.Placer.SetVMCount(n)
-		r.Placer.Random = lockedRandom(uint64(vm))
-		r.Random = lockedRandom(uint64(vm))
+		r.Placer.Random = lockedRandom(uint64(vm), 4)
+		r.Random = lockedRandom(uint64(vm), 4)
 		l := &zlquarantine.Ledger{
 			Timer: r.Timer,
 		}
--- a/core/request/zlrelay/rate_limit_test.go
+++ b/core/request/zlrelay/rate_limit_test.go
@@ -145,8 +145,8 @@
 			vm:               vm,
 		}, singleRoute(true, 2), scatterRoute("all", shards, 100*time.Millisecond, 1, 0.75))
 		r.Placer.SetVMCount(l.vms)
-		r.Placer.Random = lockedRandom(uint64(vm))
-		r.Random = lockedRandom(uint64(vm))
+		r.Placer.Random = lockedRandom(uint64(vm), 4)
+		r.Random = lockedRandom(uint64(vm), 4)
 		random := rand.New(rand.NewPCG(uint64(vm), 3))
 		requests.Go(func() {
 			for {
@@ -189,8 +189,9 @@
 	return s, served, refused
 }
 
-func lockedRandom(seed uint64) func() float64 {
-	random := rand.New(rand.NewPCG(seed, 4))
+// lockedRandom returns a source of random numbers in [0, 1) for a Placer or a Relay.
+func lockedRandom(seed, stream uint64) func() float64 {
+	random := rand.New(rand.NewPCG(seed, stream))
 	var mu sync.Mutex
 	return func() float64 {
 		mu.Lock()
--- a/core/request/zlrelay/simulation_test.go
+++ b/core/request/zlrelay/simulation_test.go
@@ -252,13 +252,7 @@
 		}
 		registry.SetTable(w.view.Table, time.Now(), time.Time{})
 		registry.Replace(all, time.Now())
-		random := rand.New(rand.NewPCG(uint64(i), 2))
-		var mu sync.Mutex
-		draw := func() float64 {
-			mu.Lock()
-			defer mu.Unlock()
-			return random.Float64()
-		}
+		draw := lockedRandom(uint64(i), 2)
 		placer := &zlbalancer.Placer{
 			Settings: zlbalancer.Settings{
 				Home: dataCentres[i%len(dataCentres)],
