Log when a VM hears from no replica any more (RECOVER)

The logs of a stranded VM had single sends without an answer, but not whether it heard from any replica. zluplink takes in the sends and answers and logs lost and regained; no decision uses it.

--- a/core/request/zlrelay/attempt.go
+++ b/core/request/zlrelay/attempt.go
@@ -172,6 +172,7 @@
 	}
 	a.recordNotice(now, notice)
 	a.recordRateLimit(now, notice, genuine)
+	a.recordUplink(ctx, reply)
 	if ctx.Err() != nil && outcome != zlbalancer.OutcomeServed {
 		outcome = zlbalancer.OutcomeGivenUp
 		if started && a.isPastOverdueTime(now) {
@@ -181,6 +182,33 @@
 	a.placement.Flight.Done(now, outcome, x.expectedLatency, retryAfter)
 }
 
+// recordUplink notes for the uplink whether a replica answered. A send that was given up
+// says nothing of it.
+func (a *attempt) recordUplink(ctx context.Context, reply Reply) {
+	uplink := a.part.run.relay.Uplink
+	if uplink == nil {
+		return
+	}
+	answered := false
+	switch rep := reply.(type) {
+	case *Response:
+		answered = true
+	case *NotRun:
+		answered = rep.Arrived
+		if rep.Reason == zldecision.ReasonOutOfService {
+			return
+		}
+	case *Unknown:
+		answered = rep.Reason != zldecision.ReasonConnectionBroken
+	}
+	switch {
+	case answered:
+		uplink.Answered()
+	case ctx.Err() == nil:
+		uplink.Unanswered(a.placement.Entry.ID, a.placedAt)
+	}
+}
+
 // recordNotice applies what the replica said of itself, and records it.
 func (a *attempt) recordNotice(now time.Time, n Notice) {
 	if n == (Notice{}) {
--- a/core/request/zlrelay/part.go
+++ b/core/request/zlrelay/part.go
@@ -59,6 +59,9 @@
 		a.overdue = true
 		if !now.Before(a.overdueAt) {
 			a.placement.Flight.MarkOverdue(now)
+			if uplink := p.run.relay.Uplink; uplink != nil {
+				uplink.Unanswered(a.placement.Entry.ID, a.placedAt)
+			}
 		}
 	}
 	if a.overdue && (p.nextPlacement.IsZero() || !now.Before(p.nextPlacement)) {
--- a/core/request/zlrelay/zlrelay.go
+++ b/core/request/zlrelay/zlrelay.go
@@ -21,6 +21,7 @@
 	"zinnialock/core/process/zlsendbudget"
 	"zinnialock/core/process/zltimer"
 	"zinnialock/core/process/zlunit"
+	"zinnialock/core/process/zluplink"
 	"zinnialock/core/version/zlregistry"
 	"zinnialock/core/version/zltable"
 )
@@ -57,6 +58,9 @@
 	Sink zldecision.Sink
 	// Quarantine recognises requests that crash replicas; nil sends them like others.
 	Quarantine *zlquarantine.Ledger
+	// Uplink tracks whether this VM has lost its paths to the replicas; nil if that is
+	// not tracked.
+	Uplink *zluplink.Tracker
 	// Settings holds the limits of the deployment.
 	Settings Settings
 	// Start is when this process started.
--- a/core/version/zlregistry/zlregistry.go
+++ b/core/version/zlregistry/zlregistry.go
@@ -73,3 +73,12 @@
 func (v *View) Ready() bool {
 	return v.Table != nil && !v.ReplicasAt.IsZero()
 }
+
+// ReplicaCount returns the number of replicas that may get new work.
+func (v *View) ReplicaCount() int {
+	n := 0
+	for _, list := range v.Replicas {
+		n += len(list)
+	}
+	return n
+}
