--- a/core/process/zldecision/zldecision.go
+++ b/core/process/zldecision/zldecision.go
@@ -75,6 +75,18 @@
 	ReasonOutOfService Reason = "outOfService"
 	// ReasonQuarantined: the request crashed replicas and is not sent any more.
 	ReasonQuarantined Reason = "quarantined"
+	// ReasonUplinkLost: this VM reaches no replica.
+	ReasonUplinkLost Reason = "uplinkLost"
+	// ReasonBusy: a VM has no processor time left for the requests of others.
+	ReasonBusy Reason = "busy"
+	// ReasonOldTable: a VM holds an older table than a request of another VM asks for.
+	ReasonOldTable Reason = "oldTable"
+	// ReasonSilent: a VM showed no sign of life while it had a request of another one.
+	ReasonSilent Reason = "silent"
+	// ReasonPeerUnreached: a VM could not be reached, or its connection broke.
+	ReasonPeerUnreached Reason = "peerUnreached"
+	// ReasonPeerWithout: the VM that served the request had no answer for the part.
+	ReasonPeerWithout Reason = "peerWithout"
 )
 
 // Subject is the request that an event is about, with what the process knew at
@@ -91,6 +103,9 @@
 	// the caller's deadline.
 	Waited time.Duration
 	Left   time.Duration
+	// Origin is the VM that forwarded the request to this one; empty if it came from a
+	// caller.
+	Origin zlunit.VM
 }
 
 // Answered is the event of a request that was answered.
@@ -111,6 +126,8 @@
 	Absent []zlunit.Service
 	// Early is why the answer did not wait for all parts; empty if it did.
 	Early Reason
+	// Via is the VM that served parts of it, or all; empty if this one did.
+	Via zlunit.VM
 }
 
 // Refused is the event of a request that was refused without having run.
@@ -166,6 +183,22 @@
 	Budget  float64
 }
 
+// Forwarded is the event of a request, or parts of one, that were forwarded to another VM.
+type Forwarded struct {
+	Subject
+	Reason Reason
+	To     zlunit.VM
+	// Parts counts the parts that were forwarded.
+	Parts int
+}
+
+// Declined is the event of a forward that the other VM did not serve.
+type Declined struct {
+	Subject
+	Reason Reason
+	VM     zlunit.VM
+}
+
 // Dropped is the event of an answer that a replica sent but that belongs to
 // another request. The answer is discarded and the process keeps waiting for
 // the right one.
@@ -208,6 +241,8 @@
 func (*Failed) event()     {}
 func (*Sent) event()       {}
 func (*Held) event()       {}
+func (*Forwarded) event()  {}
+func (*Declined) event()   {}
 func (*Dropped) event()    {}
 func (*Belief) event()     {}
 func (*Dependency) event() {}
--- a/core/process/zluplink/zluplink.go
+++ b/core/process/zluplink/zluplink.go
@@ -1,6 +1,7 @@
-// Package zluplink finds out, for the relay, whether this VM has lost its paths to the
-// replicas, as opposed to replicas that fail. It takes in which sends were answered and
-// which were not, and does no I/O.
+// Package zluplink finds out, for the relay, whether this VM has lost its uplink, the
+// paths to all replicas, as opposed to replicas that fail, and when it has them again. It
+// takes in which sends were answered and which were not, and asks a Prober to open
+// connections while the uplink is lost; it does no I/O itself.
 //
 // Load pattern: the network cuts one VM, many VMs or a data centre of VMs off from all
 // replicas, while callers and the other VMs still reach them; connections hang, are reset,
@@ -19,65 +20,259 @@
 	"zinnialock/core/process/zlunit"
 )
 
-// minUnanswered is how many replicas must leave sends unanswered, with no answer of any
-// replica to a send made since, for the uplink to count as lost.
-const minUnanswered = 3
+const (
+	// minFailed is how many replicas must have failed, with no answer of any replica to
+	// a send made since, for the uplink to count as lost, and minFailedShare their share
+	// of the replicas that were sent to.
+	minFailed      = 3
+	minFailedShare = 0.5
+	// confirmDelay is how long sends that are only overdue must stay without an answer:
+	// the parts of a query may all be a little late.
+	confirmDelay = 10 * time.Millisecond
+	// fewFailed is how many replicas are enough if they are all that were sent to and
+	// stay without an answer for fewFailedDelay, which is about the length of a pause: a
+	// VM with few requests may not send to more.
+	fewFailed      = 2
+	fewFailedDelay = 100 * time.Millisecond
+	// connectTries is how many replicas are tried after several could not be connected to.
+	connectTries = 3
+	// probeInterval is the time between probes while the uplink is lost, and
+	// maxProbeInterval the longest: it doubles each time that a connection could be made
+	// but no replica answered.
+	probeInterval    = 50 * time.Millisecond
+	maxProbeInterval = 2 * time.Second
+	// idempotentWait is how long the uplink is tried by idempotent requests only.
+	idempotentWait = 2 * time.Second
+)
+
+// Failure is how a send failed.
+type Failure int
+
+// The failures of a send.
+const (
+	// FailureOverdue: there is no answer yet.
+	FailureOverdue Failure = iota
+	// FailureBroken: the connection broke without an answer.
+	FailureBroken
+	// FailureUnconnected: no connection could be made.
+	FailureUnconnected
+)
+
+// ConnectState is whether new connections to replicas can be made.
+type ConnectState int
+
+// The states of ConnectState.
+const (
+	// Connectable: as far as is known they can be made.
+	Connectable ConnectState = iota
+	// Unsure: several could not, and others are being tried.
+	Unsure
+	// Unconnectable: none can be made, though open ones may still work.
+	Unconnectable
+)
+
+// state is what is known of the uplink.
+type state int
 
-// Tracker tracks the uplink of this VM: its paths to all replicas. Exported fields must be
-// set before use; the methods may be called concurrently.
+const (
+	connected state = iota
+	// lost: replicas do not answer; no request is sent to them.
+	lost
+	// reached: a connection could be made again, but no replica has answered yet; one
+	// request at a time is sent.
+	reached
+)
+
+// Tracker tracks the uplink of this VM. Exported fields must be set before use; the
+// methods may be called concurrently.
 type Tracker struct {
 	Timer *zltimer.Service
 	// Replicas returns how many replicas are known.
 	Replicas func() int
+	// Probe tries to open a connection to some replica and reports whether it could; it
+	// is called concurrently. Without it only answers end the loss.
+	Probe func() bool
 	// Sink receives an event when the uplink is lost or regained; may be nil.
 	Sink zldecision.Sink
+	// OnLost is called when the uplink is lost, or no new connection can be made; it must
+	// not block and may be nil.
+	OnLost func()
 
-	mu sync.Mutex
+	mu    sync.Mutex
+	state state
 	// answeredAt is when the latest answer of a replica came.
 	answeredAt time.Time
-	// unanswered holds the replicas with an unanswered send since then.
-	unanswered map[zlunit.Upstream]struct{}
-	// lostAt is when the uplink was lost; zero while it is not.
-	lostAt time.Time
+	// sent holds the replicas that were sent to since then; failed and broken count
+	// those that failed, and those of them with FailureBroken.
+	sent   map[zlunit.Upstream]sendState
+	failed int
+	broken int
+	// confirming is set while a confirmation is due, and fewConfirming while one after
+	// fewFailedDelay is.
+	confirming    bool
+	fewConfirming bool
+	// lostAt is when the uplink was lost. byBroken is set if that follows from broken
+	// connections: a late answer to an earlier send does not end the loss then.
+	lostAt   time.Time
+	byBroken bool
+	// connect is whether new connections can be made, and unconnected holds the replicas to
+	// which none could be since one could to any.
+	connect     ConnectState
+	unconnected map[zlunit.Upstream]struct{}
+	// reachedAt is when the state reached began, and trying is set while its one request is
+	// under way.
+	reachedAt time.Time
+	trying    bool
+	// nextProbe is when the next probe is due, and probePause the time between probes.
+	nextProbe  time.Time
+	probePause time.Duration
+}
+
+// sendState is what is known of the sends to one replica.
+type sendState int
+
+const (
+	sendPending sendState = iota
+	sendOverdue
+	sendBroken
+)
+
+// Sent notes that a request is sent to a replica.
+func (t *Tracker) Sent(id zlunit.Upstream) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.sent == nil {
+		t.sent = map[zlunit.Upstream]sendState{}
+	}
+	if _, ok := t.sent[id]; !ok {
+		t.sent[id] = sendPending
+	}
 }
 
-// Unanswered notes that a send made at sentAt did not reach its replica, lost its
-// connection or is overdue.
-func (t *Tracker) Unanswered(id zlunit.Upstream, sentAt time.Time) {
+// Failed notes that a send made at sentAt has failed.
+func (t *Tracker) Failed(id zlunit.Upstream, sentAt time.Time, f Failure) {
 	t.mu.Lock()
-	if !sentAt.After(t.answeredAt) {
+	if _, ok := t.sent[id]; !ok || !sentAt.After(t.answeredAt) {
 		t.mu.Unlock()
 		return
 	}
-	if t.unanswered == nil {
-		t.unanswered = map[zlunit.Upstream]struct{}{}
-	}
-	t.unanswered[id] = struct{}{}
-	n := len(t.unanswered)
-	lost := t.lostAt.IsZero() && n >= max(min(minUnanswered, t.Replicas()), 1)
-	if lost {
-		t.lostAt = t.Timer.Now()
+	t.countFailure(id, f)
+	isLost := t.state == connected && t.isSilent(t.broken)
+	if isLost {
+		t.setLost(true)
+	} else if t.state == connected {
+		t.scheduleConfirms()
 	}
 	t.mu.Unlock()
-	if lost {
-		t.note(&zldecision.Dependency{
-			Name:  "replicas",
-			State: "lost",
-			Why:   "no answer from " + strconv.Itoa(n) + " replicas and none from others",
+	if isLost {
+		t.announceLost()
+	}
+}
+
+// countFailure counts a failed replica, once. The caller holds mu.
+func (t *Tracker) countFailure(id zlunit.Upstream, f Failure) {
+	known, now := t.sent[id], sendBroken
+	switch f {
+	case FailureOverdue:
+		now = sendOverdue
+	case FailureUnconnected:
+		t.noteUnconnected(id)
+	default:
+	}
+	if now <= known {
+		return
+	}
+	t.sent[id] = now
+	if known == sendPending {
+		t.failed++
+	}
+	if now == sendBroken {
+		t.broken++
+	}
+}
+
+// scheduleConfirms decides later whether the uplink is lost, if sends are overdue. The caller
+// holds mu.
+func (t *Tracker) scheduleConfirms() {
+	if t.isSilent(t.failed) && !t.confirming {
+		t.confirming = true
+		t.Timer.AfterFunc(confirmDelay, func() {
+			t.confirm(&t.confirming, t.isSilent)
+		})
+	}
+	if t.areFewSilent(t.failed) && !t.fewConfirming {
+		t.fewConfirming = true
+		t.Timer.AfterFunc(fewFailedDelay, func() {
+			t.confirm(&t.fewConfirming, t.areFewSilent)
 		})
 	}
 }
 
-// Answered notes that a replica answered, whatever the answer.
-func (t *Tracker) Answered() {
+// isSilent reports whether n failed replicas are enough for a loss. The caller holds mu.
+func (t *Tracker) isSilent(n int) bool {
+	return n >= max(min(minFailed, t.Replicas()), 1) && float64(n) >= minFailedShare*float64(len(t.sent))
+}
+
+// areFewSilent reports whether n failed replicas are all that were sent to. The caller holds
+// mu.
+func (t *Tracker) areFewSilent(n int) bool {
+	return n >= max(min(fewFailed, t.Replicas()), 1) && n == len(t.sent)
+}
+
+// confirm decides, some time after enough sends were overdue, whether the uplink is lost.
+func (t *Tracker) confirm(due *bool, enough func(failed int) bool) {
+	t.mu.Lock()
+	*due = false
+	isLost := t.state == connected && enough(t.failed)
+	if isLost {
+		t.setLost(false)
+	}
+	t.mu.Unlock()
+	if isLost {
+		t.announceLost()
+	}
+}
+
+// setLost begins a loss. The caller holds mu.
+func (t *Tracker) setLost(byBroken bool) {
+	t.state = lost
+	t.byBroken = byBroken
+	t.lostAt = t.Timer.Now()
+	t.nextProbe = t.lostAt
+	t.probePause = probeInterval
+}
+
+func (t *Tracker) announceLost() {
+	t.mu.Lock()
+	failed, sent := t.failed, len(t.sent)
+	t.mu.Unlock()
+	t.note(&zldecision.Dependency{
+		Name:  "replicas",
+		State: "lost",
+		Why:   strconv.Itoa(failed) + " of " + strconv.Itoa(sent) + " replicas failed and none answered",
+	})
+	if t.OnLost != nil {
+		t.OnLost()
+	}
+}
+
+// Answered notes that a replica answered a send made at sentAt, whatever the answer.
+func (t *Tracker) Answered(sentAt time.Time) {
 	now := t.Timer.Now()
 	t.mu.Lock()
+	if t.state != connected && t.byBroken && sentAt.Before(t.lostAt) {
+		t.mu.Unlock()
+		return
+	}
+	wasLost := t.state != connected
 	lostAt := t.lostAt
+	t.state = connected
 	t.answeredAt = now
-	t.lostAt = time.Time{}
-	clear(t.unanswered)
+	clear(t.sent)
+	t.failed = 0
+	t.broken = 0
 	t.mu.Unlock()
-	if !lostAt.IsZero() {
+	if wasLost {
 		t.note(&zldecision.Dependency{
 			Name:  "replicas",
 			State: "regained",
@@ -87,11 +282,22 @@
 	}
 }
 
-// Lost reports whether the uplink is lost.
-func (t *Tracker) Lost() bool {
+// IsLost reports whether replicas cannot be reached, or no replica has answered since
+// they can be reached again.
+func (t *Tracker) IsLost() bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return !t.lostAt.IsZero()
+	return t.state != connected
+}
+
+// LostFor returns how long the uplink has been lost; 0 if it is not.
+func (t *Tracker) LostFor() time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.state == connected {
+		return 0
+	}
+	return t.Timer.Now().Sub(t.lostAt)
 }
 
 func (t *Tracker) note(e zldecision.Event) {
--- a/core/request/zlrelay/answer.go
+++ b/core/request/zlrelay/answer.go
@@ -89,6 +89,7 @@
 	x.noteReply(a, res.reply)
 	switch rep := res.reply.(type) {
 	case *Response:
+		p.heard = true
 		switch {
 		case !x.isUsable(rep):
 			p.failure = rep
@@ -99,6 +100,7 @@
 			p.cancelAttempts()
 		}
 	case *NotRun:
+		p.heard = p.heard || rep.Arrived
 		p.mayHaveRun--
 		if !rep.Arrived {
 			p.arrivals--
@@ -150,10 +152,13 @@
 			Sends:    x.sends,
 			Late:     now.Sub(x.req.Received) > x.route.Objective,
 			Upstream: p.servedBy,
+			Via:      x.forward.via,
 		})
 		return &Served{
 			Response: p.response,
 		}
+	case p.lostReason != "" && x.forwardUnreached(now):
+		return nil
 	case p.lostReason != "" && p.mayHaveRun <= 0:
 		return x.relay.refuse(x.view, x.req, x.route, x.refusalReason(p), p.service)
 	case p.lostReason != "":
@@ -186,12 +191,14 @@
 			open++
 		}
 	}
-	minParts := x.route.MinParts()
+	minParts := x.minParts()
 	switch {
 	case open == 0 && answered >= minParts:
 		return x.mergedAnswer(now, "")
 	case answered >= minParts && !now.Before(x.partialAnswerAt):
 		return x.mergedAnswer(now, zldecision.ReasonObjectiveNear)
+	case answered+open < minParts && x.forwardUnreached(now):
+		return nil
 	case answered+open < minParts && mayHaveRun == 0:
 		return x.relay.refuse(x.view, x.req, x.route, zldecision.ReasonTooFewShards, x.missingShards()[0])
 	case answered+open < minParts:
@@ -216,6 +223,7 @@
 		}
 		bodies = append(bodies, p.response.Body)
 		m.Signatures = append(m.Signatures, p.response.Signature)
+		m.Services = append(m.Services, p.service)
 	}
 	m.Records = topRecords(bodies, x.route.MaxRecords)
 	a := &zldecision.Answered{
@@ -226,6 +234,7 @@
 		Sends:   x.sends,
 		Late:    now.Sub(x.req.Received) > x.route.Objective,
 		Early:   early,
+		Via:     x.forward.via,
 	}
 	if m.Missing > 0 {
 		a.Absent = x.missingShards()
@@ -247,6 +256,9 @@
 // expire ends a request that has reached its deadline. It refuses the request if
 // no part of it can have run.
 func (x *run) expire() Answer {
+	if a := x.forward.current; a != nil && !a.state.CompareAndSwap(attemptPending, attemptAbandoned) {
+		return x.fail(x.deadlineReason, true)
+	}
 	for i := range x.parts {
 		p := &x.parts[i]
 		for _, a := range p.inFlight {
@@ -303,7 +315,16 @@
 // refuse refuses a request that did not run; s is the service without capacity or
 // replicas, or empty.
 func (r *Relay) refuse(v *zlregistry.View, req *Request, route *zltable.Route, reason zldecision.Reason, s zlunit.Service) Answer {
-	retryAfter := r.retryAfter(req)
+	return r.refuseService(v, req, route, reason, s, 0)
+}
+
+// refuseWith refuses a request as another VM did, with at least its advice when to retry.
+func (r *Relay) refuseWith(v *zlregistry.View, req *Request, route *zltable.Route, reason zldecision.Reason, advice time.Duration) Answer {
+	return r.refuseService(v, req, route, reason, "", advice)
+}
+
+func (r *Relay) refuseService(v *zlregistry.View, req *Request, route *zltable.Route, reason zldecision.Reason, s zlunit.Service, advice time.Duration) Answer {
+	retryAfter := max(r.retryAfter(req), advice)
 	if s != "" {
 		retryAfter = max(retryAfter, r.untilServable(route, s))
 	}
--- a/core/request/zlrelay/attempt.go
+++ b/core/request/zlrelay/attempt.go
@@ -8,6 +8,7 @@
 
 	"zinnialock/core/process/zlbalancer"
 	"zinnialock/core/process/zldecision"
+	"zinnialock/core/process/zluplink"
 )
 
 // The states of an attempt.
@@ -54,6 +55,10 @@
 		charged:   charged,
 	}
 	x.noteLaunch(a)
+	x.count(now)
+	if uplink := x.relay.Uplink; uplink != nil {
+		uplink.Sent(placement.Entry.ID)
+	}
 	p.inFlight = append(p.inFlight, a)
 	p.tried = append(p.tried, placement.Entry.ID)
 	p.sends++
@@ -203,9 +208,13 @@
 	}
 	switch {
 	case answered:
-		uplink.Answered()
+		uplink.Answered(a.placedAt)
 	case ctx.Err() == nil:
-		uplink.Unanswered(a.placement.Entry.ID, a.placedAt)
+		failure := zluplink.FailureBroken
+		if _, ok := reply.(*NotRun); ok {
+			failure = zluplink.FailureUnconnected
+		}
+		uplink.Failed(a.placement.Entry.ID, a.placedAt, failure)
 	}
 }
 
--- /dev/null
+++ b/core/request/zlrelay/forward_test.go
@@ -0,0 +1,503 @@
+package zlrelay
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"zinnialock/core/process/zldecision"
+	"zinnialock/core/process/zlpeerbalancer"
+	"zinnialock/core/process/zlunit"
+	"zinnialock/core/process/zluplink"
+	"zinnialock/core/version/zlregistry"
+	"zinnialock/core/version/zltable"
+)
+
+// pathState is what happens to the sends of one VM.
+type pathState int32
+
+const (
+	pathsWork pathState = iota
+	pathsHang
+	pathsReset
+	pathsRefuse
+)
+
+// forwardFleet is a number of VMs with the same replicas, each with paths of its own.
+type forwardFleet struct {
+	vms []*forwardVM
+	// work is how long a replica works on a request.
+	work time.Duration
+
+	mu sync.Mutex
+	// runs counts what replicas ran, by request and service, and arrivals what reached
+	// them, by service.
+	runs     map[string]int
+	arrivals map[zlunit.Service]int
+	// requests counts those that were sent, by route.
+	requests map[zltable.RouteName]int
+	done     chan struct{}
+}
+
+// end ends the probes.
+func (f *forwardFleet) end() {
+	close(f.done)
+	time.Sleep(time.Second)
+}
+
+// forwardVM is one VM: its relay, the Sender and Connector of it, and what serves the
+// forwards to it.
+type forwardVM struct {
+	fleet *forwardFleet
+	relay *Relay
+	paths atomic.Int32
+	// dark is set while the VM answers no other VM; forwards counts what it served.
+	dark     atomic.Bool
+	forwards atomic.Int64
+}
+
+// newForwardFleet returns a fleet; end must be called at the end of the test.
+func newForwardFleet(n, shards int, routes ...zltable.Route) *forwardFleet {
+	f := &forwardFleet{
+		work:     12 * time.Millisecond,
+		runs:     map[string]int{},
+		arrivals: map[zlunit.Service]int{},
+		requests: map[zltable.RouteName]int{},
+		done:     make(chan struct{}),
+	}
+	var peers []zlpeerbalancer.Peer
+	for i := range n {
+		peers = append(peers, zlpeerbalancer.Peer{
+			VM:         zlunit.VM(fmt.Sprint(i)),
+			DataCentre: dataCentres[i%len(dataCentres)],
+			Address:    fmt.Sprint(i),
+		})
+	}
+	for i := range n {
+		vm := &forwardVM{
+			fleet: f,
+		}
+		r := newTestRelayOf(shards, vm, routes...)
+		random := rand.New(rand.NewPCG(uint64(i), 7))
+		var mu sync.Mutex
+		r.Random = func() float64 {
+			mu.Lock()
+			defer mu.Unlock()
+			return random.Float64()
+		}
+		r.Placer.SetVMCount(n)
+		r.VM = peers[i].VM
+		r.Connector = vm
+		r.Forwarder = vm
+		r.Peers = &zlpeerbalancer.Balancer{
+			Home:   peers[i].DataCentre,
+			Random: r.Random,
+		}
+		r.Peers.SetPeers(append(append([]zlpeerbalancer.Peer(nil), peers[:i]...), peers[i+1:]...))
+		r.Uplink = &zluplink.Tracker{
+			Timer: r.Timer,
+			Replicas: func() int {
+				return 3 * shards
+			},
+			Probe:  r.Probe,
+			OnLost: r.WakeAll,
+		}
+		vm.relay = r
+		f.vms = append(f.vms, vm)
+		go r.Uplink.Run(f.done)
+	}
+	return f
+}
+
+// Send implements Sender.
+func (vm *forwardVM) Send(ctx context.Context, e *zlregistry.Entry, c *Call) Reply {
+	unreached := &NotRun{
+		Reason: zldecision.ReasonUnreached,
+	}
+	broken := &Unknown{
+		Reason: zldecision.ReasonConnectionBroken,
+	}
+	switch pathState(vm.paths.Load()) {
+	case pathsRefuse:
+		sleep(ctx, time.Millisecond)
+		return unreached
+	case pathsHang:
+		if vm.relay.randomFloat() < 0.5 {
+			<-ctx.Done()
+			return unreached
+		}
+		c.Start()
+		<-ctx.Done()
+		return broken
+	case pathsReset:
+		if !c.Start() {
+			return unreached
+		}
+		sleep(ctx, time.Millisecond)
+		return broken
+	default:
+	}
+	if !c.Start() {
+		return unreached
+	}
+	f := vm.fleet
+	f.mu.Lock()
+	f.arrivals[e.Service]++
+	f.runs[string(c.Request.ID)+" "+string(e.Service)]++
+	f.mu.Unlock()
+	if sleep(ctx, f.work) == outcomeCancelled {
+		return broken
+	}
+	vm.relay.Uplink.Connected()
+	return &Response{
+		Status:    200,
+		Body:      bytes.Repeat([]byte(e.Service)[1:], recordSize)[:recordSize],
+		Signature: string(e.ID),
+	}
+}
+
+// Connect implements Connector.
+func (vm *forwardVM) Connect(ctx context.Context, _ *zlregistry.Entry) bool {
+	switch pathState(vm.paths.Load()) {
+	case pathsWork:
+		sleep(ctx, time.Millisecond)
+		vm.relay.Uplink.Connected()
+		return true
+	case pathsHang:
+		<-ctx.Done()
+	default:
+		sleep(ctx, time.Millisecond)
+	}
+	return false
+}
+
+// Forward implements Forwarder.
+func (vm *forwardVM) Forward(ctx context.Context, to zlpeerbalancer.Peer, c *ForwardCall) ForwardReply {
+	var i int
+	_, _ = fmt.Sscan(to.Address, &i)
+	target := vm.fleet.vms[i]
+	if !c.Start() {
+		return &NoReply{}
+	}
+	if target.dark.Load() || sleep(ctx, time.Millisecond) == outcomeCancelled {
+		<-ctx.Done()
+		return &NoReply{
+			MayHaveRun: true,
+		}
+	}
+	target.forwards.Add(1)
+	ended := make(chan struct{})
+	defer close(ended)
+	go func() {
+		for {
+			c.Alive()
+			select {
+			case <-ended:
+				return
+			case <-time.After(ForwardInterval):
+			}
+		}
+	}()
+	f := *c.Forward
+	req := c.Forward.Request
+	f.Request = &Request{
+		ID:       req.ID,
+		Message:  req.Message,
+		Received: req.Received,
+		Deadline: req.Deadline,
+		Transit:  req.Transit + ForwardTransit,
+	}
+	reply := target.relay.ServeForward(ctx, &f)
+	if sleep(ctx, time.Millisecond) == outcomeCancelled {
+		return &NoReply{
+			MayHaveRun: true,
+		}
+	}
+	return reply
+}
+
+// tally counts how requests ended.
+type tally struct {
+	mu                  sync.Mutex
+	all, served, inTime int
+}
+
+func (y *tally) add(a Answer, took, objective time.Duration) {
+	y.mu.Lock()
+	defer y.mu.Unlock()
+	y.all++
+	switch a.(type) {
+	case *Merged, *Served:
+		y.served++
+		if took <= objective {
+			y.inTime++
+		}
+	default:
+	}
+}
+
+// load sends requests of one route to a VM until the given time, and tallies those that are
+// sent from a time on.
+func (f *forwardFleet) load(group *sync.WaitGroup, vm int, route *zltable.Route, every time.Duration, until, from time.Time, y *tally) {
+	random := rand.New(rand.NewPCG(uint64(vm), 99))
+	group.Go(func() {
+		for n := 0; time.Now().Before(until); n++ {
+			time.Sleep(time.Duration((0.5 + random.Float64()) * float64(every)))
+			req := request(route.Prefix + "x")
+			req.ID = zlunit.RequestID(fmt.Sprintf("%s-%d-%d", route.Name, vm, n))
+			f.mu.Lock()
+			f.requests[route.Name]++
+			f.mu.Unlock()
+			group.Go(func() {
+				sent := time.Now()
+				a := f.vms[vm].relay.Serve(context.Background(), req)
+				if !sent.Before(from) {
+					y.add(a, time.Since(sent), route.Objective)
+				}
+			})
+		}
+	})
+}
+
+func forwardRoutes(shards int) []zltable.Route {
+	var services []zlunit.Service
+	for i := range shards {
+		services = append(services, zlunit.Service(fmt.Sprintf("s%d", i)))
+	}
+	all := scatterRoute("all", services, 120*time.Millisecond, 2, 0.89)
+	all.Attempts = 2
+	return []zltable.Route{all, singleRoute(true, 2)}
+}
+
+// Many VMs lose their paths to the replicas at once. What reaches them must be served by
+// the others in time, within the limit on second sends, and from its end on by themselves.
+func TestStrandedVMsServeInTime(t *testing.T) {
+	const settle, cut, after = time.Second, 3 * time.Second, 500 * time.Millisecond
+	for _, c := range []struct {
+		name     string
+		vms      int
+		shards   int
+		stranded int
+		every    time.Duration
+		paths    pathState
+		dark     int
+		// share is that of the requests at stranded VMs that must be served in time.
+		share float64
+	}{
+		{"four of seven hang", 7, 10, 4, 30 * time.Millisecond, pathsHang, 0, 0.98},
+		{"a data centre refuses", 7, 10, 3, 30 * time.Millisecond, pathsRefuse, 0, 0.98},
+		{"all but one are reset", 7, 10, 6, 60 * time.Millisecond, pathsReset, 0, 0.98},
+		{"four of seven hang and one is dark", 7, 10, 4, 30 * time.Millisecond, pathsHang, 1, 0.9},
+		{"three of five of hundreds hang", 195, 42, 117, 1500 * time.Millisecond, pathsHang, 10, 0.9},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				routes := forwardRoutes(c.shards)
+				f := newForwardFleet(c.vms, c.shards, routes...)
+				defer f.end()
+				var group sync.WaitGroup
+				began := time.Now()
+				strands, ends := began.Add(settle), began.Add(settle+cut)
+				var during, others, later tally
+				for i := range f.vms {
+					y := &others
+					if i < c.stranded {
+						y = &during
+					}
+					f.load(&group, i, &routes[0], c.every, ends, strands.Add(2*c.every), y)
+					f.load(&group, i, &routes[1], 4*c.every, ends, strands.Add(2*c.every), y)
+				}
+				time.Sleep(settle)
+				for i := range c.stranded {
+					f.vms[i].paths.Store(int32(c.paths))
+				}
+				for i := range c.dark {
+					f.vms[c.stranded+i].dark.Store(true)
+				}
+				time.Sleep(cut)
+				group.Wait()
+				for i := range c.stranded {
+					f.vms[i].paths.Store(int32(pathsWork))
+				}
+				time.Sleep(4 * time.Second)
+				for i := range c.stranded {
+					f.load(&group, i, &routes[0], c.every, time.Now().Add(after), time.Now(), &later)
+				}
+				group.Wait()
+				for i := range c.stranded {
+					if c.every < after && f.vms[i].relay.Uplink.IsLost() {
+						t.Errorf("VM %d: still lost after the end", i)
+					}
+				}
+				during.check(t, "stranded VMs", c.share)
+				others.check(t, "other VMs", 0.98)
+				later.check(t, "after the end", 0.98)
+				f.checkBudget(t)
+			})
+		})
+	}
+}
+
+func (y *tally) check(t *testing.T, what string, share float64) {
+	t.Helper()
+	if y.all == 0 || float64(y.inTime) < share*float64(y.all) {
+		t.Errorf("%s: %d of %d served, %d in time, want a share of %.2f", what, y.served, y.all, y.inTime, share)
+	}
+}
+
+// checkBudget checks that second sends stayed within the limit of one window, in which the
+// whole test lies.
+func (f *forwardFleet) checkBudget(t *testing.T) {
+	t.Helper()
+	s := f.vms[0].relay.Settings
+	n := f.requests["all"]
+	limit := n + int(s.BudgetShare*float64(n)+s.BudgetBurst)
+	for service, arrivals := range f.arrivals {
+		if service != "s0" && arrivals > limit {
+			t.Errorf("%s: %d arrivals for %d requests, want %d at most", service, arrivals, n, limit)
+		}
+	}
+}
+
+// A request that is not idempotent must run once at most, and one that was refused never,
+// whatever happens to the paths and the VMs while it is under way.
+func TestForwardsKeepOnce(t *testing.T) {
+	for seed := range uint64(24) {
+		synctest.Test(t, func(t *testing.T) {
+			random := rand.New(rand.NewPCG(seed, 3))
+			routes := append(forwardRoutes(4), zltable.Route{
+				Name:      "once",
+				Host:      "h",
+				Prefix:    "/once/",
+				Timeout:   time.Second,
+				Objective: 100 * time.Millisecond,
+				Attempts:  2,
+				Targets: []zltable.Target{{
+					Service: "s0",
+					Weight:  1,
+				}},
+			})
+			f := newForwardFleet(4, 4, routes...)
+			defer f.end()
+			var group sync.WaitGroup
+			group.Go(func() {
+				for range 40 {
+					vm := f.vms[random.IntN(len(f.vms))]
+					vm.paths.Store(int32(random.IntN(4)))
+					vm.dark.Store(random.IntN(4) == 0)
+					time.Sleep(time.Duration(random.IntN(60)) * time.Millisecond)
+				}
+				for _, vm := range f.vms {
+					vm.paths.Store(int32(pathsWork))
+					vm.dark.Store(false)
+				}
+			})
+			for i := range 300 {
+				time.Sleep(5 * time.Millisecond)
+				route := &routes[i%len(routes)]
+				req := request(route.Prefix + "x")
+				req.ID = zlunit.RequestID(fmt.Sprintf("%d", i))
+				vm := f.vms[i%len(f.vms)]
+				group.Go(func() {
+					answer := vm.relay.Serve(context.Background(), req)
+					time.Sleep(2 * time.Second)
+					f.checkRuns(t, seed, route, req, answer)
+				})
+			}
+			group.Wait()
+		})
+	}
+}
+
+// checkRuns checks how often replicas ran a request.
+func (f *forwardFleet) checkRuns(t *testing.T, seed uint64, route *zltable.Route, req *Request, answer Answer) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for i := range 4 {
+		n := f.runs[fmt.Sprintf("%s s%d", req.ID, i)]
+		if n > maxRuns(route.Idempotent, route.Attempts) {
+			t.Errorf("seed %d: request %s of %s ran %d times at s%d", seed, req.ID, route.Name, n, i)
+		}
+		if _, refused := answer.(*Refused); refused && n > 0 {
+			t.Errorf("seed %d: request %s of %s was refused and ran %d times at s%d", seed, req.ID, route.Name, n, i)
+		}
+	}
+	if m, ok := answer.(*Merged); ok {
+		if len(m.Signatures)+m.Missing != 4 || len(m.Records) != recordSize*len(m.Signatures) {
+			t.Errorf("seed %d: request %s: %d parts, %d missing and %d bytes of records", seed, req.ID, len(m.Signatures), m.Missing, len(m.Records))
+		}
+	}
+}
+
+// A request that no VM can serve must be refused at once, once the loss is certain.
+func TestNoVMReachesReplicas(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		routes := forwardRoutes(10)
+		f := newForwardFleet(3, 10, routes...)
+		defer f.end()
+		for _, vm := range f.vms {
+			vm.paths.Store(int32(pathsHang))
+		}
+		var group sync.WaitGroup
+		var y tally
+		for i := range f.vms {
+			f.load(&group, i, &routes[0], 50*time.Millisecond, time.Now().Add(2*time.Second), time.Now().Add(time.Second), &y)
+		}
+		time.Sleep(1500 * time.Millisecond)
+		sent := time.Now()
+		answer := f.vms[0].relay.Serve(context.Background(), request("/all/x"))
+		if w, ok := answer.(*Refused); !ok || time.Since(sent) > 40*time.Millisecond || w.RetryAfter <= 0 {
+			t.Errorf("got %T after %v, want a refusal with a time to retry within a few round trips", answer, time.Since(sent))
+		}
+		group.Wait()
+	})
+}
+
+// What a VM takes for others must stay below its processor time, and what exceeds it must be
+// declined before anything is sent.
+func TestIntakeOfForwards(t *testing.T) {
+	var i intake
+	now := time.Now()
+	taken := 0
+	for range 10_000 {
+		now = now.Add(time.Millisecond)
+		if i.allow(now, 42, 1000) {
+			taken += 42
+		}
+	}
+	if taken < 9_900 || taken > 10_400 {
+		t.Errorf("got %d sends in 10 s, want 10,000 and the burst", taken)
+	}
+}
+
+// A VM with an older table than one by which the caller's VM has served must not serve: the
+// configuration would go back for the caller.
+func TestOlderTableIsDeclined(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newForwardFleet(2, 4, forwardRoutes(4)...)
+		defer f.end()
+		forward := &Forward{
+			Origin:   "1",
+			Request:  request("/all/x"),
+			Version:  2,
+			MinParts: 1,
+			Parts: []ForwardPart{{
+				Service: "s0",
+			}},
+		}
+		reply, ok := f.vms[0].relay.ServeForward(context.Background(), forward).(*Declined)
+		if !ok || reply.Reason != zldecision.ReasonOldTable {
+			t.Fatalf("got %+v, want a decline for the older table", reply)
+		}
+		f.vms[1].relay.noteForwardVersion(2)
+		if got := f.vms[1].relay.forwardVersion(f.vms[1].relay.Registry.Current()); got != 2 {
+			t.Fatalf("after a reply by version 2: got %d, want 2", got)
+		}
+	})
+}
--- a/core/request/zlrelay/message.go
+++ b/core/request/zlrelay/message.go
@@ -167,8 +167,9 @@
 type Merged struct {
 	// Records holds the greatest records of all parts in descending order.
 	Records []byte
-	// Signatures holds the signatures of the merged parts.
+	// Signatures holds the signatures of the merged parts, and Services their services.
 	Signatures []string
+	Services   []zlunit.Service
 	// Missing is the number of shards without a part.
 	Missing int
 }
--- a/core/request/zlrelay/part.go
+++ b/core/request/zlrelay/part.go
@@ -7,6 +7,7 @@
 	"zinnialock/core/process/zldecision"
 	"zinnialock/core/process/zlsendbudget"
 	"zinnialock/core/process/zlunit"
+	"zinnialock/core/process/zluplink"
 )
 
 // part is the state of a request at one service: its only service, or one shard.
@@ -31,6 +32,10 @@
 	arrivals   int
 	mayHaveRun int
 	sends      int
+	// heard is set once a replica answered a send, whatever the answer.
+	heard bool
+	// forwarded is set while another VM serves the part.
+	forwarded bool
 	// budgetNoted is set once a second send was held back for lack of budget, so
 	// that this is recorded only once.
 	budgetNoted   bool
@@ -45,7 +50,7 @@
 
 // step makes the sends that are due and marks the newest one overdue.
 func (p *part) step(now time.Time) {
-	if !p.isOpen() {
+	if !p.isOpen() || p.forwarded {
 		return
 	}
 	if len(p.inFlight) == 0 {
@@ -55,23 +60,34 @@
 		return
 	}
 	a := p.inFlight[len(p.inFlight)-1]
-	if !a.overdue && a.isOverdue(now) {
-		a.overdue = true
-		if !now.Before(a.overdueAt) {
-			a.placement.Flight.MarkOverdue(now)
-			if uplink := p.run.relay.Uplink; uplink != nil {
-				uplink.Unanswered(a.placement.Entry.ID, a.placedAt)
-			}
-		}
-	}
+	p.checkOverdue(now)
 	if a.overdue && (p.nextPlacement.IsZero() || !now.Before(p.nextPlacement)) {
 		p.hedge(now, a)
 	}
 }
 
+// checkOverdue marks the newest send overdue once it is.
+func (p *part) checkOverdue(now time.Time) {
+	if !p.isOpen() || len(p.inFlight) == 0 {
+		return
+	}
+	a := p.inFlight[len(p.inFlight)-1]
+	if a.overdue || !a.isOverdue(now) {
+		return
+	}
+	a.overdue = true
+	if now.Before(a.overdueAt) {
+		return
+	}
+	a.placement.Flight.MarkOverdue(now)
+	if uplink := p.run.relay.Uplink; uplink != nil {
+		uplink.Failed(a.placement.Entry.ID, a.placedAt, zluplink.FailureOverdue)
+	}
+}
+
 // nextWakeup returns when step must be called next, or zero if no time is known.
 func (p *part) nextWakeup() time.Time {
-	if !p.isOpen() {
+	if !p.isOpen() || p.forwarded {
 		return time.Time{}
 	}
 	if len(p.inFlight) == 0 || p.inFlight[len(p.inFlight)-1].overdue {
--- a/core/request/zlrelay/run.go
+++ b/core/request/zlrelay/run.go
@@ -84,6 +84,12 @@
 	// broken is set once a connection broke after the request was sent.
 	broken bool
 	crash  crashState
+	// counted is set once the request counts for the limit on second sends.
+	counted bool
+	// forwarded is what the request came with from another VM; nil if it came from a
+	// caller.
+	forwarded *Forward
+	forward   forwardState
 }
 
 // result is the outcome of an attempt.
@@ -92,15 +98,51 @@
 	reply   Reply
 }
 
+// start returns the run of a caller's request.
 func (r *Relay) start(ctx context.Context, v *zlregistry.View, route *zltable.Route, req *Request) *run {
+	x := r.newRun(ctx, v, route, req)
+	services := route.Shards
+	if !route.IsSharded() {
+		services = []zlunit.Service{r.nextTarget(v.Table, route)}
+	}
+	x.setParts(services)
+	return x
+}
+
+// setParts sets the services of the parts.
+func (x *run) setParts(services []zlunit.Service) {
+	x.parts = make([]part, len(services))
+	for i, s := range services {
+		x.parts[i] = part{
+			run:     x,
+			service: s,
+			window:  x.relay.window(s),
+		}
+	}
+	x.results = make(chan result, len(services)*maxSendsPerPart)
+}
+
+// minParts returns how many parts an answer needs.
+func (x *run) minParts() int {
+	if x.forwarded != nil {
+		return x.forwarded.MinParts
+	}
+	return x.route.MinParts()
+}
+
+// newRun returns a run without parts.
+func (r *Relay) newRun(ctx context.Context, v *zlregistry.View, route *zltable.Route, req *Request) *run {
 	x := &run{
-		relay:             r,
-		ctx:               ctx,
-		view:              v,
-		route:             route,
-		req:               req,
-		profile:           r.profile(route),
-		wakeups:           make(chan struct{}, 1),
+		relay:   r,
+		ctx:     ctx,
+		view:    v,
+		route:   route,
+		req:     req,
+		profile: r.profile(route),
+		wakeups: make(chan struct{}, 1),
+		forward: forwardState{
+			results: make(chan forwardResult, maxForwards),
+		},
 		partialAnswerAt:   req.Received.Add(route.Objective - req.Transit - r.answerMargin(route)),
 		placementDeadline: req.Received.Add(max(time.Duration(refusalShare*float64(route.Objective))-req.Transit-refusalMargin, 0)),
 		deadline:          req.Received.Add(route.Timeout),
@@ -113,23 +155,10 @@
 	if x.partialAnswerAt.After(x.deadline) {
 		x.partialAnswerAt = x.deadline
 	}
-	services := route.Shards
-	if !route.IsSharded() {
-		services = []zlunit.Service{r.nextTarget(v.Table, route)}
-	}
-	x.parts = make([]part, len(services))
-	for i, s := range services {
-		x.parts[i] = part{
-			run:     x,
-			service: s,
-			window:  r.window(s),
-		}
-	}
 	x.likelyRetry = r.isLikelyRetry(x.route, req)
 	if r.Placer.Restricted() {
 		x.draw = r.randomFloat()
 	}
-	x.results = make(chan result, len(services)*maxSendsPerPart)
 	return x
 }
 
@@ -148,8 +177,10 @@
 func (x *run) serve() Answer {
 	defer x.cancelAll()
 	now := x.relay.Timer.Now()
-	for i := range x.parts {
-		x.parts[i].window.Request(now)
+	x.enter()
+	defer x.leave()
+	if !x.startsForwarded() {
+		x.count(now)
 	}
 	if x.verdict() == zlquarantine.Quarantined {
 		x.relay.Quarantine.Refuse(x.fingerprint())
@@ -172,6 +203,8 @@
 		case res := <-x.results:
 			x.handleResult(res)
 			x.drainResults()
+		case res := <-x.forward.results:
+			x.handleForward(x.relay.Timer.Now(), res)
 		case <-x.wakeups:
 		case <-wakeTimer.C:
 		case <-x.ctx.Done():
@@ -204,7 +237,7 @@
 			unavailable = x.parts[i].service
 		}
 	}
-	return unavailable, n >= x.route.MinParts()
+	return unavailable, n >= x.minParts()
 }
 
 // placementEnd returns until when a part waits for capacity at a replica or for
@@ -227,6 +260,9 @@
 // step performs the actions that are due and returns the answer once there is
 // one, or nil.
 func (x *run) step(now time.Time) Answer {
+	if answer, done := x.stepForward(now); done {
+		return answer
+	}
 	if !x.admitted {
 		if s, ok := x.admit(now); !ok {
 			reason := zldecision.ReasonNoRoom
@@ -243,12 +279,28 @@
 			x.parts[i].step(now)
 		}
 	}
+	return x.answer(now)
+}
+
+// answer returns the answer, or nil if it is not decided yet.
+func (x *run) answer(now time.Time) Answer {
 	if x.route.IsSharded() {
 		return x.scatteredAnswer(now)
 	}
 	return x.singleAnswer(now)
 }
 
+// count counts the request for the limit on second sends, once.
+func (x *run) count(now time.Time) {
+	if x.counted {
+		return
+	}
+	x.counted = true
+	for i := range x.parts {
+		x.parts[i].window.Request(now)
+	}
+}
+
 // admit is the admission control of scattered requests: it reports whether enough
 // shards have capacity now, and otherwise returns a shard without capacity. Without it,
 // when several shards are overloaded, the other shards work for answers that come
@@ -273,7 +325,7 @@
 			blocked = p
 		}
 	}
-	if available >= x.route.MinParts() || blocked == nil {
+	if available >= x.minParts() || blocked == nil {
 		x.admitted = true
 		return "", true
 	}
@@ -296,7 +348,7 @@
 			n++
 		}
 	}
-	return n >= x.route.MinParts()
+	return n >= x.minParts()
 }
 
 // rank returns the request's rank in the queue for capacity at a replica; the lowest
@@ -319,6 +371,9 @@
 	if x.route.IsSharded() && x.partialAnswerAt.Before(next) && x.relay.Timer.Now().Before(x.partialAnswerAt) {
 		next = x.partialAnswerAt
 	}
+	if at := x.forwardWakeup(); !at.IsZero() && at.Before(next) {
+		next = at
+	}
 	for i := range x.parts {
 		if at := x.parts[i].nextWakeup(); !at.IsZero() && at.Before(next) {
 			next = at
@@ -329,6 +384,7 @@
 
 // cancelAll cancels the sends and leaves the queues of all parts.
 func (x *run) cancelAll() {
+	x.cancelForward()
 	for i := range x.parts {
 		x.parts[i].cancelAttempts()
 	}
@@ -346,7 +402,11 @@
 }
 
 func (x *run) subject() zldecision.Subject {
-	return x.relay.subject(x.view, x.req, x.route)
+	origin := zlunit.VM("")
+	if x.forwarded != nil {
+		origin = x.forwarded.Origin
+	}
+	return x.relay.subjectOf(x.view, x.req, x.route, origin)
 }
 
 // answeredParts returns the number of parts that have a usable response.
--- a/core/request/zlrelay/zlrelay.go
+++ b/core/request/zlrelay/zlrelay.go
@@ -16,6 +16,7 @@
 
 	"zinnialock/core/process/zlbalancer"
 	"zinnialock/core/process/zldecision"
+	"zinnialock/core/process/zlpeerbalancer"
 	"zinnialock/core/process/zlquantile"
 	"zinnialock/core/process/zlquarantine"
 	"zinnialock/core/process/zlsendbudget"
@@ -61,6 +62,14 @@
 	// Uplink tracks whether this VM has lost its paths to the replicas; nil if that is
 	// not tracked.
 	Uplink *zluplink.Tracker
+	// VM is this VM. Forwarder sends requests to the other VMs, of which Peers knows, while
+	// this one does not reach the replicas; with a nil Forwarder none is sent.
+	VM        zlunit.VM
+	Peers     *zlpeerbalancer.Balancer
+	Forwarder Forwarder
+	// Connector opens the connections by which Probe finds out that this VM reaches
+	// replicas again.
+	Connector Connector
 	// Settings holds the limits of the deployment.
 	Settings Settings
 	// Start is when this process started.
@@ -79,8 +88,14 @@
 	profiles      map[profileKey]*zlquantile.Tracker
 	targetPickers map[zltable.RouteName]*weightedPicker
 	usualWaits    map[profileKey]time.Duration
+	helpPauses    map[zlunit.Service]helpPause
+	runs          map[*run]struct{}
 	running       atomic.Int64
 	sends         sync.WaitGroup
+	intake        intake
+	// newestForwardVersion is the newest table version by which another VM served for
+	// this one.
+	newestForwardVersion atomic.Uint64
 }
 
 // Running returns the number of requests that are being served.
@@ -148,10 +163,16 @@
 }
 
 func (r *Relay) subject(v *zlregistry.View, req *Request, route *zltable.Route) zldecision.Subject {
+	return r.subjectOf(v, req, route, "")
+}
+
+// subjectOf returns the subject of a request; origin is the VM that forwarded it, if any.
+func (r *Relay) subjectOf(v *zlregistry.View, req *Request, route *zltable.Route, origin zlunit.VM) zldecision.Subject {
 	now := r.Timer.Now()
 	s := zldecision.Subject{
 		Request: req.ID,
 		Waited:  now.Sub(req.Received),
+		Origin:  origin,
 	}
 	if route != nil {
 		s.Route = string(route.Name)
--- a/io/process/zljournal/count.go
+++ b/io/process/zljournal/count.go
@@ -38,6 +38,10 @@
 		j.increment("sent", "reason", string(e.Reason))
 	case *zldecision.Held:
 		j.increment("held", "reason", string(e.Reason))
+	case *zldecision.Forwarded:
+		j.increment("forwarded", "reason", string(e.Reason))
+	case *zldecision.Declined:
+		j.increment("declined", "reason", string(e.Reason))
 	case *zldecision.Dropped:
 		j.increment("dropped", "reason", string(e.Reason))
 	case *zldecision.Belief:
--- a/io/process/zljournal/write.go
+++ b/io/process/zljournal/write.go
@@ -21,6 +21,7 @@
 			line.Int("parts", e.Parts).Int("missing", e.Missing)
 		}
 		addNonEmpty(line, "early", string(e.Early))
+		addNonEmpty(line, "via", string(e.Via))
 		addAbsent(line, e.Absent)
 	case *zldecision.Refused:
 		addSubject(line.Str("event", "refused"), &e.Subject)
@@ -43,6 +44,12 @@
 		addSubject(line.Str("event", "held"), &e.Subject)
 		line.Str("reason", string(e.Reason)).Str("service", string(e.Service)).Str("from", string(e.From)).
 			Float64("budgetLeft", e.Budget)
+	case *zldecision.Forwarded:
+		addSubject(line.Str("event", "forwarded"), &e.Subject)
+		line.Str("reason", string(e.Reason)).Str("to", string(e.To)).Int("parts", e.Parts)
+	case *zldecision.Declined:
+		addSubject(line.Str("event", "declined"), &e.Subject)
+		line.Str("reason", string(e.Reason)).Str("by", string(e.VM))
 	case *zldecision.Dropped:
 		line.Str("event", "dropped").Str("request", string(e.Request)).Str("reason", string(e.Reason)).
 			Str("upstream", string(e.Upstream)).Int("status", e.Status)
@@ -66,6 +73,7 @@
 func addSubject(line *log.Entry, s *zldecision.Subject) {
 	line.Str("request", string(s.Request)).Str("route", s.Route).Uint64("version", s.Version).
 		Int64("replicasAgeMs", s.Age.Milliseconds()).Float64("waitedMs", ms(s.Waited)).Float64("leftMs", ms(s.Left))
+	addNonEmpty(line, "origin", string(s.Origin))
 }
 
 // ms returns d in milliseconds, rounded to 0.1 ms.
--- a/io/process/zljournal/zljournal_test.go
+++ b/io/process/zljournal/zljournal_test.go
@@ -59,6 +59,15 @@
 			Name:  "store",
 			State: "lost",
 		},
+		&zldecision.Forwarded{
+			Reason: zldecision.ReasonUplinkLost,
+			To:     "vm-2",
+			Parts:  10,
+		},
+		&zldecision.Declined{
+			Reason: zldecision.ReasonBusy,
+			VM:     "vm-2",
+		},
 		&zldecision.Dropped{
 			Request: "r-1",
 			Reason:  zldecision.ReasonForeignReply,
--- a/io/request/zlexchange/zlexchange.go
+++ b/io/request/zlexchange/zlexchange.go
@@ -64,6 +64,8 @@
 	Budget *zlreadbudget.Budget
 	// Sink receives an event for each answer that belongs to another request.
 	Sink zldecision.Sink
+	// OnConnect is called after each new connection to a replica; may be nil.
+	OnConnect func()
 	// Done ends Run.
 	Done <-chan struct{}
 
@@ -226,6 +228,9 @@
 	x.mu.Lock()
 	x.opened++
 	x.mu.Unlock()
+	if x.OnConnect != nil {
+		x.OnConnect()
+	}
 	c := &conn{
 		Conn:        raw,
 		idleTimeout: maxIdleTime,
@@ -234,6 +239,19 @@
 	return c, nil
 }
 
+// Connect opens a connection to a replica and keeps it for a later call. It reports whether
+// it could.
+func (x *Exchange) Connect(ctx context.Context, e *zlregistry.Entry) bool {
+	p := x.enterPool(e)
+	defer x.leavePool(p)
+	c, err := x.dial(ctx, e.Address)
+	if err != nil {
+		return false
+	}
+	p.release(c, time.Now(), true)
+	return true
+}
+
 // errTooLarge is returned by a read beyond the allowance or the budget.
 var errTooLarge = errors.New("zlexchange: the answer is larger than allowed")
 
--- a/io/version/zlbroadcast/zlbroadcast.go
+++ b/io/version/zlbroadcast/zlbroadcast.go
@@ -105,6 +105,8 @@
 	// Quarantine holds what the VMs tell each other of requests that crash replicas; nil
 	// if they don't.
 	Quarantine *zlquarantine.Ledger
+	// Handlers serve further requests of other VMs, by path.
+	Handlers map[string]http.Handler
 	// Done ends Run when it is closed.
 	Done <-chan struct{}
 
@@ -169,8 +171,13 @@
 // Run sends heartbeats and handles messages until Done is closed. It must be
 // called once, after Open.
 func (b *Broadcaster) Run() {
+	mux := http.NewServeMux()
+	mux.HandleFunc("/", b.serveFetch)
+	for path, h := range b.Handlers {
+		mux.Handle(path, h)
+	}
 	server := &http.Server{
-		Handler:           http.HandlerFunc(b.serveFetch),
+		Handler:           mux,
 		ReadHeaderTimeout: fetchTimeout,
 		MaxHeaderBytes:    maxHeadBytes,
 	}
