--- a/io/process/zljournal/zljournal_test.go
+++ b/io/process/zljournal/zljournal_test.go
@@ -60,13 +60,15 @@
 			State: "lost",
 		},
 		&zldecision.Forwarded{
-			Reason: zldecision.ReasonUplinkLost,
-			To:     "vm-2",
-			Parts:  10,
+			Subject: s,
+			Reason:  zldecision.ReasonUplinkLost,
+			To:      "vm-2",
+			Parts:   10,
 		},
 		&zldecision.Declined{
-			Reason: zldecision.ReasonBusy,
-			VM:     "vm-2",
+			Subject: s,
+			Reason:  zldecision.ReasonBusy,
+			VM:      "vm-2",
 		},
 		&zldecision.Dropped{
 			Request: "r-1",
