Forwards: count what may have run in full, check resets before a loss (RECOVER)

Cause: a VM that served for another one could lose its own uplink after it had used both attempts; the first VM counted one. Replies say now on how many replicas a request may have run; without a reply all that the other VM was allowed count, or one if it had not accepted the request, since it then finds the connection closed before it hedges.

Broken connections mean a loss now only if a few other replicas cannot be connected to either, and connections that are accepted and reset do not count as made.

--- a/core/process/zlpeerbalancer/zlpeerbalancer.go
+++ b/core/process/zlpeerbalancer/zlpeerbalancer.go
@@ -20,6 +20,8 @@
 	"time"
 
 	"zinnialock/core/process/zlunit"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // Costs are in units of one forward under way from this VM.
@@ -120,20 +122,31 @@
 }
 
 // Choose returns the VM with the least cost that is not passed over and not in skip, and
-// counts a forward to it, which Done must end. It returns false if there is none.
+// counts a forward to it, which Done must end. If all are passed over, it returns the one
+// that is so for the shortest time, unless another was tried already: its failure may have
+// been a single one. It returns false if there is none.
 func (b *Balancer) Choose(now time.Time, skip []zlunit.VM) (Peer, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	var best *record
+	var best, soonest *record
 	bestCost := 0.0
 	for _, r := range b.peers {
-		if now.Before(r.avoidUntil) || slices.Contains(skip, r.VM) {
+		if slices.Contains(skip, r.VM) {
+			continue
+		}
+		if now.Before(r.avoidUntil) {
+			if soonest == nil || r.avoidUntil.Before(soonest.avoidUntil) {
+				soonest = r
+			}
 			continue
 		}
 		if cost := b.cost(r, now); best == nil || cost < bestCost {
 			best, bestCost = r, cost
 		}
 	}
+	if best == nil && len(skip) == 0 {
+		best = soonest
+	}
 	if best == nil {
 		return Peer{}, false
 	}
@@ -228,6 +241,24 @@
 	return out
 }
 
+// Rank returns the place of this VM in an order of all VMs that is the same at each of them
+// and different for each key; the first has rank 0. It also returns how many others there
+// are.
+func (b *Balancer) Rank(self zlunit.VM, key string) (rank, others int) {
+	score := func(vm zlunit.VM) uint64 {
+		return xxhash.Sum64String(key + " " + string(vm))
+	}
+	own := score(self)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for vm := range b.peers {
+		if score(vm) < own {
+			rank++
+		}
+	}
+	return rank, len(b.peers)
+}
+
 func (b *Balancer) random() float64 {
 	if b.Random != nil {
 		return b.Random()
--- a/core/process/zlpeerbalancer/zlpeerbalancer_test.go
+++ b/core/process/zlpeerbalancer/zlpeerbalancer_test.go
@@ -153,6 +153,7 @@
 func TestFailedVMsArePassedOver(t *testing.T) {
 	b := newFleet(2)[0]
 	now := start
+	tried := []zlunit.VM{"another"}
 	for _, c := range []struct {
 		outcome Outcome
 		avoided time.Duration
@@ -163,15 +164,19 @@
 		{OutcomeServed, 0},
 		{OutcomeFailed, minAvoidTime},
 	} {
-		p, ok := b.Choose(now, nil)
+		p, ok := b.Choose(now, tried)
 		if !ok {
 			t.Fatalf("outcome %d: no VM chosen", c.outcome)
 		}
 		b.Done(now, p.VM, c.outcome)
 		if c.avoided > 0 {
-			if _, ok := b.Choose(now.Add(c.avoided-1), nil); ok {
+			if _, ok := b.Choose(now.Add(c.avoided-1), tried); ok {
 				t.Errorf("outcome %d: chosen before %v have passed", c.outcome, c.avoided)
 			}
+			if _, ok := b.Choose(now.Add(c.avoided-1), nil); !ok {
+				t.Errorf("outcome %d: not chosen although no other was tried", c.outcome)
+			}
+			b.Done(now, p.VM, OutcomeGivenUp)
 		}
 		now = now.Add(c.avoided)
 	}
--- a/core/process/zluplink/probe.go
+++ b/core/process/zluplink/probe.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 
 	"zinnialock/core/process/zldecision"
 	"zinnialock/core/process/zlunit"
@@ -79,15 +80,40 @@
 	go t.tryOthers()
 }
 
-// tryOthers tries to connect to a few replicas at once.
-func (t *Tracker) tryOthers() {
+// probeSeveral tries to connect to a few replicas at once and reports whether any could be.
+func (t *Tracker) probeSeveral() bool {
 	var group sync.WaitGroup
+	var succeeded atomic.Bool
 	for range connectTries {
 		group.Go(func() {
-			t.Probe()
+			if t.Probe() {
+				succeeded.Store(true)
+			}
 		})
 	}
 	group.Wait()
+	return succeeded.Load()
+}
+
+// checkBroken decides whether broken connections mean that the uplink is lost: a request that
+// crashes replicas breaks as many at once, while others can be connected to.
+func (t *Tracker) checkBroken() {
+	reached := t.probeSeveral()
+	t.mu.Lock()
+	isLost := !reached && t.state == connected && (t.isSilent(t.failed) || t.areFewSilent(t.failed))
+	if isLost {
+		t.setLost(true)
+	}
+	t.checkingBroken = false
+	t.mu.Unlock()
+	if isLost {
+		t.announceLost()
+	}
+}
+
+// tryOthers finds out whether no new connection can be made to any replica.
+func (t *Tracker) tryOthers() {
+	t.probeSeveral()
 	t.mu.Lock()
 	failed := t.connect == Unsure
 	if failed {
--- a/core/process/zluplink/zluplink.go
+++ b/core/process/zluplink/zluplink.go
@@ -115,6 +115,8 @@
 	// connections: a late answer to an earlier send does not end the loss then.
 	lostAt   time.Time
 	byBroken bool
+	// checkingBroken is set while it is found out whether broken connections mean a loss.
+	checkingBroken bool
 	// connect is whether new connections can be made, and unconnected holds the replicas to
 	// which none could be since one could to any.
 	connect     ConnectState
@@ -157,16 +159,10 @@
 		return
 	}
 	t.countFailure(id, f)
-	isLost := t.state == connected && t.isSilent(t.broken)
-	if isLost {
-		t.setLost(true)
-	} else if t.state == connected {
+	if t.state == connected {
 		t.scheduleConfirms()
 	}
 	t.mu.Unlock()
-	if isLost {
-		t.announceLost()
-	}
 }
 
 // countFailure counts a failed replica, once. The caller holds mu.
@@ -191,16 +187,24 @@
 	}
 }
 
-// scheduleConfirms decides later whether the uplink is lost, if sends are overdue. The caller
-// holds mu.
+// scheduleConfirms decides later whether the uplink is lost, if enough sends failed. The
+// caller holds mu.
 func (t *Tracker) scheduleConfirms() {
-	if t.isSilent(t.failed) && !t.confirming {
+	enough, few := t.isSilent(t.failed), t.areFewSilent(t.failed)
+	if !t.isMostlyOverdue() {
+		if (enough || few) && !t.checkingBroken && t.Probe != nil {
+			t.checkingBroken = true
+			go t.checkBroken()
+		}
+		return
+	}
+	if enough && !t.confirming {
 		t.confirming = true
 		t.Timer.AfterFunc(confirmDelay, func() {
 			t.confirm(&t.confirming, t.isSilent)
 		})
 	}
-	if t.areFewSilent(t.failed) && !t.fewConfirming {
+	if few && !t.fewConfirming {
 		t.fewConfirming = true
 		t.Timer.AfterFunc(fewFailedDelay, func() {
 			t.confirm(&t.fewConfirming, t.areFewSilent)
@@ -208,6 +212,12 @@
 	}
 }
 
+// isMostlyOverdue reports whether most failures are overdue sends rather than broken
+// connections. The caller holds mu.
+func (t *Tracker) isMostlyOverdue() bool {
+	return 2*t.broken < t.failed
+}
+
 // isSilent reports whether n failed replicas are enough for a loss. The caller holds mu.
 func (t *Tracker) isSilent(n int) bool {
 	return n >= max(min(minFailed, t.Replicas()), 1) && float64(n) >= minFailedShare*float64(len(t.sent))
@@ -223,7 +233,7 @@
 func (t *Tracker) confirm(due *bool, enough func(failed int) bool) {
 	t.mu.Lock()
 	*due = false
-	isLost := t.state == connected && enough(t.failed)
+	isLost := t.state == connected && enough(t.failed) && t.isMostlyOverdue()
 	if isLost {
 		t.setLost(false)
 	}
--- a/core/process/zluplink/zluplink_test.go
+++ b/core/process/zluplink/zluplink_test.go
@@ -77,6 +77,7 @@
 		{"all parts are late", 10, 10, FailureOverdue, confirmDelay / 2, true, false},
 		{"some parts are late", 10, 4, FailureOverdue, time.Second, false, false},
 		{"all connections are reset", 10, 10, FailureBroken, 0, false, true},
+		{"a request crashes a replica of each shard", 10, 10, FailureBroken, time.Second, true, false},
 		{"replicas of some shards end", 42, 9, FailureBroken, time.Second, false, false},
 		{"no connection can be made", 10, 10, FailureUnconnected, 0, false, true},
 		{"the only two sends hang", 2, 2, FailureOverdue, 2 * fewFailedDelay, false, true},
@@ -86,10 +87,14 @@
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				u := newUplink()
+				u.reachable.Store(c.answered && c.failure == FailureBroken)
 				time.Sleep(time.Second)
 				at := u.send(c.sends)
 				u.fail(c.failed, at, c.failure)
 				time.Sleep(c.wait)
+				if c.answered && u.IsLost() {
+					t.Fatal("lost before the answer")
+				}
 				if c.answered {
 					u.Answered(at)
 				}
--- a/core/request/zlrelay/answer.go
+++ b/core/request/zlrelay/answer.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"zinnialock/core/process/zldecision"
-	"zinnialock/core/process/zlquarantine"
 	"zinnialock/core/process/zlunit"
 	"zinnialock/core/version/zlregistry"
 	"zinnialock/core/version/zltable"
@@ -308,10 +307,24 @@
 	return &Failed{
 		Reason:     reason,
 		TimedOut:   timedOut,
+		Runs:       x.mostRuns(),
 		RetryAfter: x.relay.retryAfter(x.req),
 	}
 }
 
+// mostRuns returns on how many replicas a part may have run here, at least 1.
+func (x *run) mostRuns() int {
+	most := 1
+	for i := range x.parts {
+		n := x.parts[i].mayHaveRun
+		if x.forwarded != nil {
+			n -= x.forwarded.Parts[i].MayHaveRun
+		}
+		most = max(most, n)
+	}
+	return most
+}
+
 // refuse refuses a request that did not run; s is the service without capacity or
 // replicas, or empty.
 func (r *Relay) refuse(v *zlregistry.View, req *Request, route *zltable.Route, reason zldecision.Reason, s zlunit.Service) Answer {
--- a/core/request/zlrelay/forward.go
+++ b/core/request/zlrelay/forward.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -145,17 +146,21 @@
 	return false
 }
 
-// stillTrying reports whether this request tries the uplink and no send of it is overdue.
+// stillTrying reports whether this request tries the uplink and no send of it has failed or is
+// overdue.
 func (x *run) stillTrying() bool {
 	if !x.forward.trying {
 		return false
 	}
 	for i := range x.parts {
-		for _, a := range x.parts[i].inFlight {
-			if a.overdue {
-				x.endTry()
-				return false
-			}
+		p := &x.parts[i]
+		failed := p.sends > 0 && len(p.inFlight) == 0 && p.response == nil && !p.heard
+		overdue := slices.ContainsFunc(p.inFlight, func(a *attempt) bool {
+			return a.overdue
+		})
+		if failed || overdue {
+			x.endTry()
+			return false
 		}
 	}
 	return true
@@ -237,6 +242,8 @@
 		Version:  x.relay.forwardVersion(x.view),
 		MinParts: max(needed, 1),
 		Counted:  x.counted,
+
+		Suspected: x.crash.suspected,
 	}
 	for _, fp := range parts {
 		f.Parts = append(f.Parts, fp.part.beginForward())
@@ -327,11 +334,26 @@
 		return
 	}
 	a.cancel()
-	x.endForward(now, a, zlpeerbalancer.OutcomeFailed, zldecision.ReasonSilent, !abandoned)
+	runs := 0
+	if !abandoned {
+		runs = x.runsWithoutReply(a)
+	}
+	x.endForward(now, a, zlpeerbalancer.OutcomeFailed, zldecision.ReasonSilent, runs)
 }
 
-// endForward takes back the parts of a forward that another VM did not serve.
-func (x *run) endForward(now time.Time, a *forwardAttempt, outcome zlpeerbalancer.Outcome, reason zldecision.Reason, mayHaveRun bool) {
+// runsWithoutReply returns on how many replicas of each part a forward without a reply may
+// have run. A VM that has not accepted it finds the connection closed before it sends more
+// than once; one that has may have used all attempts.
+func (x *run) runsWithoutReply(a *forwardAttempt) int {
+	if a.aliveAt.Load() == 0 {
+		return 1
+	}
+	return max(x.route.Attempts, 1)
+}
+
+// endForward takes back the parts of a forward that another VM did not serve; each may have
+// run on so many replicas.
+func (x *run) endForward(now time.Time, a *forwardAttempt, outcome zlpeerbalancer.Outcome, reason zldecision.Reason, runs int) {
 	x.forward.current = nil
 	x.forward.tried = append(x.forward.tried, a.peer.VM)
 	x.relay.Peers.Done(now, a.peer.VM, outcome)
@@ -339,10 +361,8 @@
 		p := fp.part
 		p.forwarded = false
 		p.nextPlacement = time.Time{}
-		if mayHaveRun {
-			p.arrivals++
-			p.mayHaveRun++
-		}
+		p.arrivals += runs
+		p.mayHaveRun += runs
 		if p.response == nil {
 			p.lostReason = fp.lostReason
 		}
--- a/core/request/zlrelay/forward_message.go
+++ b/core/request/zlrelay/forward_message.go
@@ -24,6 +24,8 @@
 	MinParts int
 	// Counted is set if the origin has counted the request for the limit on second sends.
 	Counted bool
+	// Suspected is set if the request may crash replicas, so that it goes to one at a time.
+	Suspected bool
 }
 
 // ForwardPart is one part of a Forward.
--- a/core/request/zlrelay/forward_result.go
+++ b/core/request/zlrelay/forward_result.go
@@ -16,9 +16,13 @@
 	switch rep := res.reply.(type) {
 	case *Declined:
 		x.relay.Peers.Recommend(now, rep.Serving)
-		x.endForward(now, a, outcomeOfDecline(rep.Reason), rep.Reason, false)
+		x.endForward(now, a, outcomeOfDecline(rep.Reason), rep.Reason, 0)
 	case *NoReply:
-		x.endForward(now, a, zlpeerbalancer.OutcomeFailed, zldecision.ReasonPeerUnreached, rep.MayHaveRun)
+		runs := 0
+		if rep.MayHaveRun {
+			runs = x.runsWithoutReply(a)
+		}
+		x.endForward(now, a, zlpeerbalancer.OutcomeFailed, zldecision.ReasonPeerUnreached, runs)
 	case *Relayed:
 		x.relay.noteForwardVersion(rep.Version)
 		x.handleRelayed(now, a, rep.Answer)
@@ -37,12 +41,12 @@
 	switch w := answer.(type) {
 	case *Refused:
 		if w.Reason == zldecision.ReasonNoRoom {
-			x.endForward(now, a, zlpeerbalancer.OutcomeBusy, w.Reason, false)
+			x.endForward(now, a, zlpeerbalancer.OutcomeBusy, w.Reason, 0)
 			return
 		}
 	case *Failed:
 		if w.Reason == zldecision.ReasonUplinkLost {
-			x.endForward(now, a, zlpeerbalancer.OutcomeUnable, w.Reason, true)
+			x.endForward(now, a, zlpeerbalancer.OutcomeUnable, w.Reason, w.Runs)
 			return
 		}
 	default:
@@ -117,8 +121,8 @@
 // takeFailed ends the request as the other VM does, unless other parts may still suffice.
 func (x *run) takeFailed(a *forwardAttempt, w *Failed) {
 	for _, fp := range a.parts {
-		fp.part.arrivals++
-		fp.part.mayHaveRun++
+		fp.part.arrivals += w.Runs
+		fp.part.mayHaveRun += w.Runs
 	}
 	x.loseForwarded(a, w.Reason)
 	if w.TimedOut && x.answeredParts() == 0 {
--- a/core/request/zlrelay/forward_serve.go
+++ b/core/request/zlrelay/forward_serve.go
@@ -44,6 +44,7 @@
 	x := r.newRun(ctx, view, route, f.Request)
 	x.forwarded = f
 	x.counted = f.Counted
+	x.crash.suspected = f.Suspected
 	services := make([]zlunit.Service, 0, len(f.Parts))
 	for _, p := range f.Parts {
 		services = append(services, p.Service)
--- a/core/request/zlrelay/message.go
+++ b/core/request/zlrelay/message.go
@@ -189,6 +189,8 @@
 	Reason zldecision.Reason
 	// TimedOut is set if the request reached its deadline.
 	TimedOut bool
+	// Runs is on how many replicas a part of it may have run, at least 1.
+	Runs int
 	// RetryAfter is how long the caller should wait before it retries.
 	RetryAfter time.Duration
 }
--- a/io/request/zlexchange/zlexchange.go
+++ b/io/request/zlexchange/zlexchange.go
@@ -64,7 +64,8 @@
 	Budget *zlreadbudget.Budget
 	// Sink receives an event for each answer that belongs to another request.
 	Sink zldecision.Sink
-	// OnConnect is called after each new connection to a replica; may be nil.
+	// OnConnect is called after each new connection to a replica that could be used; may be
+	// nil.
 	OnConnect func()
 	// Done ends Run.
 	Done <-chan struct{}
@@ -228,9 +229,6 @@
 	x.mu.Lock()
 	x.opened++
 	x.mu.Unlock()
-	if x.OnConnect != nil {
-		x.OnConnect()
-	}
 	c := &conn{
 		Conn:        raw,
 		idleTimeout: maxIdleTime,
@@ -239,6 +237,10 @@
 	return c, nil
 }
 
+// settleTime is how long a connection that Connect opens must last: a replica that takes no
+// more, or a network that resets connections, may accept it first.
+const settleTime = 5 * time.Millisecond
+
 // Connect opens a connection to a replica and keeps it for a later call. It reports whether
 // it could.
 func (x *Exchange) Connect(ctx context.Context, e *zlregistry.Entry) bool {
@@ -248,10 +250,22 @@
 	if err != nil {
 		return false
 	}
+	time.Sleep(settleTime)
+	if !c.nothingReceived() {
+		_ = c.Close()
+		return false
+	}
+	x.noteConnected()
 	p.release(c, time.Now(), true)
 	return true
 }
 
+func (x *Exchange) noteConnected() {
+	if x.OnConnect != nil {
+		x.OnConnect()
+	}
+}
+
 // errTooLarge is returned by a read beyond the allowance or the budget.
 var errTooLarge = errors.New("zlexchange: the answer is larger than allowed")
 
@@ -294,6 +308,9 @@
 		_ = conn.SetDeadline(time.Unix(1, 0))
 	})
 	reply, reusable := x.exchange(conn, e, c)
+	if _, answered := reply.(*zlrelay.Response); answered && conn.used == 1 {
+		x.noteConnected()
+	}
 	if stop() && reusable {
 		p.release(conn, time.Now(), c.ShortIdle)
 	} else {
--- a/io/request/zlforward/handler.go
+++ b/io/request/zlforward/handler.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"runtime"
 	"sync"
 	"time"
 
@@ -58,6 +59,12 @@
 	if controller.SetReadDeadline(time.Time{}) != nil || controller.Flush() != nil {
 		return
 	}
+	// The server notices in another goroutine that the other VM has given up: a request
+	// that was read late must not be run as well.
+	runtime.Gosched()
+	if r.Context().Err() != nil {
+		return
+	}
 	stop := keepAlive(w, controller)
 	reply := h.Relay.ServeForward(r.Context(), f)
 	stop()
--- a/io/request/zlforward/message.go
+++ b/io/request/zlforward/message.go
@@ -31,6 +31,8 @@
 	Parts    []part          `cbor:"13,keyasint"`
 	MinParts int             `cbor:"14,keyasint"`
 	Counted  bool            `cbor:"15,keyasint,omitempty"`
+	// Suspected is as in zlrelay.Forward.
+	Suspected bool `cbor:"16,keyasint,omitempty"`
 }
 
 type part struct {
@@ -78,6 +80,7 @@
 type failed struct {
 	Reason   zldecision.Reason `cbor:"1,keyasint"`
 	TimedOut bool              `cbor:"2,keyasint,omitempty"`
+	Runs     int               `cbor:"3,keyasint"`
 }
 
 const (
@@ -119,6 +122,8 @@
 		Version:  f.Version,
 		MinParts: f.MinParts,
 		Counted:  f.Counted,
+
+		Suspected: f.Suspected,
 	}
 	if !f.Request.Deadline.IsZero() {
 		w.Left = max(f.Request.Deadline.Sub(now), 1)
@@ -163,6 +168,8 @@
 		Version:  r.Version,
 		MinParts: r.MinParts,
 		Counted:  r.Counted,
+
+		Suspected: r.Suspected,
 	}
 	if r.Left > 0 {
 		f.Request.Deadline = now.Add(r.Left - zlrelay.ForwardTransit)
@@ -222,6 +229,7 @@
 		w.Failed = &failed{
 			Reason:   a.Reason,
 			TimedOut: a.TimedOut,
+			Runs:     a.Runs,
 		}
 	}
 }
@@ -288,6 +296,7 @@
 		return &zlrelay.Failed{
 			Reason:   w.Failed.Reason,
 			TimedOut: w.Failed.TimedOut,
+			Runs:     max(w.Failed.Runs, 1),
 		}
 	default:
 		return nil
