Crashes count by evidence, and a quarantine ends by proof

Callers of all VMs got 503 for a sound, popular request for good once one VM's connections to the replicas had been reset: a broken connection was taken for a crash of the replica, three rounds fit into a few milliseconds of one VM's sends, and each refused attempt renewed the ten minutes. Class: evidence of one observer, taken for a fact about what it observed.

A broken connection counts as a crash now once another VM found the replica gone (it cannot be connected to while others can) or the registry shows its next start or its end; a VM that connects to it disproves the crash, also after it counted. A VM whose uplink is lost says nothing. Answers weigh also before anything is known: a VM that was answered within 5 to 10 s clears the request. A quarantine lasts 30 s, 5, 50 and 60 minutes, is not lengthened by refused attempts, and ends by one trial in the fleet: an answer lifts it everywhere.

--- /dev/null
+++ b/core/process/zlquarantine/evidence.go
@@ -0,0 +1,257 @@
+package zlquarantine
+
+import (
+	"slices"
+	"time"
+
+	"zinnialock/core/process/zlunit"
+)
+
+const (
+	// pendingTime is how long a crash waits for its confirmation: until a replica that
+	// ended is out of the registry, or listed with its next start.
+	pendingTime = 8 * time.Second
+	// answeredTime is how long an answer to a request weighs against crashes of it.
+	answeredTime = 5 * time.Second
+	// maxAnswered bounds the requests that are remembered as answered, in each of two
+	// generations.
+	maxAnswered = 4096
+	// maxTrials bounds the trials that are counted.
+	maxTrials = 16
+)
+
+// crashNews is what a crash adds to what is known.
+type crashNews int
+
+const (
+	crashKnown crashNews = iota
+	crashNew
+	// crashOfAnswered: the request was answered lately, so that it does not crash
+	// replicas.
+	crashOfAnswered
+)
+
+// RecordCrash notes that a connection to a replica broke while it had the request, and tells
+// the other VMs. It counts as a crash once it is confirmed.
+func (l *Ledger) RecordCrash(c *Crash) {
+	if l.addPending(c, true) != crashNew {
+		return
+	}
+	l.report(&Report{
+		Crashes: []Crash{*c},
+	})
+	l.verify(*c, true)
+}
+
+// verify has a crash verified, or counts it if there is no way to.
+func (l *Ledger) verify(c Crash, own bool) {
+	if l.Verify != nil {
+		l.Verify(c, own)
+		return
+	}
+	l.confirm(Replica{
+		Upstream:    c.Upstream,
+		Incarnation: c.Incarnation,
+	})
+}
+
+// ReportEnded notes that this VM found that a replica ended, and tells the others.
+func (l *Ledger) ReportEnded(x Replica) {
+	if l.confirm(x) {
+		l.report(&Report{
+			Ended: []Replica{x},
+		})
+	}
+}
+
+// ReportAlive notes that this VM found that a replica lives, and tells the others.
+func (l *Ledger) ReportAlive(x Replica) {
+	if l.disprove(x) {
+		l.report(&Report{
+			Alive: []Replica{x},
+		})
+	}
+}
+
+// Unconfirmed returns the crashes that are not confirmed yet.
+func (l *Ledger) Unconfirmed() []Crash {
+	if !l.active.Load() {
+		return nil
+	}
+	now := l.Timer.Now()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var list []Crash
+	for _, r := range l.requests {
+		if now.Before(r.lastPending.Add(pendingTime)) {
+			list = append(list, r.pending...)
+		}
+	}
+	return list
+}
+
+// addPending adds a crash that is not confirmed.
+func (l *Ledger) addPending(c *Crash, own bool) crashNews {
+	now := l.Timer.Now()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.answered.has(c.Fingerprint, now) {
+		if own {
+			return crashKnown
+		}
+		return crashOfAnswered
+	}
+	r := l.recordFor(c.Fingerprint, now)
+	r.forgetOld(now)
+	if now.Before(r.clearedAt.Add(clearedTime)) || slices.Contains(r.pending, *c) || slices.Contains(r.crashes, *c) {
+		return crashKnown
+	}
+	if countRound(r.pending, c.Round)+countRound(r.crashes, c.Round) >= minCrashes {
+		return crashKnown
+	}
+	r.pending = appendBounded(r.pending, *c)
+	r.lastPending = now
+	return crashNew
+}
+
+// forgetOld drops crashes that do not count any more.
+func (r *record) forgetOld(now time.Time) {
+	if now.After(r.lastCrash.Add(suspicionTime)) && r.quarantinedUntil.IsZero() {
+		r.crashes = nil
+	}
+	if now.After(r.lastPending.Add(pendingTime)) {
+		r.pending = nil
+	}
+}
+
+// appendBounded appends a crash, in place of the oldest if there are maxCrashesKept.
+func appendBounded(list []Crash, c Crash) []Crash {
+	if len(list) >= maxCrashesKept {
+		list = list[1:]
+	}
+	return append(list, c)
+}
+
+// isOf reports whether the crash is one of the replica.
+func (c *Crash) isOf(x Replica) bool {
+	return c.Upstream == x.Upstream && c.Incarnation == x.Incarnation
+}
+
+// confirm counts the crashes at a replica that ended, and reports whether there were any.
+func (l *Ledger) confirm(x Replica) bool {
+	if !l.active.Load() {
+		return false
+	}
+	now := l.Timer.Now()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	found := false
+	for f, r := range l.requests {
+		for _, c := range r.pending {
+			if c.isOf(x) {
+				found = true
+				l.count(f, r, c, now)
+			}
+		}
+		r.pending = slices.DeleteFunc(r.pending, func(c Crash) bool {
+			return c.isOf(x)
+		})
+	}
+	return found
+}
+
+// count counts a confirmed crash. The caller holds mu.
+func (l *Ledger) count(f zlunit.Fingerprint, r *record, c Crash, now time.Time) {
+	r.crashes = appendBounded(r.crashes, c)
+	r.lastCrash = now
+	switch {
+	case !r.mustQuarantine():
+	case r.quarantinedUntil.IsZero():
+		l.start(f, r, now, now.Add(firstDuration))
+	case !r.trialAt.IsZero():
+		r.trialAt = time.Time{}
+		r.trials = min(r.trials+1, maxTrials)
+		l.start(f, r, now, now.Add(r.duration()))
+	}
+}
+
+// duration returns the length of the next quarantine.
+func (r *record) duration() time.Duration {
+	d := firstDuration
+	for range r.trials {
+		d = min(d*durationFactor, maxDuration)
+	}
+	return d
+}
+
+// disprove drops the crashes at a replica that lives, and the quarantines that followed
+// from them. It reports whether there were any.
+func (l *Ledger) disprove(x Replica) bool {
+	if !l.active.Load() {
+		return false
+	}
+	now := l.Timer.Now()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	found := false
+	isOf := func(c Crash) bool {
+		return c.isOf(x)
+	}
+	for f, r := range l.requests {
+		n := len(r.pending) + len(r.crashes)
+		r.pending = slices.DeleteFunc(r.pending, isOf)
+		r.crashes = slices.DeleteFunc(r.crashes, isOf)
+		if len(r.pending)+len(r.crashes) == n {
+			continue
+		}
+		found = true
+		if r.trials == 0 && !r.quarantinedUntil.IsZero() && !r.hasEnoughCrashes() {
+			r.quarantinedUntil = time.Time{}
+			l.noteIf(now, f, r)
+		}
+	}
+	return found
+}
+
+// noteIf records that a quarantine was lifted. The caller holds mu.
+func (l *Ledger) noteIf(now time.Time, f zlunit.Fingerprint, r *record) {
+	if r.verdict(now) != Quarantined {
+		l.note(f, "disproved")
+	}
+}
+
+// recentSet holds the requests of the last answeredTime to twice that.
+type recentSet struct {
+	current, previous map[zlunit.Fingerprint]struct{}
+	// since is when current began.
+	since time.Time
+}
+
+func (s *recentSet) add(f zlunit.Fingerprint, now time.Time) {
+	s.turn(now)
+	if s.current == nil || len(s.current) >= maxAnswered {
+		s.previous = s.current
+		s.current = map[zlunit.Fingerprint]struct{}{}
+		s.since = now
+	}
+	s.current[f] = struct{}{}
+}
+
+func (s *recentSet) has(f zlunit.Fingerprint, now time.Time) bool {
+	s.turn(now)
+	_, inCurrent := s.current[f]
+	_, inPrevious := s.previous[f]
+	return inCurrent || inPrevious
+}
+
+// turn drops what is too old.
+func (s *recentSet) turn(now time.Time) {
+	switch age := now.Sub(s.since); {
+	case age >= 2*answeredTime:
+		s.current, s.previous = nil, nil
+		s.since = now
+	case age >= answeredTime:
+		s.current, s.previous = nil, s.current
+		s.since = now
+	}
+}
--- a/core/process/zlquarantine/zlquarantine.go
+++ b/core/process/zlquarantine/zlquarantine.go
@@ -5,8 +5,10 @@
 // Load pattern: one request ends a replica, or one of each shard, whenever it is sent;
 // every other request under way there has to be sent again, and once all replicas of a
 // service are down nothing is served. Requests that were only under way at the same
-// replica look alike at first. What tells them apart is that theirs are answered
-// when they are sent again.
+// replica look alike at first, and so do requests of a VM whose connections are reset by
+// the network. What tells them apart is that theirs are answered when they are sent
+// again, or were a moment before, and that the replica lives on: a broken connection
+// counts once another VM has found that the replica ended (see evidence.go).
 package zlquarantine
 
 import (
@@ -19,6 +21,8 @@
 	"zinnialock/core/process/zldecision"
 	"zinnialock/core/process/zltimer"
 	"zinnialock/core/process/zlunit"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 const (
@@ -35,11 +39,18 @@
 	maxRequests = 1024
 	// maxListed bounds the list of Quarantined, so that it fits a datagram.
 	maxListed = 24
+	// firstDuration is how long a request stays in quarantine until it is tried again,
+	// which takes durationFactor times longer after each crash by a trial, up to
+	// maxDuration: no more than three trials reach replicas within half an hour.
+	firstDuration  = 30 * time.Second
+	durationFactor = 10
+	maxDuration    = time.Hour
+	// trialSpread is the time over which the VMs begin a trial, so that the others hear
+	// of the first one, and trialTime how long they wait for its end.
+	trialSpread = 5 * time.Second
+	trialTime   = 2 * time.Second
 )
 
-// Duration is how long after its last attempt a request stays in quarantine.
-const Duration = 10 * time.Minute
-
 // Verdict is what may be done with a request.
 type Verdict int
 
@@ -51,6 +62,9 @@
 	Suspected
 	// Quarantined: the request may not be sent.
 	Quarantined
+	// Trial: the quarantine is over, and this attempt finds out whether the request still
+	// crashes replicas; it may go to one at a time.
+	Trial
 )
 
 // Round identifies the sends of a caller's attempt that were made before the first of
@@ -69,13 +83,25 @@
 type Entry struct {
 	Fingerprint zlunit.Fingerprint `cbor:"1,keyasint"`
 	Left        time.Duration      `cbor:"2,keyasint"`
+	// Trials counts the trials that crashed a replica.
+	Trials int `cbor:"3,keyasint,omitempty"`
 }
 
 // Report is what a VM tells the others.
 type Report struct {
+	// Crashes are broken connections that may be crashes. They count once the replica is
+	// among Ended, and do not if it is among Alive.
 	Crashes     []Crash              `cbor:"1,keyasint,omitempty"`
 	Cleared     []zlunit.Fingerprint `cbor:"2,keyasint,omitempty"`
 	Quarantined []Entry              `cbor:"3,keyasint,omitempty"`
+	Ended       []Replica            `cbor:"4,keyasint,omitempty"`
+	Alive       []Replica            `cbor:"5,keyasint,omitempty"`
+}
+
+// Replica is one incarnation of a replica.
+type Replica struct {
+	Upstream    zlunit.Upstream `cbor:"1,keyasint"`
+	Incarnation int64           `cbor:"2,keyasint"`
 }
 
 // Ledger holds what is known against requests. Exported fields must be set before use; the
@@ -87,21 +113,37 @@
 	// OnReport is called with what the other VMs should know at once; it must not block.
 	// It may be nil.
 	OnReport func(*Report)
+	// Verify is called for each crash that is not confirmed yet; own is set if this VM
+	// saw it. It leads to ReportEnded or ReportAlive, or to nothing if it cannot be found
+	// out, and must not block. If it is nil, crashes count at once.
+	Verify func(c Crash, own bool)
+	// Self spreads the trials of the VMs.
+	Self zlunit.VM
 
 	// active is set once anything is known against any request.
 	active atomic.Bool
 
 	mu       sync.Mutex
 	requests map[zlunit.Fingerprint]*record
+	// answered holds the requests that were answered lately.
+	answered recentSet
 }
 
 // record is what is known of one request.
 type record struct {
+	// crashes are confirmed, pending are not.
 	crashes []Crash
-	// lastCrash is when the last crash became known.
-	lastCrash time.Time
+	pending []Crash
+	// lastCrash is when the last crash became known, and lastPending when the last of
+	// pending did.
+	lastCrash   time.Time
+	lastPending time.Time
 	// quarantinedUntil is the end of the quarantine; zero if there is none.
 	quarantinedUntil time.Time
+	// trials counts the trials that crashed a replica, and trialAt is when the last one
+	// began, zero if its outcome is known.
+	trials  int
+	trialAt time.Time
 	// clearedAt is when the request was found to be answered.
 	clearedAt time.Time
 }
@@ -109,12 +151,16 @@
 // end returns when the record is no longer needed.
 func (r *record) end() time.Time {
 	end := r.lastCrash.Add(suspicionTime)
-	if r.quarantinedUntil.After(end) {
-		end = r.quarantinedUntil
+	if !r.quarantinedUntil.IsZero() {
+		// The next crash follows from this quarantine.
+		end = r.quarantinedUntil.Add(maxDuration)
 	}
 	if at := r.clearedAt.Add(clearedTime); at.After(end) {
 		end = at
 	}
+	if at := r.lastPending.Add(pendingTime); at.After(end) {
+		end = at
+	}
 	return end
 }
 
@@ -122,17 +168,18 @@
 	switch {
 	case now.Before(r.quarantinedUntil):
 		return Quarantined
-	case !r.quarantinedUntil.IsZero(), len(r.crashes) > 0 && now.Before(r.lastCrash.Add(suspicionTime)):
+	case !r.quarantinedUntil.IsZero(), len(r.crashes) > 0 && now.Before(r.lastCrash.Add(suspicionTime)),
+		len(r.pending) > 0 && now.Before(r.lastPending.Add(pendingTime)):
 		return Suspected
 	default:
 		return Unsuspected
 	}
 }
 
-// countRound returns how many crashes of a round are known.
-func (r *record) countRound(round Round) int {
+// countRound returns how many crashes of a round are among list.
+func countRound(list []Crash, round Round) int {
 	n := 0
-	for _, s := range r.crashes {
+	for _, s := range list {
 		if s.Round == round {
 			n++
 		}
@@ -143,9 +190,11 @@
 // mustQuarantine reports whether the crashes are enough for a quarantine; after an earlier one
 // a single crash is.
 func (r *record) mustQuarantine() bool {
-	if !r.quarantinedUntil.IsZero() {
-		return true
-	}
+	return !r.quarantinedUntil.IsZero() || r.hasEnoughCrashes()
+}
+
+// hasEnoughCrashes reports whether there are minCrashes rounds and replicas.
+func (r *record) hasEnoughCrashes() bool {
 	var rounds []Round
 	type replica struct {
 		id          zlunit.Upstream
@@ -187,42 +236,101 @@
 	return r.verdict(now)
 }
 
-// Refuse notes an attempt of a request in quarantine, which lasts Duration from then.
-func (l *Ledger) Refuse(f zlunit.Fingerprint) {
+// Begin returns what may be done with a request that a caller sends. After a quarantine the
+// first one is a trial, while the VMs refuse the others.
+func (l *Ledger) Begin(f zlunit.Fingerprint) Verdict {
+	if !l.active.Load() {
+		return Unsuspected
+	}
+	now := l.Timer.Now()
+	l.mu.Lock()
+	r, ok := l.requests[f]
+	if !ok || r.quarantinedUntil.IsZero() {
+		l.mu.Unlock()
+		return l.Verdict(f)
+	}
+	if now.Before(r.quarantinedUntil.Add(l.trialDelay(f))) {
+		l.mu.Unlock()
+		return Quarantined
+	}
+	r.quarantinedUntil = now.Add(trialTime)
+	e := Entry{
+		Fingerprint: f,
+		Left:        trialTime,
+		Trials:      r.trials,
+	}
+	r.trialAt = now
+	l.note(f, "trial")
+	l.mu.Unlock()
+	l.report(&Report{
+		Quarantined: []Entry{e},
+	})
+	return Trial
+}
+
+// trialDelay returns how long after the end of a quarantine this VM begins a trial.
+func (l *Ledger) trialDelay(f zlunit.Fingerprint) time.Duration {
+	h := xxhash.Sum64String(string(l.Self) + " " + f.String())
+	return time.Duration(h % uint64(trialSpread))
+}
+
+// Left returns how long a request stays in quarantine; 0 if it is not.
+func (l *Ledger) Left(f zlunit.Fingerprint) time.Duration {
 	now := l.Timer.Now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if r, ok := l.requests[f]; ok && r.verdict(now) == Quarantined {
-		r.quarantinedUntil = now.Add(Duration)
+	r, ok := l.requests[f]
+	if !ok {
+		return 0
 	}
+	return max(r.quarantinedUntil.Sub(now), 0)
 }
 
-// RecordCrash notes that a replica ended while it had the request, and tells the other VMs.
-func (l *Ledger) RecordCrash(s *Crash) {
-	if l.addCrash(s) && l.OnReport != nil {
-		l.OnReport(&Report{
-			Crashes: []Crash{*s},
-		})
+// Lift ends what is known against a request, on an operator's order, and tells the other
+// VMs. It reports whether there was anything.
+func (l *Ledger) Lift(f zlunit.Fingerprint) bool {
+	if !l.clearRecord(f) {
+		return false
+	}
+	l.report(&Report{
+		Cleared: []zlunit.Fingerprint{f},
+	})
+	return true
+}
+
+func (l *Ledger) report(r *Report) {
+	if l.OnReport != nil {
+		l.OnReport(r)
 	}
 }
 
 // Clear notes that a replica answered the request, and tells the other VMs if anything was
 // known against it.
 func (l *Ledger) Clear(f zlunit.Fingerprint) {
-	if l.clearRecord(f) && l.OnReport != nil {
-		l.OnReport(&Report{
+	now := l.Timer.Now()
+	l.mu.Lock()
+	l.answered.add(f, now)
+	l.mu.Unlock()
+	if l.clearRecord(f) {
+		l.report(&Report{
 			Cleared: []zlunit.Fingerprint{f},
 		})
 	}
 }
 
-// Apply takes in the report of another VM. It returns what of the crashes and cleared
-// requests was not known, or nil.
+// Apply takes in the report of another VM. It returns what of it was not known, or nil.
 func (l *Ledger) Apply(report *Report) *Report {
 	news := &Report{}
-	for _, s := range report.Crashes {
-		if l.addCrash(&s) {
-			news.Crashes = append(news.Crashes, s)
+	for _, c := range report.Crashes {
+		switch l.addPending(&c, false) {
+		case crashNew:
+			news.Crashes = append(news.Crashes, c)
+			l.verify(c, false)
+		case crashOfAnswered:
+			l.report(&Report{
+				Cleared: []zlunit.Fingerprint{c.Fingerprint},
+			})
+		case crashKnown:
 		}
 	}
 	for _, f := range report.Cleared {
@@ -230,10 +338,20 @@
 			news.Cleared = append(news.Cleared, f)
 		}
 	}
+	for _, x := range report.Ended {
+		if l.confirm(x) {
+			news.Ended = append(news.Ended, x)
+		}
+	}
+	for _, x := range report.Alive {
+		if l.disprove(x) {
+			news.Alive = append(news.Alive, x)
+		}
+	}
 	for _, q := range report.Quarantined {
 		l.quarantine(q)
 	}
-	if len(news.Crashes) == 0 && len(news.Cleared) == 0 {
+	if len(news.Crashes)+len(news.Cleared)+len(news.Ended)+len(news.Alive) == 0 {
 		return nil
 	}
 	return news
@@ -254,6 +372,7 @@
 			list = append(list, Entry{
 				Fingerprint: f,
 				Left:        r.quarantinedUntil.Sub(now),
+				Trials:      r.trials,
 			})
 		}
 	}
@@ -263,40 +382,25 @@
 	return list[:min(len(list), maxListed)]
 }
 
-// addCrash adds a crash and reports whether it is new and counts.
-func (l *Ledger) addCrash(s *Crash) bool {
-	now := l.Timer.Now()
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	r := l.recordFor(s.Fingerprint, now)
-	if now.After(r.lastCrash.Add(suspicionTime)) && r.quarantinedUntil.IsZero() {
-		r.crashes = nil
-	}
-	if now.Before(r.clearedAt.Add(clearedTime)) || slices.Contains(r.crashes, *s) || r.countRound(s.Round) >= minCrashes {
-		return false
-	}
-	if len(r.crashes) >= maxCrashesKept {
-		r.crashes = r.crashes[1:]
-	}
-	r.crashes = append(r.crashes, *s)
-	r.lastCrash = now
-	if r.mustQuarantine() {
-		l.start(s.Fingerprint, r, now, now.Add(Duration))
-	}
-	return true
-}
-
-// quarantine takes in a request that another VM has in quarantine.
+// quarantine takes in a request that another VM has in quarantine. One that follows from a
+// later trial goes before.
 func (l *Ledger) quarantine(q Entry) {
 	now := l.Timer.Now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if l.answered.has(q.Fingerprint, now) {
+		return
+	}
 	r := l.recordFor(q.Fingerprint, now)
 	if now.Before(r.clearedAt.Add(clearedTime)) {
 		return
 	}
-	until := now.Add(min(q.Left, Duration))
-	if until.After(r.quarantinedUntil) {
+	until := now.Add(min(q.Left, maxDuration))
+	if q.Left <= trialTime && q.Trials == r.trials {
+		r.trialAt = now
+	}
+	if q.Trials > r.trials || until.After(r.quarantinedUntil) {
+		r.trials = max(r.trials, min(q.Trials, maxTrials))
 		l.start(q.Fingerprint, r, now, until)
 	}
 }
--- a/core/request/zlcoordinator/crash.go
+++ b/core/request/zlcoordinator/crash.go
@@ -23,6 +23,8 @@
 	suspected  bool
 	canarySent bool
 	canary     int
+	// trial is set if the query is the trial of zlquarantine.Trial.
+	trial bool
 	// answered is set once an upstream answered the query, so that it does not crash them.
 	answered bool
 }
@@ -38,6 +40,14 @@
 	return zlunit.Fingerprint(d.Sum64())
 }
 
+// begin returns what may be done with a query at its start.
+func (c *Coordinator) begin(req *zlquery.Request) zlquarantine.Verdict {
+	if c.Quarantine == nil || !c.Quarantine.Active() {
+		return zlquarantine.Unsuspected
+	}
+	return c.Quarantine.Begin(fingerprintOf(req))
+}
+
 // verdict returns what may be done with a query.
 func (c *Coordinator) verdict(req *zlquery.Request) zlquarantine.Verdict {
 	if c.Quarantine == nil || !c.Quarantine.Active() {
@@ -51,7 +61,7 @@
 // way, and the shard waits.
 func (r *queryRun) holdSuspected(shard zlunit.Shard, reason zlquery.Reason, now time.Time) bool {
 	c := &r.crash
-	if !c.answered {
+	if !c.answered && !c.trial {
 		switch r.coordinator.verdict(r.req) {
 		case zlquarantine.Quarantined:
 			r.giveUpShard(shard, zlquery.ReasonQuarantined)
@@ -85,9 +95,7 @@
 			r.crash.suspected = false
 			r.resumeShards(now)
 		}
-		if l.Active() {
-			l.Clear(fingerprintOf(r.req))
-		}
+		l.Clear(fingerprintOf(r.req))
 	case zlquery.Unknown:
 		if result.Reason != zlquery.ReasonConnectionReset {
 			return
--- a/core/request/zlcoordinator/zlcoordinator.go
+++ b/core/request/zlcoordinator/zlcoordinator.go
@@ -130,8 +130,8 @@
 	if !now.Before(req.Deadline) {
 		return c.refuse(req, now, zlquery.ReasonDeadline)
 	}
-	if c.verdict(req) == zlquarantine.Quarantined {
-		c.Quarantine.Refuse(fingerprintOf(req))
+	verdict := c.begin(req)
+	if verdict == zlquarantine.Quarantined {
 		return c.refuse(req, now, zlquery.ReasonQuarantined)
 	}
 	if !c.Disabled.EarlyRefusal && profile.deadlineUnreachable(now, req.Deadline.Sub(now)) {
@@ -156,7 +156,8 @@
 		query:       zlunit.QueryID(uuid.NewString()),
 		start:       now,
 	}
-	r.crash.suspected = c.verdict(req) == zlquarantine.Suspected
+	r.crash.suspected = verdict == zlquarantine.Suspected || verdict == zlquarantine.Trial
+	r.crash.trial = verdict == zlquarantine.Trial
 	return r.answer()
 }
 
@@ -171,7 +172,7 @@
 	switch reason {
 	case zlquery.ReasonUnknownService:
 	case zlquery.ReasonQuarantined:
-		a.RetryAfter = zlquarantine.Duration
+		a.RetryAfter = max(c.Quarantine.Left(fingerprintOf(req)), defaultRetryAfter)
 	default:
 		a.RetryAfter = defaultRetryAfter
 	}
--- a/core/request/zlrelay/crash.go
+++ b/core/request/zlrelay/crash.go
@@ -20,6 +20,8 @@
 	// that send, nil if none is under way.
 	suspected bool
 	canary    *attempt
+	// trial is set if the request is the trial of zlquarantine.Trial.
+	trial bool
 	// answered is set once a replica answered the request, so that it does not crash them.
 	answered bool
 }
@@ -31,10 +33,22 @@
 	return x.crash.fingerprint
 }
 
+// begin returns what may be done with the request at its start.
+func (x *run) begin() zlquarantine.Verdict {
+	l := x.relay.Quarantine
+	if l == nil || !l.Active() {
+		return zlquarantine.Unsuspected
+	}
+	v := l.Begin(x.fingerprint())
+	x.crash.suspected = x.crash.suspected || v == zlquarantine.Suspected || v == zlquarantine.Trial
+	x.crash.trial = v == zlquarantine.Trial
+	return v
+}
+
 // verdict returns what may be done with the request.
 func (x *run) verdict() zlquarantine.Verdict {
 	l := x.relay.Quarantine
-	if l == nil || x.crash.answered || !l.Active() {
+	if l == nil || x.crash.answered || x.crash.trial || !l.Active() {
 		return zlquarantine.Unsuspected
 	}
 	return l.Verdict(x.fingerprint())
@@ -79,9 +93,9 @@
 	}
 	switch rep := reply.(type) {
 	case *Response:
-		x.crash.answered = true
-		x.crash.suspected = false
-		if l.Active() {
+		if !x.crash.answered {
+			x.crash.answered = true
+			x.crash.suspected = false
 			l.Clear(x.fingerprint())
 		}
 	case *Unknown:
--- a/core/request/zlrelay/run.go
+++ b/core/request/zlrelay/run.go
@@ -182,8 +182,7 @@
 	if !x.startsForwarded() {
 		x.count(now)
 	}
-	if x.verdict() == zlquarantine.Quarantined {
-		x.relay.Quarantine.Refuse(x.fingerprint())
+	if x.begin() == zlquarantine.Quarantined {
 		return x.relay.refuse(x.view, x.req, x.route, zldecision.ReasonQuarantined, "")
 	}
 	if x.route.IsSharded() {
