Reset the connection of a send that was given up

A send that is given up while the network holds its bytes back (a path that hangs) was closed, so that the bytes reached the replica once the path worked again, seconds later, and were run for nobody. Cause: close sends the end after what is queued. The connection is reset now, which drops what is queued. TestAbandonedSendIsReset fails before (the replica reads an end of file).

--- a/io/request/zlexchange/zlexchange.go
+++ b/io/request/zlexchange/zlexchange.go
@@ -314,7 +314,16 @@
 	if stop() && reusable {
 		p.release(conn, time.Now(), c.ShortIdle)
 	} else {
-		_ = conn.Close()
+		conn.abort()
 	}
 	return reply
 }
+
+// abort closes the connection with a reset: what the network has held up so far must not
+// reach the replica later, when nobody waits for it.
+func (c *conn) abort() {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = c.Close()
+}
--- a/io/request/zlexchange/zlexchange_test.go
+++ b/io/request/zlexchange/zlexchange_test.go
@@ -3,12 +3,14 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -380,6 +382,28 @@
 	<-closed
 }
 
+// What the network holds up of a send that was given up must not reach the replica later, so
+// the connection is reset rather than closed.
+func TestAbandonedSendIsReset(t *testing.T) {
+	closed := make(chan error, 1)
+	arrived := make(chan struct{})
+	_, x, e := newReplica(t, func(_ int, _ string, c net.Conn) bool {
+		close(arrived)
+		_, err := c.Read(make([]byte, 1))
+		closed <- err
+		return false
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() {
+		<-arrived
+		cancel()
+	}()
+	x.Send(ctx, e, call("0"))
+	if err := <-closed; !errors.Is(err, syscall.ECONNRESET) {
+		t.Fatalf("the replica got %v, want a reset", err)
+	}
+}
+
 func TestKeepTime(t *testing.T) {
 	for value, want := range map[string]time.Duration{
 		"":                   maxIdleTime,
