Keep a query that crashes replicas from whole shards

While no part of a query is answered two of its parts are hedged at most; hedges are for stragglers. A careful send goes to the part with most replicas left, never to a last one. What one VM found to have ended is asked last by all, until its next start is listed.

--- a/core/process/zlbalancer/record.go
+++ b/core/process/zlbalancer/record.go
@@ -161,7 +161,7 @@
 		inFlightLimit: r.inFlightLimit,
 		latencyRatio:  r.decay(r.latencyRatio, now, 1),
 		failureRate:   r.decay(r.failureRate, now, 0),
-		failed:        !r.lastFailure.IsZero() && now.Sub(r.lastFailure) < recentFailureWindow,
+		failed:        r.restriction.isEnded(now) || !r.lastFailure.IsZero() && now.Sub(r.lastFailure) < recentFailureWindow,
 		overdue:       r.firstOverdue != nil,
 		away:          now.Before(r.avoidUntil),
 		moved:         now.Before(r.movedUntil),
--- a/core/process/zlbalancer/restriction.go
+++ b/core/process/zlbalancer/restriction.go
@@ -18,6 +18,9 @@
 	// leavingMemory is how long the mark of a leaving replica is kept after its entry
 	// went, since a restored store may list the entry again.
 	leavingMemory = time.Hour
+	// endedTime is how long a replica that ended is asked last. A replica that starts again
+	// has a new incarnation, and one that does not is removed from the registry by then.
+	endedTime = 4 * time.Second
 )
 
 // restrictionKey names one incarnation of a replica, whatever its address.
@@ -40,6 +43,28 @@
 	backoffUntil time.Time
 	// rate is the replica's rate limit.
 	rate rateLimit
+	// endedUntil is the end of the time for which the replica is taken to have ended.
+	endedUntil time.Time
+}
+
+// MarkEnded notes that an incarnation of a replica was found to have ended. It is asked last,
+// like one that has just failed, until it is listed with its next start.
+func (p *Placer) MarkEnded(id zlunit.Upstream, incarnation int64, now time.Time) {
+	p.mu.Lock()
+	x := p.restrictionOf(restrictionKey{
+		id:          id,
+		incarnation: incarnation,
+	})
+	p.mu.Unlock()
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.endedUntil = now.Add(endedTime)
+}
+
+func (x *restriction) isEnded(now time.Time) bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return now.Before(x.endedUntil)
 }
 
 // blockedUntil returns when the replica may be sent requests again: zero if it may now,
@@ -64,10 +89,14 @@
 
 // restrictionFor returns the restriction of an incarnation. The caller holds p.mu.
 func (p *Placer) restrictionFor(e *zlregistry.Entry) *restriction {
-	key := restrictionKey{
+	return p.restrictionOf(restrictionKey{
 		id:          e.ID,
 		incarnation: e.Incarnation,
-	}
+	})
+}
+
+// restrictionOf returns the restriction of an incarnation. The caller holds p.mu.
+func (p *Placer) restrictionOf(key restrictionKey) *restriction {
 	x, ok := p.restrictions[key]
 	if !ok {
 		if p.restrictions == nil {
@@ -84,7 +113,7 @@
 func (p *Placer) forgetRestrictions(now time.Time, keep map[restrictionKey]bool) {
 	for key, x := range p.restrictions {
 		x.mu.Lock()
-		recent := now.Before(x.backoffUntil) || !x.leavingSince.IsZero() && now.Sub(x.leavingSince) < leavingMemory
+		recent := now.Before(x.endedUntil) || now.Before(x.backoffUntil) || !x.leavingSince.IsZero() && now.Sub(x.leavingSince) < leavingMemory
 		x.mu.Unlock()
 		if !keep[key] && !recent {
 			delete(p.restrictions, key)
@@ -144,6 +173,24 @@
 	return p.restricted.Load()
 }
 
+// SoundReplicas returns how many replicas of a service may be sent requests and have not
+// failed a request of this VM lately.
+func (p *Placer) SoundReplicas(v *zlregistry.View, now time.Time, s zlunit.Service) int {
+	n := 0
+	for _, e := range v.Replicas[s] {
+		if v.OutOfService[e.DataCentre] {
+			continue
+		}
+		r := p.recordFor(e)
+		until, never := r.restriction.blockedUntil(now, p.Settings.LeavingGrace)
+		state := r.snapshot(now)
+		if !never && until.IsZero() && !state.failed && !state.moved {
+			n++
+		}
+	}
+	return n
+}
+
 // Availability is whether a service has replicas that may be sent requests.
 type Availability struct {
 	// Replicas counts those that may be sent requests now.
--- a/core/process/zlquarantine/evidence.go
+++ b/core/process/zlquarantine/evidence.go
@@ -16,6 +16,9 @@
 	// maxAnswered bounds the requests that are remembered as answered, in each of two
 	// generations.
 	maxAnswered = 4096
+	// maxRoundCrashes bounds the crashes of one round that are remembered: one of each
+	// shard of a query, so that the other VMs know which replicas ended.
+	maxRoundCrashes = 48
 	// maxTrials bounds the trials that are counted.
 	maxTrials = 16
 )
@@ -106,7 +109,7 @@
 	if now.Before(r.clearedAt.Add(clearedTime)) || slices.Contains(r.pending, *c) || slices.Contains(r.crashes, *c) {
 		return crashKnown
 	}
-	if countRound(r.pending, c.Round)+countRound(r.crashes, c.Round) >= minCrashes {
+	if countRound(r.pending, c.Round)+countRound(r.crashes, c.Round) >= maxRoundCrashes {
 		return crashKnown
 	}
 	r.pending = appendBounded(r.pending, *c)
@@ -137,11 +140,20 @@
 	return c.Upstream == x.Upstream && c.Incarnation == x.Incarnation
 }
 
-// confirm counts the crashes at a replica that ended, and reports whether there were any.
+// confirm takes in that a replica ended, and reports whether there were crashes at it.
 func (l *Ledger) confirm(x Replica) bool {
 	if !l.active.Load() {
 		return false
 	}
+	found := l.countAll(x)
+	if found && l.OnEnded != nil {
+		l.OnEnded(x)
+	}
+	return found
+}
+
+// countAll counts the crashes at a replica that ended, and reports whether there were any.
+func (l *Ledger) countAll(x Replica) bool {
 	now := l.Timer.Now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/core/process/zlquarantine/zlquarantine.go
+++ b/core/process/zlquarantine/zlquarantine.go
@@ -117,6 +117,9 @@
 	// saw it. It leads to ReportEnded or ReportAlive, or to nothing if it cannot be found
 	// out, and must not block. If it is nil, crashes count at once.
 	Verify func(c Crash, own bool)
+	// OnEnded is called for each replica that was found to have ended under a request; it
+	// must not block and may be nil.
+	OnEnded func(Replica)
 	// Self spreads the trials of the VMs.
 	Self zlunit.VM
 
--- a/core/request/zlrelay/answer.go
+++ b/core/request/zlrelay/answer.go
@@ -33,6 +33,8 @@
 	fewOpenParts     = 2
 	fewPartsReserve  = 0.15
 	manyPartsReserve = 0.5
+	// maxBlindHedges is how many parts of a query are hedged before any is answered.
+	maxBlindHedges = 2
 	// retryAfterShare limits Retry-After to a share of the caller's remaining
 	// time; callers honour up to a third of it.
 	retryAfterShare = 0.3
@@ -77,6 +79,25 @@
 	return manyPartsReserve
 }
 
+// mayHedgeBlindly reports whether a part may be hedged although no replica has answered
+// any part yet. Hedges are for stragglers. If all parts are late at once, the cause is
+// common to them: a lost path, replicas that are all slow, or the request itself, which
+// would crash two replicas of each shard instead of one.
+func (x *run) mayHedgeBlindly() bool {
+	if !x.route.IsSharded() {
+		return true
+	}
+	hedges := 0
+	for i := range x.parts {
+		p := &x.parts[i]
+		if p.heard {
+			return true
+		}
+		hedges += max(len(p.inFlight)-1, 0)
+	}
+	return hedges < maxBlindHedges
+}
+
 // handleResult updates the part of an attempt that ended.
 func (x *run) handleResult(res result) {
 	a := res.attempt
--- a/core/request/zlrelay/crash.go
+++ b/core/request/zlrelay/crash.go
@@ -10,6 +10,10 @@
 	"github.com/cespare/xxhash/v2"
 )
 
+// minReplicasLeft is how many replicas a service must have left for a send that may end one
+// of them.
+const minReplicasLeft = 2
+
 // crashState is what a run knows of replicas that ended while they had its request.
 type crashState struct {
 	// fingerprint is that of the request; 0 until it is needed.
@@ -66,10 +70,32 @@
 		x.crash.suspected = true
 	default:
 	}
-	if !x.crash.suspected || x.crash.canary == nil {
+	if !x.crash.suspected || x.crash.canary == nil && x.mayBeCanary(p, now) {
 		return false
 	}
 	p.nextPlacement = now.Add(placementRetryInterval)
+	if x.crash.canary == nil && !now.Before(x.placementEnd()) {
+		p.markLost(zldecision.ReasonNoReplica)
+	}
+	return true
+}
+
+// mayBeCanary reports whether the next send of a suspected request may be one of this part:
+// no other open part has more replicas left, and it is not the last one of its service,
+// which other requests need.
+func (x *run) mayBeCanary(p *part, now time.Time) bool {
+	if x.route.IsSharded() {
+		own := x.relay.Placer.SoundReplicas(x.view, now, p.service)
+		if own < minReplicasLeft {
+			return false
+		}
+		for i := range x.parts {
+			other := &x.parts[i]
+			if other.isOpen() && len(other.inFlight) == 0 && x.relay.Placer.SoundReplicas(x.view, now, other.service) > own {
+				return false
+			}
+		}
+	}
 	return true
 }
 
--- a/core/request/zlrelay/crash_test.go
+++ b/core/request/zlrelay/crash_test.go
@@ -43,6 +43,10 @@
 	// retries holds the ids of the crashing attempts that reached a replica later than
 	// contactWindow after the third crash.
 	retries map[zlunit.RequestID]bool
+	// runTime is how long a replica runs the crashing request; 0 means crashRunTime.
+	runTime time.Duration
+	// mostDown is the most replicas of one service that were down at a time.
+	mostDown int
 }
 
 func (s *crashableReplicas) Send(ctx context.Context, e *zlregistry.Entry, c *Call) Reply {
@@ -59,9 +63,11 @@
 			Reason: zldecision.ReasonUnreached,
 		}
 	}
+	answerTime := 15 * time.Millisecond
 	if strings.Contains(c.Request.Message.Path, crashPath) {
+		answerTime = time.Hour
 		s.countCrashing(c.Request.ID)
-		time.AfterFunc(crashRunTime, func() {
+		time.AfterFunc(max(crashRunTime, s.runTime), func() {
 			s.crash(e.ID, crashed)
 		})
 	}
@@ -72,7 +78,7 @@
 	case <-crashed:
 		unknown.ReplicaEnded = true
 	case <-ctx.Done():
-	case <-time.After(15 * time.Millisecond):
+	case <-time.After(answerTime):
 		return &Response{
 			Status:    http.StatusOK,
 			Body:      make([]byte, recordSize),
@@ -100,6 +106,13 @@
 	delete(s.crashed, id)
 	s.crashes = append(s.crashes, time.Now())
 	s.downUntil[id] = time.Now().Add(restartTime)
+	down := 0
+	for other, until := range s.downUntil {
+		if other[:2] == id[:2] && time.Now().Before(until) {
+			down++
+		}
+	}
+	s.mostDown = max(s.mostDown, down)
 }
 
 // newCrashFleet returns the relays of n VMs and the replicas that they share.
@@ -127,6 +140,9 @@
 		l := &zlquarantine.Ledger{
 			Timer: r.Timer,
 		}
+		l.OnEnded = func(x zlquarantine.Replica) {
+			r.Placer.MarkEnded(x.Upstream, x.Incarnation, time.Now())
+		}
 		l.OnReport = func(report *zlquarantine.Report) {
 			tell(l, report)
 		}
@@ -205,3 +221,23 @@
 		})
 	}
 }
+
+// Guards against a query that ends its replicas only after it is overdue: hedges of all parts
+// at once would end two replicas of each shard, and careful sends the last one of some.
+func TestSlowlyCrashingQueryLeavesEachShardReplicas(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fleet, s := newCrashFleet(5, crashRoutes()...)
+		s.runTime = 70 * time.Millisecond
+		sound, served := playCrashes(fleet, "/all/")
+		// Of each shard the first, the hedges, and one for each of three rounds.
+		if limit := 4 + maxBlindHedges + 3; len(s.crashes) > limit {
+			t.Errorf("%d replicas crashed, want %d at most", len(s.crashes), limit)
+		}
+		if s.mostDown > 2 {
+			t.Errorf("all %d replicas of a shard were down at a time", s.mostDown)
+		}
+		if float64(served) < 0.99*float64(sound) {
+			t.Errorf("served %d of %d sound requests, want 0.99 of them", served, sound)
+		}
+	})
+}
--- a/core/request/zlrelay/part.go
+++ b/core/request/zlrelay/part.go
@@ -118,7 +118,7 @@
 		p.nextPlacement = x.deadline
 		return
 	}
-	if x.crash.suspected {
+	if x.crash.suspected || !x.mayHedgeBlindly() {
 		return
 	}
 	p.placeAndSend(now, reason, first.placement.Entry.ID, true)
