Spread the careful sends of a query that crashes replicas over its shards

Attempts of one such query at several VMs chose the same shard where several had as many replicas left. Unused Ledger.Lift removed.

--- a/core/process/zlquarantine/zlquarantine.go
+++ b/core/process/zlquarantine/zlquarantine.go
@@ -289,18 +289,6 @@
 	return max(r.quarantinedUntil.Sub(now), 0)
 }
 
-// Lift ends what is known against a request, on an operator's order, and tells the other
-// VMs. It reports whether there was anything.
-func (l *Ledger) Lift(f zlunit.Fingerprint) bool {
-	if !l.clearRecord(f) {
-		return false
-	}
-	l.report(&Report{
-		Cleared: []zlunit.Fingerprint{f},
-	})
-	return true
-}
-
 func (l *Ledger) report(r *Report) {
 	if l.OnReport != nil {
 		l.OnReport(r)
--- a/core/request/zlrelay/crash.go
+++ b/core/request/zlrelay/crash.go
@@ -91,7 +91,11 @@
 		}
 		for i := range x.parts {
 			other := &x.parts[i]
-			if other.isOpen() && len(other.inFlight) == 0 && x.relay.Placer.SoundReplicas(x.view, now, other.service) > own {
+			if other == p || !other.isOpen() || len(other.inFlight) > 0 {
+				continue
+			}
+			left := x.relay.Placer.SoundReplicas(x.view, now, other.service)
+			if left > own || left == own && x.canaryScore(other) > x.canaryScore(p) {
 				return false
 			}
 		}
@@ -99,6 +103,12 @@
 	return true
 }
 
+// canaryScore orders parts whose services have as many replicas left, differently for each
+// request: several may be under way at once, at different VMs.
+func (x *run) canaryScore(p *part) uint64 {
+	return xxhash.Sum64String(string(x.req.ID) + " " + string(p.service))
+}
+
 // noteLaunch notes a send.
 func (x *run) noteLaunch(a *attempt) {
 	a.round = x.crash.round
