--- a/core/request/zlrelay/forward_test.go
+++ b/core/request/zlrelay/forward_test.go
@@ -501,3 +501,68 @@
 		}
 	})
 }
+
+// usedUp is a Forwarder of VMs that lose their paths after they used all attempts.
+type usedUp struct {
+	forwards atomic.Int64
+}
+
+func (u *usedUp) Forward(_ context.Context, _ zlpeerbalancer.Peer, c *ForwardCall) ForwardReply {
+	c.Start()
+	u.forwards.Add(1)
+	return &Relayed{
+		Answer: &Failed{
+			Reason: zldecision.ReasonUplinkLost,
+			Runs:   2,
+		},
+	}
+}
+
+// What another VM may have run counts in full: a request whose attempts it has used up must
+// not go to a third one.
+func TestAttemptsOfOtherVMsCount(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newForwardFleet(3, 10, forwardRoutes(10)...)
+		defer f.end()
+		f.vms[0].paths.Store(int32(pathsHang))
+		r := f.vms[0].relay
+		r.Serve(context.Background(), request("/all/x"))
+		if !r.Uplink.IsLost() {
+			t.Fatal("the uplink is not lost")
+		}
+		u := &usedUp{}
+		r.Forwarder = u
+		if answer, ok := r.Serve(context.Background(), request("/all/x")).(*Failed); !ok || u.forwards.Load() != 1 {
+			t.Fatalf("got %+v after %d forwards, want a failure after 1", answer, u.forwards.Load())
+		}
+	})
+}
+
+// A part that is answered here while another VM serves it must count once: the records of the
+// other VM hold it too.
+func TestPartAnsweredTwiceIsMergedOnce(t *testing.T) {
+	route := forwardRoutes(2)[0]
+	r := newTestRelayOf(2, newScripted(nil), route)
+	x := r.start(context.Background(), r.Registry.Current(), &route, request("/all/x"))
+	a := &forwardAttempt{}
+	for i := range x.parts {
+		a.parts = append(a.parts, forwardedPart{
+			part: &x.parts[i],
+		})
+	}
+	record := bytes.Repeat([]byte("a"), recordSize)
+	x.parts[0].response = &Response{
+		Body:      record,
+		Signature: "own",
+	}
+	x.takeMerged(a, &Merged{
+		Services:   []zlunit.Service{"s0", "s1"},
+		Signatures: []string{"first", "second"},
+		Records:    append(bytes.Repeat([]byte("b"), recordSize), record...),
+	})
+	m := x.mergedAnswer(time.Now(), "").(*Merged)
+	if len(m.Records) != 2*recordSize || m.Signatures[0] != "first" || m.Signatures[1] != "second" || m.Missing != 0 {
+		t.Fatalf("got %d records, signatures %v and %d missing, want 2, those of the other VM and none",
+			len(m.Records)/recordSize, m.Signatures, m.Missing)
+	}
+}
