An answer cancels the confirmations of the silence before it

Cause: a loss that rests on overdue sends is confirmed 10 or 100 ms later. An answer in between ended the silence, but not the timer: sends that were a moment overdue when it fired were taken for silent all that time, and a VM that reached its replicas counted itself as cut off.

TestSilenceBeginsAnewAfterAnAnswer: before, lost after 2 ms of silence with two and with ten replicas; now not before 100 and 10 ms.

--- a/core/process/zluplink/zluplink.go
+++ b/core/process/zluplink/zluplink.go
@@ -108,9 +108,10 @@
 	failed int
 	broken int
 	// confirming is set while a confirmation is due, and fewConfirming while one after
-	// fewFailedDelay is.
+	// fewFailedDelay is. They belong to one silence, which counts the answers so far.
 	confirming    bool
 	fewConfirming bool
+	silence       int
 	// lostAt is when the uplink was lost. byBroken is set if that follows from broken
 	// connections: a late answer to an earlier send does not end the loss then.
 	lostAt   time.Time
@@ -198,16 +199,17 @@
 		}
 		return
 	}
+	silence := t.silence
 	if enough && !t.confirming {
 		t.confirming = true
 		t.Timer.AfterFunc(confirmDelay, func() {
-			t.confirm(&t.confirming, t.isSilent)
+			t.confirm(silence, &t.confirming, t.isSilent)
 		})
 	}
 	if few && !t.fewConfirming {
 		t.fewConfirming = true
 		t.Timer.AfterFunc(fewFailedDelay, func() {
-			t.confirm(&t.fewConfirming, t.areFewSilent)
+			t.confirm(silence, &t.fewConfirming, t.areFewSilent)
 		})
 	}
 }
@@ -230,8 +232,12 @@
 }
 
 // confirm decides, some time after enough sends were overdue, whether the uplink is lost.
-func (t *Tracker) confirm(due *bool, enough func(failed int) bool) {
+func (t *Tracker) confirm(silence int, due *bool, enough func(failed int) bool) {
 	t.mu.Lock()
+	if silence != t.silence {
+		t.mu.Unlock()
+		return
+	}
 	*due = false
 	isLost := t.state == connected && enough(t.failed) && t.isMostlyOverdue()
 	if isLost {
@@ -281,6 +287,9 @@
 	clear(t.sent)
 	t.failed = 0
 	t.broken = 0
+	t.silence++
+	t.confirming = false
+	t.fewConfirming = false
 	t.mu.Unlock()
 	if wasLost {
 		t.note(&zldecision.Dependency{
--- a/core/process/zluplink/zluplink_test.go
+++ b/core/process/zluplink/zluplink_test.go
@@ -107,6 +107,39 @@
 	}
 }
 
+// Sends that are a little late after an answer must not end the wait that earlier late ones
+// began.
+func TestSilenceBeginsAnewAfterAnAnswer(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		sends int
+		delay time.Duration
+	}{
+		{"two replicas", 2, fewFailedDelay},
+		{"ten replicas", 10, confirmDelay},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				u := newUplink()
+				first := u.send(c.sends)
+				u.fail(c.sends, first, FailureOverdue)
+				time.Sleep(c.delay / 2)
+				u.Answered(first)
+				time.Sleep(c.delay/2 - 2*time.Millisecond)
+				u.fail(c.sends, u.send(c.sends), FailureOverdue)
+				time.Sleep(c.delay - time.Millisecond)
+				if u.IsLost() {
+					t.Fatalf("lost before the sends were silent for %v", c.delay)
+				}
+				time.Sleep(2 * time.Millisecond)
+				if !u.IsLost() {
+					t.Fatalf("not lost after the sends were silent for %v", c.delay)
+				}
+			})
+		})
+	}
+}
+
 // Sends that were made before another replica answered say nothing of the uplink: they may
 // have been lost with that replica.
 func TestEarlierSendsDoNotCount(t *testing.T) {
