A VM that serves for others tries its lost uplink with what they forward

Timeline (platform test, 16 copies at once, "connections hang"): the helping VM's two sends were silent for 420 ms while the machine stood still; it counted its uplink as lost; a probe connected 50 ms later, but a forward was declined whenever the uplink was not confirmed by an answer, and only requests of its own callers could try it. It had none: 3.6 s without any, until the test sent some. The stranded VM was refused by the only one that reached the replicas.

Class of fault: a state that only one of two sources of work can end. Ruled out: probes that fail (they connect), a try that is never ended.

It is declined as before if the try fails.

--- a/core/request/zlrelay/forward.go
+++ b/core/request/zlrelay/forward.go
@@ -100,16 +100,16 @@
 // stepForward makes the forward that is due. It returns true with the answer if that is
 // decided, which may be nil while nothing else is to be done.
 func (x *run) stepForward(now time.Time) (Answer, bool) {
-	if x.forwarded != nil {
-		return x.stepForOrigin()
-	}
-	if x.relay.Forwarder == nil || x.relay.Uplink == nil {
+	if x.relay.Uplink == nil || x.relay.Forwarder == nil && x.forwarded == nil {
 		return nil, false
 	}
-	x.forward.unsureUntil = time.Time{}
 	for i := range x.parts {
 		x.parts[i].checkOverdue(now)
 	}
+	if x.forwarded != nil {
+		return x.stepForOrigin()
+	}
+	x.forward.unsureUntil = time.Time{}
 	x.checkSilence(now)
 	switch {
 	case x.forward.final != nil:
--- a/core/request/zlrelay/forward_serve.go
+++ b/core/request/zlrelay/forward_serve.go
@@ -31,6 +31,10 @@
 	defer r.running.Add(-1)
 	view := r.Registry.Current()
 	route, reason := r.checkForward(view, f)
+	isTry := false
+	if reason == "" {
+		isTry, reason = r.admitForward(route, len(f.Parts))
+	}
 	if reason != "" {
 		r.note(&zldecision.Refused{
 			Subject: r.subjectOf(view, f.Request, route, f.Origin),
@@ -43,6 +47,7 @@
 	}
 	x := r.newRun(ctx, view, route, f.Request)
 	x.forwarded = f
+	x.forward.trying = isTry
 	x.counted = f.Counted
 	x.crash.suspected = f.Suspected
 	services := make([]zlunit.Service, 0, len(f.Parts))
@@ -67,26 +72,36 @@
 	}
 }
 
-// checkForward returns the route of a forward, or why this VM does not serve it.
+// checkForward returns the route of a forward, or why this VM's table does not allow it.
 func (r *Relay) checkForward(view *zlregistry.View, f *Forward) (*zltable.Route, zldecision.Reason) {
 	switch {
 	case !view.Ready():
 		return nil, zldecision.ReasonNoTable
 	case view.Table.Version < f.Version:
 		return nil, zldecision.ReasonOldTable
-	case r.Uplink != nil && r.Uplink.IsLost():
-		return nil, zldecision.ReasonUplinkLost
 	}
 	route, ok := view.Table.Match(f.Request.Message.Host, f.Request.Message.Path)
 	if !ok || len(f.Parts) == 0 || !routeHas(route, f.Parts) {
 		return nil, zldecision.ReasonOldTable
 	}
-	if !r.intake.allow(r.Timer.Now(), len(f.Parts), r.intakeRate()) {
-		return route, zldecision.ReasonBusy
-	}
 	return route, ""
 }
 
+// admitForward returns why this VM makes no sends for a forward. isTry is set if the forward
+// is the one by which the uplink is tried again: a VM without callers of its own has no other.
+func (r *Relay) admitForward(route *zltable.Route, parts int) (isTry bool, reason zldecision.Reason) {
+	if r.Uplink != nil && r.Uplink.IsLost() {
+		if r.Uplink.Try(route.Idempotent) {
+			return true, ""
+		}
+		return false, zldecision.ReasonUplinkLost
+	}
+	if !r.intake.allow(r.Timer.Now(), parts, r.intakeRate()) {
+		return false, zldecision.ReasonBusy
+	}
+	return false, ""
+}
+
 // routeHas reports whether all parts are of services of the route.
 func routeHas(route *zltable.Route, parts []ForwardPart) bool {
 	for _, p := range parts {
@@ -103,7 +118,7 @@
 // stepForOrigin ends a request of another VM if this one has lost its uplink meanwhile, so
 // that the other one can ask elsewhere.
 func (x *run) stepForOrigin() (Answer, bool) {
-	if x.relay.Uplink == nil || !x.relay.Uplink.IsLost() || x.answeredParts() > 0 {
+	if !x.relay.Uplink.IsLost() || x.answeredParts() > 0 || x.stillTrying() {
 		return nil, false
 	}
 	for i := range x.parts {
--- a/core/request/zlrelay/forward_test.go
+++ b/core/request/zlrelay/forward_test.go
@@ -435,6 +435,30 @@
 	}
 }
 
+// A VM that serves only for others must see the end of its own loss by what they forward.
+func TestHelpingVMRegainsItsUplink(t *testing.T) {
+	for _, paths := range []pathState{pathsHang, pathsReset, pathsRefuse} {
+		synctest.Test(t, func(t *testing.T) {
+			routes := forwardRoutes(10)
+			f := newForwardFleet(2, 10, routes...)
+			defer f.end()
+			var group sync.WaitGroup
+			var later tally
+			began := time.Now()
+			f.load(&group, 0, &routes[0], 30*time.Millisecond, began.Add(4*time.Second), began.Add(3*time.Second), &later)
+			f.load(&group, 0, &routes[1], 30*time.Millisecond, began.Add(4*time.Second), began.Add(3*time.Second), &later)
+			time.Sleep(time.Second)
+			f.vms[0].paths.Store(int32(paths))
+			time.Sleep(500 * time.Millisecond)
+			f.vms[1].paths.Store(int32(paths))
+			time.Sleep(500 * time.Millisecond)
+			f.vms[1].paths.Store(int32(pathsWork))
+			group.Wait()
+			later.check(t, fmt.Sprintf("paths %d: after the end", paths), 0.98)
+		})
+	}
+}
+
 // A request that no VM can serve must be refused at once, once the loss is certain.
 func TestNoVMReachesReplicas(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
