--- a/core/request/zlrelay/attempt.go
+++ b/core/request/zlrelay/attempt.go
@@ -82,10 +82,10 @@
 		ShortIdle: shortIdle,
 	})
 	a.recordOutcome(ctx, reply)
-	x.results <- result{
+	x.deliver(result{
 		attempt: a,
 		reply:   reply,
-	}
+	})
 }
 
 // begin implements Call.Start: it denies the first byte if the attempt was
--- a/core/request/zlrelay/run.go
+++ b/core/request/zlrelay/run.go
@@ -84,6 +84,7 @@
 	// broken is set once a connection broke after the request was sent.
 	broken bool
 	crash  crashState
+	watch  crashWatch
 	// counted is set once the request counts for the limit on second sends.
 	counted bool
 	// forwarded is what the request came with from another VM; nil if it came from a
@@ -384,9 +385,7 @@
 // cancelAll cancels the sends and leaves the queues of all parts.
 func (x *run) cancelAll() {
 	x.cancelForward()
-	for i := range x.parts {
-		x.parts[i].cancelAttempts()
-	}
+	x.endWatched()
 }
 
 // callerLeft records that the caller disconnected; cancelAll then ends the work.
