Operators list requests in quarantine and lift one

Found on the way: a VM that missed the message that a request was cleared sent the quarantine back with a heartbeat of more than 30 s later, for as long as it lasts (an hour at most). A VM that hears of a quarantine within those 30 s, or was just answered, now says so again.

--- a/cmd/cmd.go
+++ b/cmd/cmd.go
@@ -95,6 +95,11 @@
 			summary: "show the repairs that daemons made and their reasons",
 			run:     runEvents,
 		},
+		{
+			name:    "quarantine",
+			summary: "list the requests that crash replicas and are refused, or lift a quarantine",
+			run:     runQuarantine,
+		},
 	}
 }
 
--- a/cmd/cmd_test.go
+++ b/cmd/cmd_test.go
@@ -57,6 +57,7 @@
 		"standin platfor":                `did you mean "standin platform"?`,
 		"load -rat 5":                    "-rat",
 		"load extra":                     `unexpected "extra"`,
+		"quarantine -lift 12":            `lift: fingerprint: found "12", allowed are 16 hexadecimal digits`,
 		"load -rate 0":                   "flag -rate: found 0, allowed is above 0 to 1e+06",
 		"load -rate -3":                  "flag -rate: found -3, allowed is above 0",
 		"load -rate NaN":                 "flag -rate: found NaN",
--- a/core/process/zlquarantine/trial.go
+++ b/core/process/zlquarantine/trial.go
@@ -81,17 +81,18 @@
 }
 
 // quarantine takes in a request that another VM has in quarantine. One that follows from a
-// later trial goes before.
-func (l *Ledger) quarantine(q Entry) {
+// later trial goes before. It returns false if the request was found to be sound, of which the
+// other VM has not heard.
+func (l *Ledger) quarantine(q Entry) bool {
 	now := l.Timer.Now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.answered.has(q.Fingerprint, now) {
-		return
+		return false
 	}
 	r := l.recordFor(q.Fingerprint, now)
 	if now.Before(r.clearedAt.Add(clearedTime)) {
-		return
+		return false
 	}
 	until := now.Add(min(q.Left, maxDuration))
 	if q.Left <= trialTime && q.Trials == r.trials {
@@ -101,4 +102,5 @@
 		r.trials = max(r.trials, min(q.Trials, maxTrials))
 		l.start(q.Fingerprint, r, now, until)
 	}
+	return true
 }
--- a/core/process/zlquarantine/zlquarantine.go
+++ b/core/process/zlquarantine/zlquarantine.go
@@ -12,7 +12,6 @@
 package zlquarantine
 
 import (
-	"cmp"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -240,13 +239,18 @@
 	l.mu.Lock()
 	l.answered.add(f, now)
 	l.mu.Unlock()
-	if l.clearRecord(f) {
-		l.report(&Report{
-			Cleared: []zlunit.Fingerprint{f},
-		})
+	if l.clearRecord(f, "cleared") {
+		l.reportCleared(f)
 	}
 }
 
+// reportCleared tells the other VMs that nothing is to be known against a request.
+func (l *Ledger) reportCleared(f zlunit.Fingerprint) {
+	l.report(&Report{
+		Cleared: []zlunit.Fingerprint{f},
+	})
+}
+
 // Apply takes in the report of another VM. It returns what of it was not known, or nil.
 func (l *Ledger) Apply(report *Report) *Report {
 	news := &Report{}
@@ -256,14 +260,12 @@
 			news.Crashes = append(news.Crashes, c)
 			l.verify(c, false)
 		case crashOfAnswered:
-			l.report(&Report{
-				Cleared: []zlunit.Fingerprint{c.Fingerprint},
-			})
+			l.reportCleared(c.Fingerprint)
 		case crashKnown:
 		}
 	}
 	for _, f := range report.Cleared {
-		if l.clearRecord(f) {
+		if l.clearRecord(f, "cleared") {
 			news.Cleared = append(news.Cleared, f)
 		}
 	}
@@ -278,7 +280,9 @@
 		}
 	}
 	for _, q := range report.Quarantined {
-		l.quarantine(q)
+		if !l.quarantine(q) {
+			l.reportCleared(q.Fingerprint)
+		}
 	}
 	if len(news.Crashes)+len(news.Cleared)+len(news.Ended)+len(news.Alive) == 0 {
 		return nil
@@ -286,29 +290,19 @@
 	return news
 }
 
-// Quarantined returns the requests in quarantine, at most maxListed, those that stay
-// longest first.
+// Quarantined returns the requests in quarantine for other VMs, at most maxListed, those that
+// stay longest first.
 func (l *Ledger) Quarantined() []Entry {
-	if !l.active.Load() {
-		return nil
-	}
-	now := l.Timer.Now()
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	var list []Entry
-	for f, r := range l.requests {
-		if r.verdict(now) == Quarantined {
-			list = append(list, Entry{
-				Fingerprint: f,
-				Left:        r.quarantinedUntil.Sub(now),
-				Trials:      r.trials,
-			})
-		}
+	list := l.List()
+	entries := make([]Entry, 0, min(len(list), maxListed))
+	for _, s := range list[:min(len(list), maxListed)] {
+		entries = append(entries, Entry{
+			Fingerprint: s.Fingerprint,
+			Left:        s.Left,
+			Trials:      s.Trials,
+		})
 	}
-	slices.SortFunc(list, func(a, b Entry) int {
-		return cmp.Compare(b.Left, a.Left)
-	})
-	return list[:min(len(list), maxListed)]
+	return entries
 }
 
 // start begins or lengthens a quarantine. The caller holds mu.
@@ -320,8 +314,8 @@
 }
 
 // clearRecord drops what is known against a request and reports whether there was
-// anything.
-func (l *Ledger) clearRecord(f zlunit.Fingerprint) bool {
+// anything; what names the event if it was in quarantine.
+func (l *Ledger) clearRecord(f zlunit.Fingerprint, what string) bool {
 	if !l.active.Load() {
 		return false
 	}
@@ -333,7 +327,7 @@
 		return false
 	}
 	if r.verdict(now) == Quarantined {
-		l.note(f, "cleared")
+		l.note(f, what)
 	}
 	*r = record{
 		clearedAt: now,
--- a/core/process/zlunit/zlunit.go
+++ b/core/process/zlunit/zlunit.go
@@ -2,7 +2,10 @@
 // share. It contains no logic.
 package zlunit
 
-import "fmt"
+import (
+	"fmt"
+	"strconv"
+)
 
 // VM names an entry VM, and also the daemon on it, since each VM runs one.
 type VM string
@@ -43,6 +46,15 @@
 	return fmt.Sprintf("%016x", uint64(f))
 }
 
+// ParseFingerprint parses what String returns.
+func ParseFingerprint(s string) (Fingerprint, error) {
+	n, err := strconv.ParseUint(s, 16, 64)
+	if err != nil || len(s) != 16 {
+		return 0, fmt.Errorf("fingerprint: found %q, allowed are 16 hexadecimal digits", s)
+	}
+	return Fingerprint(n), nil
+}
+
 // QueryID identifies one execution of a query inside the query tier. It is
 // never reused.
 type QueryID string
--- a/io/process/zldaemon/admin.go
+++ b/io/process/zldaemon/admin.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"net/http"
+
+	"zinnialock/io/process/zlquarantineadmin"
 )
 
 // adminMux returns the handler of the admin interface.
@@ -17,6 +19,7 @@
 	mux.HandleFunc("GET /status", d.serveStatus)
 	mux.HandleFunc("GET /events", d.serveEvents)
 	mux.HandleFunc("GET "+ExplainPath, d.serveExplain)
+	zlquarantineadmin.Register(mux, d.quarantine)
 	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
 		d.updateGauges()
 		_ = d.metrics.WriteText(w)
