A VM that starts learns what is in quarantine before it serves

Class of fault: a process serves before it knows what the fleet knows. Ruled out: trials (none), the list of a heartbeat (comes later still).

A VM now asks three others at once when it first knows them, then each 50 ms, and its requests wait for the reply as they do for the first table: 100 ms after its start at most, a tenth of the caller's time. A VM that does not know itself does not answer, and stops asking after a second, so that a start of all VMs is not delayed.

--- a/core/process/zlquarantine/zlquarantine.go
+++ b/core/process/zlquarantine/zlquarantine.go
@@ -110,6 +110,8 @@
 	// Self spreads the trials of the VMs.
 	Self zlunit.VM
 
+	known knownState
+
 	// active is set once anything is known against any request.
 	active atomic.Bool
 
--- a/core/request/zlrelay/start.go
+++ b/core/request/zlrelay/start.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"time"
+
+	"zinnialock/core/version/zlregistry"
 )
 
 const (
 	// startupTime limits how long after the start of the process a request waits
-	// for the first table and replicas. If the store answers, they are there
+	// for what it has to know. If the store answers, the table and replicas are there
 	// after 20 to 95 ms (docs/PLATFORM.md).
 	startupTime = 100 * time.Millisecond
 	// maxStartupWaitShare limits that wait to a share of the caller's time.
@@ -16,10 +18,11 @@
 	maxStartupWaitShare = 0.1
 )
 
-// awaitTable waits for the first table and replicas while this process starts, and
-// reports false if the caller disconnected. If all VMs restart at the same time, a
-// caller that is refused instead is served only after its objective.
-func (r *Relay) awaitTable(ctx context.Context, req *Request) bool {
+// awaitStart waits, while this process starts, for the first table and replicas and for what
+// the other VMs have in quarantine, and reports false if the caller disconnected. If all VMs
+// restart at the same time, a caller that is refused instead is served only after its
+// objective.
+func (r *Relay) awaitStart(ctx context.Context, req *Request) bool {
 	until := r.Start.Add(startupTime)
 	if !req.Deadline.IsZero() {
 		maxWait := time.Duration(maxStartupWaitShare * float64(req.Deadline.Sub(req.Received)))
@@ -33,11 +36,23 @@
 	}
 	startupTimer := r.Timer.After(wait)
 	defer startupTimer.Stop()
-	select {
-	case <-r.Registry.ReadyChan():
-	case <-startupTimer.C:
-	case <-ctx.Done():
-		return false
+	awaited := []<-chan struct{}{r.Registry.ReadyChan()}
+	if r.Quarantine != nil {
+		awaited = append(awaited, r.Quarantine.Known())
+	}
+	for _, known := range awaited {
+		select {
+		case <-known:
+		case <-startupTimer.C:
+			return true
+		case <-ctx.Done():
+			return false
+		}
 	}
 	return true
 }
+
+// isStarting reports whether what awaitStart waits for is not known yet.
+func (r *Relay) isStarting(view *zlregistry.View) bool {
+	return !view.Ready() || r.Quarantine != nil && !r.Quarantine.IsKnown()
+}
--- a/core/request/zlrelay/start_test.go
+++ b/core/request/zlrelay/start_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"zinnialock/core/process/zldecision"
+	"zinnialock/core/process/zlquarantine"
 	"zinnialock/core/version/zlregistry"
 	"zinnialock/core/version/zltable"
 )
@@ -94,6 +95,46 @@
 	}
 }
 
+// Guards against a VM that sends a request which the others have in quarantine, since it has
+// only just started: it waits to be told, but not for long.
+func TestRequestsAtAStartWaitForTheQuarantine(t *testing.T) {
+	for name, c := range map[string]struct {
+		// told is when another VM tells what it has in quarantine.
+		told    time.Duration
+		refused bool
+		within  time.Duration
+	}{
+		"told in time":  {30 * time.Millisecond, true, 31 * time.Millisecond},
+		"told too late": {time.Second, false, startupTime + 50*time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				r := newStartingRelay(10 * time.Millisecond)
+				r.Quarantine = &zlquarantine.Ledger{
+					Timer: r.Timer,
+				}
+				req := request("/one/x")
+				time.AfterFunc(c.told, func() {
+					r.Quarantine.Apply(&zlquarantine.Report{
+						Quarantined: []zlquarantine.Entry{{
+							Fingerprint: req.Message.Fingerprint(),
+							Left:        time.Minute,
+						}},
+					})
+					r.Quarantine.MarkKnown()
+				})
+				a := r.Serve(context.Background(), req)
+				took := time.Since(req.Received)
+				w, refused := a.(*Refused)
+				if refused != c.refused || refused && w.Reason != zldecision.ReasonQuarantined || took > c.within {
+					t.Errorf("got %+v after %v, want refused %v within %v", a, took, c.refused, c.within)
+				}
+				time.Sleep(2 * time.Second)
+			})
+		})
+	}
+}
+
 // The wait for the first table must end when the caller disconnects.
 func TestCallerLeavesDuringStartup(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/core/request/zlrelay/zlrelay.go
+++ b/core/request/zlrelay/zlrelay.go
@@ -131,8 +131,8 @@
 	r.running.Add(1)
 	defer r.running.Add(-1)
 	view := r.Registry.Current()
-	if !view.Ready() {
-		if !r.awaitTable(ctx, req) {
+	if r.isStarting(view) {
+		if !r.awaitStart(ctx, req) {
 			r.note(&zldecision.Failed{
 				Subject: r.subject(view, req, nil),
 				Reason:  zldecision.ReasonCallerLeft,
--- a/io/version/zlbroadcast/crash.go
+++ b/io/version/zlbroadcast/crash.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"net"
+	"time"
 
 	"zinnialock/core/process/zlquarantine"
 
@@ -18,6 +19,11 @@
 	// quarantinePeriod is the number of heartbeats of which one has the list of requests
 	// in quarantine: 4 s.
 	quarantinePeriod = 16
+	// askPeriod is the time between questions for the requests in quarantine after a start,
+	// maxAsked how many VMs are asked each time, and learnTime how long.
+	askPeriod = 50 * time.Millisecond
+	maxAsked  = 3
+	learnTime = time.Second
 )
 
 // SendCrashReport sends a report on requests that crash replicas to the VMs of all data
@@ -75,26 +81,42 @@
 	}
 }
 
-// askQuarantine asks another VM what it has in quarantine, until one has told: a process
-// that just started has to know, and the heartbeats may not reach it yet.
-func (b *Broadcaster) askQuarantine() {
-	if b.quarantineKnown.Load() {
+// learnQuarantine asks other VMs what they have in quarantine until one has told: a process
+// that just started has to know before it sends requests. If none tells, as after a start of
+// all VMs, it goes on without.
+func (b *Broadcaster) learnQuarantine() {
+	end := b.Timer.Now().Add(learnTime)
+	b.Timer.Subscribe(b.Quarantine.Known(), askPeriod, 0, func() {
+		if b.closed() || !b.Timer.Now().Before(end) {
+			b.Quarantine.MarkKnown()
+			return
+		}
+		b.AskQuarantine()
+	})
+}
+
+// AskQuarantine asks a few other VMs what they have in quarantine unless this VM knows. It
+// is called when the other VMs become known, and may be called after Open.
+func (b *Broadcaster) AskQuarantine() {
+	if b.Quarantine.IsKnown() {
 		return
 	}
 	groups := b.PollPolicy.AllGroups(b.sequence.Load())
-	if len(groups) == 0 {
-		return
+	for _, i := range rand.Perm(len(groups))[:min(len(groups), maxAsked)] {
+		b.sendMessageTo(b.resolve(groups[i].Forwarder.Address), &message{
+			VM:        b.VM,
+			AgeMicros: -1,
+			Ask:       true,
+		})
 	}
-	b.sendMessageTo(b.resolve(groups[rand.IntN(len(groups))].Forwarder.Address), &message{
-		VM:        b.VM,
-		AgeMicros: -1,
-		Ask:       true,
-	})
 }
 
 // handleCrash takes in what a message says of requests that crash replicas, and reports
-// whether there is nothing else in it.
+// whether there is nothing else in it. A VM that does not know itself tells nothing.
 func (b *Broadcaster) handleCrash(m *message, from *net.UDPAddr) bool {
+	if m.Ask && !b.Quarantine.IsKnown() {
+		return true
+	}
 	if m.Ask {
 		b.sendMessageTo(from, &message{
 			VM:        b.VM,
@@ -106,12 +128,12 @@
 		})
 		return true
 	}
-	if m.Reply {
-		b.quarantineKnown.Store(true)
-	}
 	if m.Crash != nil {
 		b.Quarantine.Apply(m.Crash)
 	}
+	if m.Reply {
+		b.Quarantine.MarkKnown()
+	}
 	return m.Reply || m.Crash != nil && m.AgeMicros < 0 && m.Update == nil
 }
 
--- a/io/version/zlbroadcast/crash_test.go
+++ b/io/version/zlbroadcast/crash_test.go
@@ -48,8 +48,17 @@
 			Left:        time.Minute,
 		}},
 	})
-	b[1].quarantineKnown.Store(false)
+	b[0].Quarantine.MarkKnown()
 	eventually(t, "the request is in quarantine", func() bool {
 		return b[1].Quarantine.Verdict(crashing) == zlquarantine.Quarantined
 	})
+	<-b[1].Quarantine.Known()
+}
+
+// VMs that all start at the same time wait for each other only for a while.
+func TestStartOfAllVMsEndsTheWaitForTheQuarantine(t *testing.T) {
+	b := newPairIn(t, [2]zlunit.DataCentre{"lowell", "nashua"})
+	for i := range b {
+		<-b[i].Quarantine.Known()
+	}
 }
--- a/io/version/zlbroadcast/zlbroadcast.go
+++ b/io/version/zlbroadcast/zlbroadcast.go
@@ -112,8 +112,6 @@
 
 	// crashReports holds the reports to send.
 	crashReports chan *zlquarantine.Report
-	// quarantineKnown is set once another VM told what it has in quarantine.
-	quarantineKnown atomic.Bool
 
 	socket   *net.UDPConn
 	listener net.Listener
@@ -196,9 +194,7 @@
 	})
 	if b.Quarantine != nil {
 		group.Go(b.runCrashReports)
-		group.Go(func() {
-			b.Timer.Subscribe(b.Done, heartbeatPeriod, 0, b.askQuarantine)
-		})
+		group.Go(b.learnQuarantine)
 	}
 	if b.HealthReports != nil {
 		group.Go(func() {
