A VM that only heard of a quarantine does not lift it

Cause: a VM that hears of a quarantine in a list has no crashes of its own. If then any one crash is disproved (here a connection that broke while its replica lived), the crashes left are too few, and the quarantine went with them.

A quarantine is lifted that way only by VMs at which it follows from crashes. TestDisprovedCrashKeepsTheQuarantineOfOthers: before, Suspected after the disproof; now Quarantined.

--- a/core/process/zlquarantine/evidence.go
+++ b/core/process/zlquarantine/evidence.go
@@ -208,7 +208,7 @@
 			continue
 		}
 		found = true
-		if r.trials == 0 && !r.quarantinedUntil.IsZero() && !r.hasEnoughCrashes() {
+		if r.trials == 0 && r.isOwn && !r.quarantinedUntil.IsZero() && !r.hasEnoughCrashes() {
 			r.quarantinedUntil = time.Time{}
 			l.noteIf(now, f, r)
 		}
--- a/core/process/zlquarantine/zlquarantine.go
+++ b/core/process/zlquarantine/zlquarantine.go
@@ -132,6 +132,9 @@
 	lastPending time.Time
 	// quarantinedUntil is the end of the quarantine; zero if there is none.
 	quarantinedUntil time.Time
+	// isOwn is set if the quarantine follows from crashes, rather than from what another VM
+	// told.
+	isOwn bool
 	// trials counts the trials that crashed a replica, and trialAt is when the last one
 	// began, zero if its outcome is known.
 	trials  int
@@ -313,6 +316,7 @@
 		l.note(f, "quarantined")
 	}
 	r.quarantinedUntil = until
+	r.isOwn = r.hasEnoughCrashes()
 }
 
 // clearRecord drops what is known against a request and reports whether there was
--- a/core/process/zlquarantine/zlquarantine_test.go
+++ b/core/process/zlquarantine/zlquarantine_test.go
@@ -218,3 +218,30 @@
 		}
 	})
 }
+
+// Guards against a quarantine that is lifted by a VM that only heard of it, since a broken
+// connection that it saw itself was no crash.
+func TestDisprovedCrashKeepsTheQuarantineOfOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newLedger()
+		l.Verify = func(Crash, bool) {}
+		l.Apply(&Report{
+			Quarantined: []Entry{{
+				Fingerprint: request,
+				Left:        firstDuration,
+			}},
+		})
+		for _, ended := range []zlunit.Upstream{"", "b"} {
+			recordCrashes(l, request, 2)
+			l.ReportEnded(Replica{
+				Upstream: ended,
+			})
+			l.ReportAlive(Replica{
+				Upstream: "a",
+			})
+			if got := l.Verdict(request); got != Quarantined {
+				t.Errorf("got verdict %d after a crash was disproved, want Quarantined", got)
+			}
+		}
+	})
+}
