A replica that is back does not disprove its crash

Cause: what verifies a crash connects to the replica of the entry in the registry. From the time the replica is back until the registry has its next incarnation, up to its entry's life, that connection succeeds, and the Alive report also dropped the crashes of that incarnation that were confirmed.

Seen in a run of TestBrokenPathsQuarantineNoSoundRequest (replicas there keep their incarnation): 10 crashes of the crashing request, 5 allowed.

Alive drops a confirmed crash only within 500 ms of its confirmation; one that is not confirmed at any time. TestRestartedReplicaDoesNotDisproveItsCrash: before, Suspected after the replica was back; now Quarantined.

--- a/core/process/zlquarantine/evidence.go
+++ b/core/process/zlquarantine/evidence.go
@@ -19,6 +19,9 @@
 	// maxRoundCrashes bounds the crashes of one round that are remembered: one of each
 	// shard of a query, so that the other VMs know which replicas ended.
 	maxRoundCrashes = 48
+	// minRestartTime is the time after a replica was found to have ended from which on it may
+	// live again, before the registry has its next incarnation.
+	minRestartTime = 500 * time.Millisecond
 	// maxTrials bounds the trials that are counted.
 	maxTrials = 16
 )
@@ -106,10 +109,10 @@
 	}
 	r := l.recordFor(c.Fingerprint, now)
 	r.forgetOld(now)
-	if now.Before(r.clearedAt.Add(clearedTime)) || slices.Contains(r.pending, *c) || slices.Contains(r.crashes, *c) {
+	if now.Before(r.clearedAt.Add(clearedTime)) || slices.Contains(r.pending, *c) || r.hasCounted(c) {
 		return crashKnown
 	}
-	if countRound(r.pending, c.Round)+countRound(r.crashes, c.Round) >= maxRoundCrashes {
+	if r.countRound(c.Round) >= maxRoundCrashes {
 		return crashKnown
 	}
 	r.pending = appendBounded(r.pending, *c)
@@ -127,8 +130,15 @@
 	}
 }
 
+// hasCounted reports whether a crash was counted already.
+func (r *record) hasCounted(c *Crash) bool {
+	return slices.ContainsFunc(r.crashes, func(known countedCrash) bool {
+		return known.Crash == *c
+	})
+}
+
 // appendBounded appends a crash, in place of the oldest if there are maxCrashesKept.
-func appendBounded(list []Crash, c Crash) []Crash {
+func appendBounded[T any](list []T, c T) []T {
 	if len(list) >= maxCrashesKept {
 		list = list[1:]
 	}
@@ -174,7 +184,10 @@
 
 // count counts a confirmed crash. The caller holds mu.
 func (l *Ledger) count(f zlunit.Fingerprint, r *record, c Crash, now time.Time) {
-	r.crashes = appendBounded(r.crashes, c)
+	r.crashes = appendBounded(r.crashes, countedCrash{
+		Crash: c,
+		at:    now,
+	})
 	r.lastCrash = now
 	switch {
 	case !r.mustQuarantine():
@@ -187,8 +200,8 @@
 	}
 }
 
-// disprove drops the crashes at a replica that lives, and the quarantines that followed
-// from them. It reports whether there were any.
+// disprove drops the crashes at a replica that lives, unless it may have restarted since, and
+// the quarantines that followed from them. It reports whether there were any.
 func (l *Ledger) disprove(x Replica) bool {
 	if !l.active.Load() {
 		return false
@@ -197,13 +210,16 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	found := false
-	isOf := func(c Crash) bool {
+	isPending := func(c Crash) bool {
 		return c.isOf(x)
 	}
+	isCounted := func(c countedCrash) bool {
+		return c.isOf(x) && now.Before(c.at.Add(minRestartTime))
+	}
 	for f, r := range l.requests {
 		n := len(r.pending) + len(r.crashes)
-		r.pending = slices.DeleteFunc(r.pending, isOf)
-		r.crashes = slices.DeleteFunc(r.crashes, isOf)
+		r.pending = slices.DeleteFunc(r.pending, isPending)
+		r.crashes = slices.DeleteFunc(r.crashes, isCounted)
 		if len(r.pending)+len(r.crashes) == n {
 			continue
 		}
--- a/core/process/zlquarantine/zlquarantine.go
+++ b/core/process/zlquarantine/zlquarantine.go
@@ -66,6 +66,13 @@
 	Incarnation int64              `cbor:"4,keyasint"`
 }
 
+// countedCrash is a crash that was confirmed.
+type countedCrash struct {
+	Crash
+	// at is when it was.
+	at time.Time
+}
+
 // Entry is a request in quarantine and how long it stays there.
 type Entry struct {
 	Fingerprint zlunit.Fingerprint `cbor:"1,keyasint"`
@@ -124,7 +131,7 @@
 // record is what is known of one request.
 type record struct {
 	// crashes are confirmed, pending are not.
-	crashes []Crash
+	crashes []countedCrash
 	pending []Crash
 	// lastCrash is when the last crash became known, and lastPending when the last of
 	// pending did.
@@ -171,11 +178,16 @@
 	}
 }
 
-// countRound returns how many crashes of a round are among list.
-func countRound(list []Crash, round Round) int {
+// countRound returns how many crashes of a round are known.
+func (r *record) countRound(round Round) int {
 	n := 0
-	for _, s := range list {
-		if s.Round == round {
+	for _, c := range r.pending {
+		if c.Round == round {
+			n++
+		}
+	}
+	for _, c := range r.crashes {
+		if c.Round == round {
 			n++
 		}
 	}
--- a/core/process/zlquarantine/zlquarantine_test.go
+++ b/core/process/zlquarantine/zlquarantine_test.go
@@ -245,3 +245,25 @@
 		}
 	})
 }
+
+// Guards against a replica that crashed being taken for one that lives once it is back, while
+// the registry still lists it as it was: its crash counts.
+func TestRestartedReplicaDoesNotDisproveItsCrash(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newLedger()
+		recordCrashes(l, request, minCrashes)
+		time.Sleep(minRestartTime)
+		l.Verify = func(Crash, bool) {}
+		l.RecordCrash(&Crash{
+			Fingerprint: request,
+			Round:       minCrashes,
+			Upstream:    "a",
+		})
+		l.ReportAlive(Replica{
+			Upstream: "a",
+		})
+		if got := l.Verdict(request); got != Quarantined {
+			t.Errorf("got verdict %d after the replica was back, want Quarantined", got)
+		}
+	})
+}
