A crash is verified by more than one other replica

Cause: a VM that cannot connect to the replica of a crash tried one other, by chance, to tell it from a lost path of its own. While a third of the replicas are down that one often is too, nothing was reported, and the crash waited for the registry, seconds later, or was forgotten.

Up to four others are tried.

--- a/core/request/zlrelay/crash_verify.go
+++ b/core/request/zlrelay/crash_verify.go
@@ -11,6 +11,10 @@
 // one may be cut off, and one restarting.
 const verifiers = 3
 
+// maxOthersTried is how many other replicas are tried to tell a replica that ended from a lost
+// path.
+const maxOthersTried = 4
+
 // VerifyCrash finds out whether a replica ended, as a broken connection to it may show.
 // A VM does not verify what it saw itself, unless it is the only one: if the network resets
 // the connections between a VM and a replica, that VM cannot tell it from a crash.
@@ -51,11 +55,22 @@
 		return
 	}
 	// Nothing at all says less than a refusal: the replica's machine may be cut off.
-	if ctx.Err() == nil && r.Probe() {
+	if ctx.Err() == nil && r.reachesOthers() {
 		r.Quarantine.ReportEnded(incarnationOf(&c))
 	}
 }
 
+// reachesOthers reports whether a connection to any of a few replicas can be opened. One is
+// not enough: the request may have ended a third of them.
+func (r *Relay) reachesOthers() bool {
+	for range maxOthersTried {
+		if r.Probe() {
+			return true
+		}
+	}
+	return false
+}
+
 // CheckRegistry finds out which replicas of crashes the registry shows to have ended: they are
 // listed with another start, or not any more. It is called periodically.
 func (r *Relay) CheckRegistry() {
