A request waits for the only VM that can serve it

Log of one: forwarded, "declined reason=silent" 71 ms later, failed, while the helping VM had two sends under way and ended them ("callerLeft"). The same in virtual time: with two VMs, of which the helping one stalls for 100 ms after it received the forward, 0 of 5 served.

Cause: a VM that shows no sign of life for 30 ms, or 200 ms after it accepted, is given up so that another one serves. That was done also when no other VM was left, or the route's attempts were used: the request was lost for nothing. Ruled out: the helping VM's own loss (it had none), its intake (no "busy").

A forward that has begun is given up only if something else may serve the request: this VM's own paths, or another VM that is not passed over, with an attempt left. It is checked again each 20 ms.

TestOnlyHelpingVMIsWaitedFor: before, 5 of 5 failed after 30 ms with two VMs; now served when the stall ends, and with three VMs by the third as before.

--- a/core/process/zlpeerbalancer/zlpeerbalancer.go
+++ b/core/process/zlpeerbalancer/zlpeerbalancer.go
@@ -154,6 +154,18 @@
 	return best.Peer, true
 }
 
+// HasOther reports whether there is a VM that is not passed over and not in skip.
+func (b *Balancer) HasOther(now time.Time, skip []zlunit.VM) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, r := range b.peers {
+		if !now.Before(r.avoidUntil) && !slices.Contains(skip, r.VM) {
+			return true
+		}
+	}
+	return false
+}
+
 // cost returns the cost of one more forward to a VM. The caller holds mu.
 func (b *Balancer) cost(r *record, now time.Time) float64 {
 	cost := float64(r.inFlight) + b.random()*tieBreakJitter
--- a/core/request/zlrelay/forward.go
+++ b/core/request/zlrelay/forward.go
@@ -67,6 +67,9 @@
 	// aliveAt is when the VM last showed that it works on the request, in time since
 	// sentAt; 0 before it accepted it.
 	aliveAt atomic.Int64
+	// recheckAt is when it is checked again whether a VM that is silent is to be given up;
+	// zero before it was.
+	recheckAt time.Time
 }
 
 // forwardedPart is a part that is forwarded, and why it was lost before.
@@ -304,10 +307,14 @@
 
 // silentAt returns when the VM counts as silent.
 func (a *forwardAttempt) silentAt() time.Time {
+	at := a.sentAt.Add(acceptTimeout)
 	if alive := a.aliveAt.Load(); alive > 0 {
-		return a.sentAt.Add(time.Duration(alive) + silenceTimeout)
+		at = a.sentAt.Add(time.Duration(alive) + silenceTimeout)
 	}
-	return a.sentAt.Add(acceptTimeout)
+	if a.recheckAt.After(at) {
+		at = a.recheckAt
+	}
+	return at
 }
 
 // forwardWakeup returns when stepForward must be called next, or zero.
@@ -323,12 +330,17 @@
 }
 
 // checkSilence ends the forward under way if the VM is silent. A request that may run only
-// once is not sent to another VM then, and waits on.
+// once is not sent to another VM then, and waits on, as does one that nothing else serves: the
+// VM may only have stalled.
 func (x *run) checkSilence(now time.Time) {
 	a := x.forward.current
 	if a == nil || now.Before(a.silentAt()) {
 		return
 	}
+	if a.state.Load() == attemptStarted && !x.hasAlternative(now, a) {
+		a.recheckAt = now.Add(placementRetryInterval)
+		return
+	}
 	abandoned := a.state.CompareAndSwap(attemptPending, attemptAbandoned)
 	if !abandoned && !x.route.Idempotent {
 		return
@@ -341,6 +353,22 @@
 	x.endForward(now, a, zlpeerbalancer.OutcomeFailed, zldecision.ReasonSilent, runs)
 }
 
+// hasAlternative reports whether the request may be served otherwise if a forward that is
+// under way is given up.
+func (x *run) hasAlternative(now time.Time, a *forwardAttempt) bool {
+	if !x.relay.Uplink.IsLost() {
+		return true
+	}
+	runs := x.runsWithoutReply(a)
+	for _, fp := range a.parts {
+		if fp.part.response == nil && fp.part.mayHaveRun+runs >= max(x.route.Attempts, 1) {
+			return false
+		}
+	}
+	tried := append(slices.Clone(x.forward.tried), a.peer.VM)
+	return x.forward.sends < maxForwards && x.relay.Peers.HasOther(now, tried)
+}
+
 // runsWithoutReply returns on how many replicas of each part a forward without a reply may
 // have run. A VM that has not accepted it finds the connection closed before it sends more
 // than once; one that has may have used all attempts.
--- a/core/request/zlrelay/forward_fleet_test.go
+++ b/core/request/zlrelay/forward_fleet_test.go
@@ -59,6 +59,8 @@
 	// dark is set while the VM answers no other VM; forwards counts what it served.
 	dark     atomic.Bool
 	forwards atomic.Int64
+	// stall is how long the VM shows no sign of life after it has received a forward.
+	stall atomic.Int64
 }
 
 // newForwardFleet returns a fleet; end must be called at the end of the test.
@@ -191,6 +193,11 @@
 		}
 	}
 	target.forwards.Add(1)
+	if sleep(ctx, time.Duration(target.stall.Load())) == outcomeCancelled {
+		return &NoReply{
+			MayHaveRun: true,
+		}
+	}
 	ended := make(chan struct{})
 	defer close(ended)
 	go func() {
--- a/core/request/zlrelay/forward_test.go
+++ b/core/request/zlrelay/forward_test.go
@@ -180,6 +180,34 @@
 	}
 }
 
+// A VM that stalls for a moment must be waited for if it is the only one that serves, and not if
+// there is another one.
+func TestOnlyHelpingVMIsWaitedFor(t *testing.T) {
+	for vms, want := range map[int]time.Duration{
+		2: 150 * time.Millisecond,
+		3: 120 * time.Millisecond,
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			routes := forwardRoutes(10)
+			f := newForwardFleet(vms, 10, routes...)
+			defer f.end()
+			f.vms[0].paths.Store(int32(pathsHang))
+			var group sync.WaitGroup
+			var y tally
+			f.load(&group, 0, &routes[0], 30*time.Millisecond, time.Now().Add(time.Second), time.Now(), &y)
+			group.Wait()
+			f.vms[1].stall.Store(int64(100 * time.Millisecond))
+			for range 5 {
+				sent := time.Now()
+				answer := f.vms[0].relay.Serve(context.Background(), request("/all/x"))
+				if _, ok := answer.(*Merged); !ok || time.Since(sent) > want {
+					t.Errorf("%d VMs: got %T after %v, want an answer within %v", vms, answer, time.Since(sent), want)
+				}
+			}
+		})
+	}
+}
+
 // A request that no VM can serve must be refused at once, once the loss is certain.
 func TestNoVMReachesReplicas(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
