--- a/io/version/zlbroadcast/message.go
+++ b/io/version/zlbroadcast/message.go
@@ -11,8 +11,7 @@
 	"zinnialock/core/version/zlrevision"
 	"zinnialock/core/version/zltable"
 	"zinnialock/core/version/zlwatcher"
-
-	"github.com/fxamacker/cbor/v2"
+	"zinnialock/io/connection/zlcbor"
 )
 
 // message is one datagram: a heartbeat with an optional update of the store, or
@@ -77,19 +76,11 @@
 	maxDepth = 12
 )
 
-var decoder = mustDecoder()
-
-func mustDecoder() cbor.DecMode {
-	mode, err := cbor.DecOptions{
-		MaxArrayElements: maxItems,
-		MaxMapPairs:      maxItems,
-		MaxNestedLevels:  maxDepth,
-	}.DecMode()
-	if err != nil {
-		panic(err)
-	}
-	return mode
-}
+var decoder = zlcbor.NewDecoder(zlcbor.Limits{
+	Elements: maxItems,
+	Pairs:    maxItems,
+	Depth:    maxDepth,
+})
 
 func toWire(d *zlwatcher.Delta) *delta {
 	out := &delta{
