--- a/io/connection/zlpeer/message.go
+++ b/io/connection/zlpeer/message.go
@@ -6,8 +6,8 @@
 
 	"zinnialock/core/process/zlunit"
 	"zinnialock/core/request/zlquery"
-	"zinnialock/io/connection/zlcbor"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/rotisserie/eris"
 )
 
@@ -26,11 +26,19 @@
 	maxTopicBytes = 64
 )
 
-var decMode = zlcbor.NewDecoder(zlcbor.Limits{
-	Elements: maxRows,
-	Pairs:    maxSubRequests,
-	Depth:    16,
-})
+var decMode = mustDecMode()
+
+func mustDecMode() cbor.DecMode {
+	mode, err := cbor.DecOptions{
+		MaxArrayElements: maxRows,
+		MaxMapPairs:      maxSubRequests,
+		MaxNestedLevels:  16,
+	}.DecMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}
 
 type cancelMessage struct {
 	Subs []zlunit.SubRequestID `cbor:"1,keyasint"`
--- a/io/request/zlforward/message.go
+++ b/io/request/zlforward/message.go
@@ -8,7 +8,6 @@
 	"zinnialock/core/process/zlunit"
 	"zinnialock/core/request/zlrelay"
 	"zinnialock/core/version/zltable"
-	"zinnialock/io/connection/zlcbor"
 
 	"github.com/fxamacker/cbor/v2"
 )
@@ -92,11 +91,19 @@
 	maxDepth = 8
 )
 
-var decoder = zlcbor.NewDecoder(zlcbor.Limits{
-	Elements: maxItems,
-	Pairs:    maxItems,
-	Depth:    maxDepth,
-})
+var decoder = mustDecoder()
+
+func mustDecoder() cbor.DecMode {
+	mode, err := cbor.DecOptions{
+		MaxArrayElements: maxItems,
+		MaxMapPairs:      maxItems,
+		MaxNestedLevels:  maxDepth,
+	}.DecMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}
 
 // encodeForward encodes a forward; its times become durations as of now.
 func encodeForward(f *zlrelay.Forward, now time.Time) ([]byte, error) {
--- a/io/version/zlbroadcast/message.go
+++ b/io/version/zlbroadcast/message.go
@@ -11,7 +11,8 @@
 	"zinnialock/core/version/zlrevision"
 	"zinnialock/core/version/zltable"
 	"zinnialock/core/version/zlwatcher"
-	"zinnialock/io/connection/zlcbor"
+
+	"github.com/fxamacker/cbor/v2"
 )
 
 // message is one datagram: a heartbeat with an optional update of the store, or
@@ -76,11 +77,19 @@
 	maxDepth = 12
 )
 
-var decoder = zlcbor.NewDecoder(zlcbor.Limits{
-	Elements: maxItems,
-	Pairs:    maxItems,
-	Depth:    maxDepth,
-})
+var decoder = mustDecoder()
+
+func mustDecoder() cbor.DecMode {
+	mode, err := cbor.DecOptions{
+		MaxArrayElements: maxItems,
+		MaxMapPairs:      maxItems,
+		MaxNestedLevels:  maxDepth,
+	}.DecMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}
 
 func toWire(d *zlwatcher.Delta) *delta {
 	out := &delta{
