A list of the store that another VM overtook no longer undoes its update

Cause: zlwatcher let each list replace what was held and kept the later of both revisions. A list whose answer was on its way while another VM sent a later change undid that change, and the watch began after it. The same hit replicas that had been added, and what is handed to VMs that ask.

Change: what is held of a topic is the whole topic as of its revision. An overtaken list is brought up to date with the later deltas, or dropped; the data centres out of service are computed from what is held; a list of an earlier era is repeated. A line tells of it.

Ruled out: the watch's order, the confirmations of other VMs, eras.

--- a/core/version/zlwatcher/delta.go
+++ b/core/version/zlwatcher/delta.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -37,10 +39,12 @@
 	// shortUntil is the time up to which watches are kept short, since they may miss
 	// changes.
 	shortUntil time.Time
-	// items holds the current items by key, or nil if nothing is known. deltas holds the
-	// latest deltas, oldest first.
+	// items holds the items as of revision by key, or nil if nothing is known. deltas holds
+	// the latest deltas, oldest first, each of which continues the one before it.
 	items  map[string]Item
 	deltas []*Delta
+	// changedAt is when items last changed.
+	changedAt time.Time
 }
 
 func (s *topicState) isListed() bool {
@@ -125,52 +129,104 @@
 	}
 }
 
-// applyDelta applies a delta to the registry and keeps it for peers. fromStore reports that
-// it came from the store itself and not from a peer.
-func (w *Watcher) applyDelta(t Topic, d *Delta, at time.Time, fromStore bool) {
+// applyDelta applies a delta to the registry and keeps it for peers, unless what this VM
+// holds is newer. fromStore reports that the delta came from the store itself and not from
+// a peer; at is when a list was sent, or anything else received. It returns false for a
+// delta that doesn't join what this VM holds, which is always the whole topic as of its
+// revision.
+func (w *Watcher) applyDelta(t Topic, d *Delta, at time.Time, fromStore bool) bool {
 	s := &w.topics[t]
 	deadline := w.tableDeadline()
-	w.noteEra(d.ToRevision.Era)
+	era := w.noteEra(d.ToRevision.Era)
 	s.mu.Lock()
-	if d.ToRevision.Era < s.revision.Era {
+	isList := fromStore && d.Full
+	switch {
+	case d.ToRevision.Era < s.revision.Era:
 		// A reply or message that was sent before the store went back.
 		s.mu.Unlock()
-		return
+		return true
+	case isList && s.hasOvertaken(d, at):
+		w.noteDependency("list", "overtaken", fmt.Sprintf("%s: revision %d, held %d", t, d.ToRevision.Number, s.revision.Number), 0)
+		d = s.withLaterDeltas(d)
+	case !isList && s.items != nil && !s.revision.Before(d.ToRevision):
+		d = nil
 	}
-	if !s.revision.Before(d.ToRevision) && (!fromStore || !d.Full) {
+	if d == nil {
 		s.mu.Unlock()
-		w.confirm(t, at)
-		return
+		if fromStore {
+			w.confirm(t, at)
+		}
+		return true
 	}
-	if t == TopicTable && d.Full {
-		d.Items = s.withNewestTable(d.Items)
+	if !s.joins(d) {
+		s.mu.Unlock()
+		return false
 	}
-	if d.Full || s.items == nil {
-		s.items = map[string]Item{}
+	s.put(t, d, w.Timer.Now())
+	w.publish(t, s.items, d, at, deadline)
+	// A list of an earlier era must be repeated.
+	s.listed = s.revision.Era >= era
+	s.mu.Unlock()
+	if fromStore && w.OnUpdate != nil {
+		w.OnUpdate(t, d)
 	}
-	for _, i := range d.Items {
-		name, gone := key(i)
-		if gone {
-			delete(s.items, name)
-		} else {
-			s.items[name] = i
+	return true
+}
+
+// hasOvertaken reports whether a peer sent a later state of the topic while the answer to a
+// list, which was sent at the given time, was on its way. The caller holds mu.
+func (s *topicState) hasOvertaken(list *Delta, at time.Time) bool {
+	return s.items != nil && list.ToRevision.Before(s.revision) && !s.changedAt.Before(at)
+}
+
+// withLaterDeltas returns the list with the later changes of the kept deltas, or nil if
+// those don't reach back that far. The caller holds mu.
+func (s *topicState) withLaterDeltas(list *Delta) *Delta {
+	if len(s.deltas) == 0 || list.ToRevision.Before(s.deltas[0].FromRevision) {
+		return nil
+	}
+	d := &Delta{
+		ToRevision: s.revision,
+		Full:       true,
+		Items:      slices.Clone(list.Items),
+	}
+	for _, kept := range s.deltas {
+		if list.ToRevision.Before(kept.ToRevision) {
+			d.Items = append(d.Items, kept.Items...)
 		}
 	}
+	return d
+}
+
+// joins reports whether a delta continues what is held or replaces it. The caller holds mu.
+func (s *topicState) joins(d *Delta) bool {
+	return d.Full || s.items != nil && d.FromRevision.Era == s.revision.Era && !s.revision.Before(d.FromRevision)
+}
+
+// put changes what is held by a delta that joins it. The caller holds mu.
+func (s *topicState) put(t Topic, d *Delta, now time.Time) {
+	if t == TopicTable && d.Full {
+		d.Items = s.withNewestTable(d.Items)
+	}
 	if d.Full {
+		s.items = map[string]Item{}
 		s.deltas = nil
-		w.replace(t, d.Items, at, deadline)
 	} else {
 		s.deltas = append(s.deltas, d)
 		if len(s.deltas) > maxDeltas {
 			s.deltas = s.deltas[len(s.deltas)-maxDeltas:]
 		}
-		w.apply(t, d.Items, at, deadline)
 	}
-	s.revision = zlrevision.Later(s.revision, d.ToRevision)
-	s.mu.Unlock()
-	if fromStore && w.OnUpdate != nil {
-		w.OnUpdate(t, d)
+	for _, i := range d.Items {
+		name, gone := key(i)
+		if gone {
+			delete(s.items, name)
+		} else {
+			s.items[name] = i
+		}
 	}
+	s.revision = d.ToRevision
+	s.changedAt = now
 }
 
 // withNewestTable returns the items of a whole topic, with the newest table that is
@@ -207,22 +263,7 @@
 // ApplyPeerDelta applies a delta from a peer if it joins what this VM holds, and reports
 // whether this VM now has everything up to the delta's end.
 func (w *Watcher) ApplyPeerDelta(t Topic, d *Delta) bool {
-	s := &w.topics[t]
-	s.mu.Lock()
-	known, revision := s.items != nil, s.revision
-	fits := d.Full || (known && d.FromRevision.Era == revision.Era && !revision.Before(d.FromRevision))
-	s.mu.Unlock()
-	if known && !revision.Before(d.ToRevision) {
-		return true
-	}
-	if !fits {
-		return false
-	}
-	w.applyDelta(t, d, w.Timer.Now(), false)
-	s.mu.Lock()
-	s.listed = true
-	s.mu.Unlock()
-	return true
+	return w.applyDelta(t, d, w.Timer.Now(), false)
 }
 
 // DeltaSince returns the changes of a topic after a revision, in full if the kept deltas
--- a/core/version/zlwatcher/era.go
+++ b/core/version/zlwatcher/era.go
@@ -17,15 +17,16 @@
 // errEraChanged ends a list or watch during which the store went back.
 var errEraChanged = errors.New("zlwatcher: the store went back to an earlier state")
 
-// noteEra notes the era of a reply. If it is a new one, all topics are listed again, and
-// until then requests go on with what this VM holds: the store lost the newest changes,
-// but they were in force, and their writers write them again. Entries that are missing
-// are kept for the grace of an outage, and data centres stay out of service for outHold.
-func (w *Watcher) noteEra(era zlrevision.Era) {
+// noteEra notes the era of a reply and returns the newest one known. If it is a new one,
+// all topics are listed again, and until then requests go on with what this VM holds: the
+// store lost the newest changes, but they were in force, and their writers write them
+// again. Entries that are missing are kept for the grace of an outage, and data centres
+// stay out of service for outHold.
+func (w *Watcher) noteEra(era zlrevision.Era) zlrevision.Era {
 	w.mu.Lock()
 	if era <= w.era {
-		w.mu.Unlock()
-		return
+		defer w.mu.Unlock()
+		return w.era
 	}
 	isFirst := w.era == 0
 	w.era = era
@@ -42,6 +43,7 @@
 	for i := range w.topics {
 		w.topics[i].requireEra(era)
 	}
+	return era
 }
 
 // withHeldOut adds the data centres that are held out of service to out.
@@ -71,9 +73,5 @@
 	if s.items == nil {
 		return
 	}
-	items := make([]Item, 0, len(s.items))
-	for _, i := range s.items {
-		items = append(items, i)
-	}
-	w.setOut(map[zlunit.DataCentre]bool{}, items, w.Registry.View().OutOfServiceAt)
+	w.setOut(s.items, w.Registry.View().OutOfServiceAt)
 }
--- a/core/version/zlwatcher/fake_test.go
+++ b/core/version/zlwatcher/fake_test.go
@@ -31,8 +31,10 @@
 	hangs         bool
 	down          bool
 	failWatches   chan struct{}
-	lists         map[Topic]int
-	probes        int
+	// onList is called, if set, once a list has taken effect and before its answer arrives.
+	onList func(t Topic)
+	lists  map[Topic]int
+	probes int
 }
 
 type change struct {
@@ -63,11 +65,15 @@
 
 // remove removes a replica.
 func (s *fakeStore) remove(name string, item Item) {
+	s.removeFrom(TopicReplicas, name, item)
+}
+
+func (s *fakeStore) removeFrom(t Topic, name string, item Item) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.revision++
-	delete(s.items[TopicReplicas], name)
-	s.changed(TopicReplicas, item)
+	delete(s.items[t], name)
+	s.changed(t, item)
 }
 
 func (s *fakeStore) changed(t Topic, item Item) {
@@ -144,7 +150,6 @@
 		return nil, err
 	}
 	s.mu.Lock()
-	defer s.mu.Unlock()
 	s.lists[t]++
 	p := &Page{
 		Revision: s.at(),
@@ -152,6 +157,11 @@
 	for _, i := range s.items[t] {
 		p.Items = append(p.Items, i)
 	}
+	onList := s.onList
+	s.mu.Unlock()
+	if onList != nil {
+		onList(t)
+	}
 	return p, nil
 }
 
--- a/core/version/zlwatcher/watch.go
+++ b/core/version/zlwatcher/watch.go
@@ -41,9 +41,6 @@
 	if t == TopicTable && len(d.Items) == 0 && !state.isKnown() {
 		return emptyTableDelay, nil
 	}
-	state.mu.Lock()
-	state.listed = true
-	state.mu.Unlock()
 	w.noteAnswer(at)
 	w.applyDelta(t, d, at, true)
 	return 0, nil
@@ -92,47 +89,45 @@
 	}
 }
 
-// replace puts the items in the place of all that the registry holds of the topic.
-func (w *Watcher) replace(t Topic, items []Item, at, deadline time.Time) {
+// publish brings into force what is held of a topic after a delta.
+func (w *Watcher) publish(t Topic, items map[string]Item, d *Delta, at, deadline time.Time) {
 	switch t {
 	case TopicTable:
-		w.setTables(items, at, deadline)
+		if table, ok := items["table"].(*TableItem); ok {
+			w.Registry.SetTable(table.Table, at, deadline)
+		}
 	case TopicReplicas:
-		var all []zlregistry.Replica
-		for _, i := range items {
-			if r, ok := i.(*ReplicaItem); ok && r.Replica != nil {
-				all = append(all, *r.Replica)
-			}
+		if d.Full {
+			w.Registry.Replace(replicasOf(items), at)
+		} else {
+			w.Registry.Apply(changesOf(d.Items), at)
 		}
-		w.Registry.Replace(all, at)
 	case TopicOutOfService:
-		w.setOut(map[zlunit.DataCentre]bool{}, items, at)
+		w.setOut(items, at)
 	}
 }
 
-// apply applies changed items to the registry.
-func (w *Watcher) apply(t Topic, items []Item, at, deadline time.Time) {
-	switch t {
-	case TopicTable:
-		w.setTables(items, at, deadline)
-	case TopicReplicas:
-		changes := make([]zlregistry.Change, 0, len(items))
-		for _, i := range items {
-			if r, ok := i.(*ReplicaItem); ok {
-				changes = append(changes, zlregistry.Change{
-					ID:      r.ID,
-					Replica: r.Replica,
-				})
-			}
+func replicasOf(items map[string]Item) []zlregistry.Replica {
+	all := make([]zlregistry.Replica, 0, len(items))
+	for _, i := range items {
+		if r, ok := i.(*ReplicaItem); ok {
+			all = append(all, *r.Replica)
 		}
-		w.Registry.Apply(changes, at)
-	case TopicOutOfService:
-		out := map[zlunit.DataCentre]bool{}
-		for dc := range w.Registry.View().OutOfService {
-			out[dc] = true
+	}
+	return all
+}
+
+func changesOf(items []Item) []zlregistry.Change {
+	changes := make([]zlregistry.Change, 0, len(items))
+	for _, i := range items {
+		if r, ok := i.(*ReplicaItem); ok {
+			changes = append(changes, zlregistry.Change{
+				ID:      r.ID,
+				Replica: r.Replica,
+			})
 		}
-		w.setOut(out, items, at)
 	}
+	return changes
 }
 
 // tableDeadline returns the time at which a table that arrives now must be in force, or
@@ -151,22 +146,11 @@
 	return at.Add(w.UpdateBound - tableWatchInterval - applyMargin)
 }
 
-func (w *Watcher) setTables(items []Item, at, deadline time.Time) {
+// setOut sets the data centres out of service to those that items name.
+func (w *Watcher) setOut(items map[string]Item, at time.Time) {
+	out := map[zlunit.DataCentre]bool{}
 	for _, i := range items {
-		if table, ok := i.(*TableItem); ok && table.Table != nil {
-			w.Registry.SetTable(table.Table, at, deadline)
-		}
-	}
-}
-
-func (w *Watcher) setOut(out map[zlunit.DataCentre]bool, items []Item, at time.Time) {
-	for _, i := range items {
-		item, ok := i.(*OutOfServiceItem)
-		switch {
-		case !ok:
-		case item.Removed:
-			delete(out, item.DataCentre)
-		default:
+		if item, ok := i.(*OutOfServiceItem); ok {
 			out[item.DataCentre] = true
 		}
 	}
