--- a/io/process/zlplatform/zlplatform.go
+++ b/io/process/zlplatform/zlplatform.go
@@ -18,6 +18,7 @@
 	"time"
 
 	"zinnialock/core/process/zlunit"
+	"zinnialock/io/process/zljson"
 
 	"github.com/rotisserie/eris"
 )
@@ -237,7 +238,7 @@
 	if out == nil {
 		return nil
 	}
-	if err := json.Unmarshal(data, out); err != nil {
+	if err := zljson.Unmarshal(data, out); err != nil {
 		return &Error{
 			Op:   op,
 			Kind: KindDecode,
