A stopping VM answers each request that it reads

Cause: what began before the listener was closed was served whenever it was complete; nothing ended what was left before the process did; http.Server.Shutdown closes a connection whose first request comes after it.

The server closes idle connections itself. zinnialock serve refuses such queries.

--- a/core/request/zlrelay/answer.go
+++ b/core/request/zlrelay/answer.go
@@ -109,13 +109,26 @@
 		return x.relay.refuse(x.view, x.req, x.route, x.refusalReason(p), p.service)
 	case p.lostReason != "":
 		return x.fail(p.lostReason, false)
-	case !now.Before(x.deadline):
+	case x.isOver(now):
 		return x.expire()
 	default:
 		return nil
 	}
 }
 
+// isOver reports whether the request has no more time.
+func (x *run) isOver(now time.Time) bool {
+	return !now.Before(x.deadline) || x.relay.ended.Load()
+}
+
+// overReason returns why the request has no more time.
+func (x *run) overReason() zldecision.Reason {
+	if x.relay.ended.Load() {
+		return zldecision.ReasonStopping
+	}
+	return x.deadlineReason
+}
+
 func (x *run) refusalReason(p *part) zldecision.Reason {
 	if p.sends > 0 {
 		return zldecision.ReasonAllRefused
@@ -126,21 +139,13 @@
 // scatteredAnswer returns the answer to a scattered request, or nil if it is not
 // decided yet.
 func (x *run) scatteredAnswer(now time.Time) Answer {
-	answered, open, mayHaveRun := 0, 0, 0
-	for i := range x.parts {
-		p := &x.parts[i]
-		mayHaveRun += max(p.mayHaveRun, 0)
-		switch {
-		case p.response != nil:
-			answered++
-		case p.lostReason == "":
-			open++
-		}
-	}
+	answered, open, mayHaveRun := x.countParts()
 	minParts := x.minParts()
 	switch {
 	case open == 0 && answered >= minParts:
 		return x.mergedAnswer(now, "")
+	case answered >= minParts && x.relay.ended.Load():
+		return x.mergedAnswer(now, zldecision.ReasonStopping)
 	case answered >= minParts && !now.Before(x.partialAnswerAt):
 		return x.mergedAnswer(now, zldecision.ReasonObjectiveNear)
 	case answered+open < minParts && x.forwardUnreached(now):
@@ -149,13 +154,29 @@
 		return x.relay.refuse(x.view, x.req, x.route, zldecision.ReasonTooFewShards, x.missingShards()[0])
 	case answered+open < minParts:
 		return x.fail(zldecision.ReasonPartsLost, false)
-	case !now.Before(x.deadline):
+	case x.isOver(now):
 		return x.expire()
 	default:
 		return nil
 	}
 }
 
+// countParts returns the number of parts that are answered, of those that may still be, and
+// of the sends that may have run.
+func (x *run) countParts() (answered, open, mayHaveRun int) {
+	for i := range x.parts {
+		p := &x.parts[i]
+		mayHaveRun += max(p.mayHaveRun, 0)
+		switch {
+		case p.response != nil:
+			answered++
+		case p.lostReason == "":
+			open++
+		}
+	}
+	return answered, open, mayHaveRun
+}
+
 // mergedAnswer merges the parts. A reason in early means that the answer does not
 // wait for the missing ones.
 func (x *run) mergedAnswer(now time.Time, early zldecision.Reason) Answer {
@@ -199,11 +220,11 @@
 	return list
 }
 
-// expire ends a request that has reached its deadline. It refuses the request if
+// expire ends a request that has no more time. It refuses the request if
 // no part of it can have run.
 func (x *run) expire() Answer {
 	if a := x.forward.current; a != nil && !a.state.CompareAndSwap(attemptPending, attemptAbandoned) {
-		return x.fail(x.deadlineReason, true)
+		return x.fail(x.overReason(), true)
 	}
 	for i := range x.parts {
 		p := &x.parts[i]
@@ -214,10 +235,10 @@
 			}
 		}
 		if p.mayHaveRun > 0 || p.response != nil {
-			return x.fail(x.deadlineReason, true)
+			return x.fail(x.overReason(), true)
 		}
 	}
-	return x.relay.refuse(x.view, x.req, x.route, x.deadlineReason, x.parts[0].service)
+	return x.relay.refuse(x.view, x.req, x.route, x.overReason(), x.parts[0].service)
 }
 
 // fail ends a request that may have run. If the request was not scattered and did
--- a/core/request/zlrelay/run.go
+++ b/core/request/zlrelay/run.go
@@ -265,16 +265,10 @@
 	}
 	if !x.admitted {
 		if s, ok := x.admit(now); !ok {
-			reason := zldecision.ReasonNoRoom
-			if !x.admissible(now) {
-				reason = zldecision.ReasonRateLimited
-			} else if now.Before(x.placementDeadline) {
-				return nil
-			}
-			return x.relay.refuse(x.view, x.req, x.route, reason, s)
+			return x.awaitAdmission(now, s)
 		}
 	}
-	if now.Before(x.deadline) {
+	if !x.isOver(now) {
 		for i := range x.parts {
 			x.parts[i].step(now)
 		}
@@ -282,6 +276,21 @@
 	return x.answer(now)
 }
 
+// awaitAdmission refuses a request that waits for capacity of a service, or returns nil if
+// it may still get some.
+func (x *run) awaitAdmission(now time.Time, s zlunit.Service) Answer {
+	reason := zldecision.ReasonNoRoom
+	switch {
+	case !x.admissible(now):
+		reason = zldecision.ReasonRateLimited
+	case x.relay.ended.Load():
+		reason = zldecision.ReasonStopping
+	case now.Before(x.placementDeadline):
+		return nil
+	}
+	return x.relay.refuse(x.view, x.req, x.route, reason, s)
+}
+
 // answer returns the answer, or nil if it is not decided yet.
 func (x *run) answer(now time.Time) Answer {
 	if x.route.IsSharded() {
--- a/core/request/zlrelay/zlrelay.go
+++ b/core/request/zlrelay/zlrelay.go
@@ -91,6 +91,7 @@
 	helpPauses    map[zlunit.Service]helpPause
 	runs          map[*run]struct{}
 	running       atomic.Int64
+	ended         atomic.Bool
 	sends         sync.WaitGroup
 	intake        intake
 	// newestForwardVersion is the newest table version by which another VM served for
@@ -156,6 +157,18 @@
 	return r.start(ctx, view, route, req).serve()
 }
 
+// Refuse refuses a request that nothing was done for.
+func (r *Relay) Refuse(req *Request, reason zldecision.Reason) Answer {
+	return r.refuse(r.Registry.Current(), req, nil, reason, "")
+}
+
+// EndAll ends the requests that are being served as at their deadline, since this process
+// stops: those that did not run are refused, the others fail or get the parts that came.
+func (r *Relay) EndAll() {
+	r.ended.Store(true)
+	r.WakeAll()
+}
+
 func (r *Relay) note(e zldecision.Event) {
 	if r.Sink != nil {
 		r.Sink.Record(e)
--- a/io/process/zldaemon/zldaemon.go
+++ b/io/process/zldaemon/zldaemon.go
@@ -117,10 +117,12 @@
 	cancel         context.CancelFunc
 	goroutines     sync.WaitGroup
 	stopping       atomic.Bool
-	inFlight       atomic.Int64
-	meter          zlplatform.Meter
-	started        time.Time
-	settled        atomic.Bool
+	// closed is set once a stopping daemon takes no more queries.
+	closed   atomic.Bool
+	inFlight atomic.Int64
+	meter    zlplatform.Meter
+	started  time.Time
+	settled  atomic.Bool
 }
 
 // Run starts all parts and returns once the daemon accepts queries. After an error,
@@ -218,8 +220,11 @@
 func (d *Daemon) listen() error {
 	callers := http.NewServeMux()
 	callers.Handle("POST "+zlfront.Path, d.countInFlight(&zlfront.Handler{
-		Answerer: d.claims.guard,
-		Timer:    d.timer,
+		Answerer: &stoppingAnswerer{
+			Answerer: d.claims.guard,
+			closed:   &d.closed,
+		},
+		Timer: d.timer,
 	}))
 	var err error
 	if d.callerServer, err = d.startServer(d.Config.CallerListen, callers); err != nil {
@@ -265,6 +270,29 @@
 	})
 }
 
+// stoppingAnswerer refuses the queries that are read once closed is set, since their answers
+// may come after the end of the stop.
+type stoppingAnswerer struct {
+	zlfront.Answerer
+	closed *atomic.Bool
+}
+
+// Answer implements zlfront.Answerer. An earlier attempt of a retry may have run.
+func (s *stoppingAnswerer) Answer(ctx context.Context, req *zlquery.Request) *zlquery.Answer {
+	if !s.closed.Load() {
+		return s.Answerer.Answer(ctx, req)
+	}
+	a := &zlquery.Answer{
+		ID:      req.ID,
+		Outcome: zlquery.OutcomeNotRun,
+		Reason:  zlquery.ReasonStopping,
+	}
+	if req.Retry {
+		a.Outcome = zlquery.OutcomeUnknown
+	}
+	return a
+}
+
 // replyFlushTime is the pause between the last reply to another daemon and the close
 // of its connection, so that the reply is delivered.
 const replyFlushTime = 100 * time.Millisecond
@@ -282,6 +310,7 @@
 		d.Log.Warn().Err(err).Msg("daemon: writing the leaving state to the roster failed; trying again while stopping")
 	}
 	d.timer.Sleep(ctx.Done(), d.Config.StopGrace)
+	d.closed.Store(true)
 	err := d.callerServer.Shutdown(ctx)
 	d.claims.finish(ctx)
 	running := d.inFlight.Load()
--- a/io/request/zlserver/zlserver.go
+++ b/io/request/zlserver/zlserver.go
@@ -5,7 +5,6 @@
 package zlserver
 
 import (
-	"context"
 	"errors"
 	"net"
 	"net/http"
@@ -51,6 +50,8 @@
 	Budget *zlreadbudget.Budget
 
 	stopping atomic.Bool
+	// closed is set once the server takes no more requests.
+	closed atomic.Bool
 	// requests counts the requests in flight.
 	requests atomic.Int64
 	mu       sync.Mutex
@@ -65,6 +66,12 @@
 	return s.stopping.Load()
 }
 
+// Closed reports whether the server takes no more requests: one that is read from then on
+// should be refused, since its answer may come after the end of the stop.
+func (s *Server) Closed() bool {
+	return s.closed.Load()
+}
+
 // Run serves until Stop ends it, and returns nil then. Otherwise it returns the error
 // of the listener.
 func (s *Server) Run() error {
@@ -159,24 +166,32 @@
 
 // Stop ends the server. It keeps accepting for acceptTimeAfterStop, while the load
 // balancer may still send callers; then it closes the listener and idle connections
-// and waits for the requests in flight. It returns after at most timeout, with the
-// number of requests that are still in flight then.
+// and waits for the other ones, whose requests are still served. It returns after at most
+// timeout, with the number of requests that are still in flight then.
 func (s *Server) Stop(timeout time.Duration) int {
 	end := time.Now().Add(timeout)
 	s.stopping.Store(true)
 	time.Sleep(min(acceptTimeAfterStop, timeout))
+	s.closed.Store(true)
 	_ = s.Listener.Close()
-	ctx, cancel := context.WithDeadline(context.Background(), end)
-	defer cancel()
+	for s.closeIdle() > 0 && time.Now().Before(end) {
+		time.Sleep(drainPollInterval)
+	}
+	return int(s.requests.Load())
+}
+
+// closeIdle closes idle connections and returns the number of the others. http.Server has a
+// Shutdown for that, but it closes a connection whose first request comes later without an
+// answer.
+func (s *Server) closeIdle() int {
 	s.mu.Lock()
 	server := s.server
 	s.mu.Unlock()
 	if server == nil {
 		return 0
 	}
-	_ = server.Shutdown(ctx)
-	for s.requests.Load() > 0 && time.Now().Before(end) {
-		time.Sleep(drainPollInterval)
-	}
-	return int(s.requests.Load())
+	server.SetKeepAlivesEnabled(false)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.conns)
 }
