A stopping VM serves other VMs for as long as it takes callers

Cause: a VM declined forwards from SIGTERM on, though it took callers for 2.5 s; up to three stop at once.

A forward that did not run when the stop ends is declined, so that the other VM can go elsewhere.

--- a/core/request/zlrelay/forward_serve.go
+++ b/core/request/zlrelay/forward_serve.go
@@ -25,7 +25,7 @@
 )
 
 // ServeForward serves a request, or parts of one, for another VM. It declines if this VM
-// cannot serve it, and never forwards it itself.
+// cannot serve it, or ends before it did, and never forwards it itself.
 func (r *Relay) ServeForward(ctx context.Context, f *Forward) ForwardReply {
 	r.running.Add(1)
 	defer r.running.Add(-1)
@@ -60,7 +60,7 @@
 		x.parts[i].mayHaveRun = p.MayHaveRun
 	}
 	answer := x.serve()
-	if refused, ok := answer.(*Refused); ok && refused.Reason == zldecision.ReasonUplinkLost {
+	if refused, ok := answer.(*Refused); ok && (refused.Reason == zldecision.ReasonUplinkLost || refused.Reason == zldecision.ReasonStopping) {
 		return &Declined{
 			Reason:  refused.Reason,
 			Serving: r.servingPeers(),
--- a/io/request/zlforward/handler.go
+++ b/io/request/zlforward/handler.go
@@ -19,7 +19,7 @@
 	// Budget limits the bytes of all requests that are being read or served; nil means no
 	// limit.
 	Budget *zlreadbudget.Budget
-	// Stopping reports whether this VM is stopping and takes no more requests.
+	// Stopping reports whether this VM takes no more requests since it stops.
 	Stopping func() bool
 }
 
