The latest failure of a replica decides whether it is silent

Cause: zluplink kept the worst failure of each replica since the last answer. While half of them were broken connections only probes decided, and a connection that opens disproves the loss; a replica that was once broken never counted as silent.

Change: the latest failure counts. Replicas that crash, pause or end are told from a loss as before (TestLossIsToldFromFailingReplicas).

--- a/core/process/zluplink/zluplink.go
+++ b/core/process/zluplink/zluplink.go
@@ -166,7 +166,8 @@
 	t.mu.Unlock()
 }
 
-// countFailure counts a failed replica, once. The caller holds mu.
+// countFailure counts a failed replica, once, by its latest failure: connections that were
+// reset may be followed by ones that open and stay silent. The caller holds mu.
 func (t *Tracker) countFailure(id zlunit.Upstream, f Failure) {
 	known, now := t.sent[id], sendBroken
 	switch f {
@@ -176,15 +177,18 @@
 		t.noteUnconnected(id)
 	default:
 	}
-	if now <= known {
+	if now == known {
 		return
 	}
 	t.sent[id] = now
 	if known == sendPending {
 		t.failed++
 	}
-	if now == sendBroken {
+	switch {
+	case now == sendBroken:
 		t.broken++
+	case known == sendBroken:
+		t.broken--
 	}
 }
 
