--- a/core/version/zlwatcher/watch.go
+++ b/core/version/zlwatcher/watch.go
@@ -93,8 +93,10 @@
 func (w *Watcher) publish(t Topic, items map[string]Item, d *Delta, at, deadline time.Time) {
 	switch t {
 	case TopicTable:
-		if table, ok := items["table"].(*TableItem); ok {
-			w.Registry.SetTable(table.Table, at, deadline)
+		for _, i := range d.Items {
+			if table, ok := i.(*TableItem); ok && table.Table != nil {
+				w.Registry.SetTable(table.Table, at, deadline)
+			}
 		}
 	case TopicReplicas:
 		if d.Full {
--- a/core/version/zlwatcher/zlwatcher_test.go
+++ b/core/version/zlwatcher/zlwatcher_test.go
@@ -221,6 +221,31 @@
 	})
 }
 
+// A late write of an older table that comes in one delta after a newer one must not hide
+// that. Failed with table version 1 while only the last table of a delta was taken.
+func TestOlderTableInTheSameDeltaIsIgnored(t *testing.T) {
+	timer := &zltimer.Service{}
+	w := &Watcher{
+		Timer:    timer,
+		Registry: &zlregistry.Registry{Timer: timer},
+	}
+	first := &Delta{
+		Full:  true,
+		Items: []Item{tableItem(1)},
+	}
+	first.ToRevision.Number = 1
+	next := &Delta{
+		Items: []Item{tableItem(5), tableItem(0)},
+	}
+	next.FromRevision.Number, next.ToRevision.Number = 1, 3
+	if !w.ApplyPeerDelta(TopicTable, first) || !w.ApplyPeerDelta(TopicTable, next) {
+		t.Fatal("got a delta refused")
+	}
+	if v := w.Registry.Current().Table.Version; v != 5 {
+		t.Errorf("got table version %d, want 5", v)
+	}
+}
+
 // updatedByPeers is a PollPolicy of a VM that peers always keep up to date.
 type updatedByPeers struct{}
 
