The test of a forward that is given up waits for work that has begun

Cause: the test gives up at the first sign of life, which comes before the send. If the handler's goroutine runs late it sees that and sends nothing, as it should, and the test waits for the end of work that never began.

Change: it gives up at the first sign of life after the send has begun, so the work whose end it checks is always there; what it checks is the same.

--- a/io/request/zlforward/zlforward_test.go
+++ b/io/request/zlforward/zlforward_test.go
@@ -198,11 +198,18 @@
 	}
 }
 
-// The end of a forward must end the work for it.
+// The end of a forward must end the work for it. The forward is given up at the first sign of
+// life after the send has begun: before that nothing is sent, and there is no work to end.
 func TestForwardThatIsGivenUpEndsTheWork(t *testing.T) {
 	v := newVM(t, time.Hour)
 	ctx, cancel := context.WithCancel(context.Background())
-	reply, ok := v.forward(ctx, yes, cancel, "").(*zlrelay.NoReply)
+	defer cancel()
+	giveUp := func() {
+		if v.sent.Load() > 0 {
+			cancel()
+		}
+	}
+	reply, ok := v.forward(ctx, yes, giveUp, "").(*zlrelay.NoReply)
 	if !ok || !reply.MayHaveRun {
 		t.Errorf("got %+v, want no reply, may have run", reply)
 	}
