--- a/core/process/zlunit/zlunit.go
+++ b/core/process/zlunit/zlunit.go
@@ -19,6 +19,12 @@
 // Service names a set of upstreams that serve the same index.
 type Service string
 
+// Organisation names a customer of a deployment, whose callers share its limits.
+type Organisation string
+
+// Build names the version of the software that a replica runs.
+type Build string
+
 // QueryKind names a class of queries that are handled by the same policy.
 type QueryKind string
 
--- a/core/request/zlrelay/message.go
+++ b/core/request/zlrelay/message.go
@@ -9,6 +9,7 @@
 	"zinnialock/core/process/zldecision"
 	"zinnialock/core/process/zlunit"
 	"zinnialock/core/version/zlregistry"
+	"zinnialock/core/version/zltable"
 )
 
 // Message is the caller's HTTP request, which is forwarded unchanged.
@@ -33,6 +34,10 @@
 	ID zlunit.RequestID
 	// Message is the HTTP request to forward.
 	Message *Message
+	// Key is the digest of the caller's key, nil if it sent none, and Organisation whose
+	// key that is, empty if the request has none.
+	Key          *zltable.KeyDigest
+	Organisation zlunit.Organisation
 	// Received is when the request arrived at this VM.
 	Received time.Time
 	// Deadline is when the caller stops waiting; zero means never.
--- a/core/version/zltable/zltable.go
+++ b/core/version/zltable/zltable.go
@@ -54,6 +54,8 @@
 	// 0 to 1.
 	// Its name in messages between VMs is LeastShare.
 	MinCoverage float64 `cbor:"LeastShare"`
+	// AllowAnonymous is true if callers need no key although the table has organisations.
+	AllowAnonymous bool `cbor:",omitempty"`
 }
 
 // IsSharded reports whether the route's answers are merged from all shards.
@@ -100,6 +102,9 @@
 	Version  Version
 	Limits   Limits
 	Services map[zlunit.Service]Service
+	// Organisations are the organisations whose keys callers must send; empty if callers
+	// need none.
+	Organisations []Organisation
 	// Routes are all routes, in the operators' order.
 	Routes []Route
 
