Organisations: decoding, keyed lookup, key check, headers

Cause: tables may name organisations, whose keys callers must send (docs/design/README.md, section 2). Until now the field was ignored and both headers went to the replica as they came.

Tables carry their organisations between VMs; a VM whose table has some takes no table without from a peer and asks the store itself, since a peer of an earlier build drops the field. zlrelay checks the key after the route match: 401 for a missing or unknown one, 503 while the keys are not confirmed (settings follow). The key is removed and the organisation named before anything is sent. Keys of a pending table apply at once, an organisation's priority goes before the route's, and the fingerprint includes the organisation. Kept deltas of the table hold the newest table only.

--- a/core/process/zldecision/zldecision.go
+++ b/core/process/zldecision/zldecision.go
@@ -31,6 +31,13 @@
 	ReasonNoTable   Reason = "noTable"
 	ReasonNoRoute   Reason = "noRoute"
 	ReasonNoReplica Reason = "noReplica"
+	// ReasonNoKey: the route needs a key and the caller sent none, or several.
+	ReasonNoKey Reason = "noKey"
+	// ReasonUnknownKey: the caller's key belongs to no organisation.
+	ReasonUnknownKey Reason = "unknownKey"
+	// ReasonKeysUnconfirmed: the keys were not confirmed for too long, so that this VM
+	// cannot tell whether the caller's key is still valid.
+	ReasonKeysUnconfirmed Reason = "keysUnconfirmed"
 	// ReasonNoRoom: all replicas that may serve are at their limit for this VM.
 	ReasonNoRoom Reason = "noRoom"
 	// ReasonBackoff: all replicas that may serve asked for no requests for a time.
--- a/core/request/zlrelay/answer.go
+++ b/core/request/zlrelay/answer.go
@@ -313,7 +313,7 @@
 	case zldecision.ReasonRateLimited:
 		retryAfter = max(retryAfter, r.Placer.RateLimitWait(v, r.Timer.Now(), s, nil))
 	case zldecision.ReasonQuarantined:
-		retryAfter = max(retryAfter, r.Quarantine.Left(req.Message.Fingerprint()))
+		retryAfter = max(retryAfter, r.Quarantine.Left(req.Fingerprint()))
 	default:
 	}
 	e := &zldecision.Refused{
--- a/core/request/zlrelay/crash.go
+++ b/core/request/zlrelay/crash.go
@@ -32,7 +32,7 @@
 
 func (x *run) fingerprint() zlunit.Fingerprint {
 	if x.crash.fingerprint == 0 {
-		x.crash.fingerprint = x.req.Message.Fingerprint()
+		x.crash.fingerprint = x.req.Fingerprint()
 	}
 	return x.crash.fingerprint
 }
--- a/core/request/zlrelay/fingerprint.go
+++ b/core/request/zlrelay/fingerprint.go
@@ -6,6 +6,17 @@
 	"github.com/cespare/xxhash/v2"
 )
 
+// Fingerprint returns the fingerprint of the request. The same message of another
+// organisation is another request, so that what one organisation sends does not block
+// another's.
+func (r *Request) Fingerprint() zlunit.Fingerprint {
+	f := r.Message.Fingerprint()
+	if r.Organisation == "" {
+		return f
+	}
+	return zlunit.Fingerprint(xxhash.Sum64String(f.String() + string(r.Organisation)))
+}
+
 // Fingerprint returns the fingerprint of the message. Messages that a replica handles
 // alike have the same: headers, such as the id and the deadline, are not part of it.
 func (m *Message) Fingerprint() zlunit.Fingerprint {
--- a/core/request/zlrelay/forward_serve.go
+++ b/core/request/zlrelay/forward_serve.go
@@ -46,6 +46,7 @@
 		}
 	}
 	x := r.newRun(ctx, view, route, f.Request)
+	x.organisation = r.identify(view, f.Request, f.Request.Organisation)
 	x.forwarded = f
 	x.forward.trying = isTry
 	x.counted = f.Counted
@@ -81,7 +82,7 @@
 		return nil, zldecision.ReasonOldTable
 	}
 	route, ok := view.Table.Match(f.Request.Message.Host, f.Request.Message.Path)
-	if !ok || len(f.Parts) == 0 || !routeHas(route, f.Parts) {
+	if !ok || len(f.Parts) == 0 || !routeHas(route, f.Parts) || f.Request.Organisation == "" && !allowsAnonymous(view, route, f.Request) {
 		return nil, zldecision.ReasonOldTable
 	}
 	return route, ""
--- /dev/null
+++ b/core/request/zlrelay/key.go
@@ -0,0 +1,105 @@
+package zlrelay
+
+import (
+	"time"
+
+	"zinnialock/core/process/zldecision"
+	"zinnialock/core/process/zlunit"
+	"zinnialock/core/version/zlregistry"
+	"zinnialock/core/version/zltable"
+)
+
+// checkKey returns the organisation of a caller's request, nil if it has none, or the reason
+// why the request is refused. It sets what the request holds of the organisation.
+func (r *Relay) checkKey(view *zlregistry.View, route *zltable.Route, req *Request) (*zltable.Organisation, zldecision.Reason) {
+	keys := view.KeyTable()
+	if !keys.NeedsKeys() {
+		return nil, ""
+	}
+	var o *zltable.Organisation
+	confirmed := r.keysConfirmed(view)
+	if req.Key != nil && confirmed {
+		o = keys.Lookup(req.Key)
+	}
+	if o == nil && !allowsAnonymous(view, route, req) {
+		switch {
+		case !confirmed:
+			return nil, zldecision.ReasonKeysUnconfirmed
+		case req.Key == nil:
+			return nil, zldecision.ReasonNoKey
+		default:
+			return nil, zldecision.ReasonUnknownKey
+		}
+	}
+	name := zlunit.Organisation("")
+	if o != nil {
+		name = o.Name
+	}
+	return r.identify(view, req, name), ""
+}
+
+// identify sets the organisation of a request that is allowed, empty for an anonymous
+// caller. It returns the organisation as the table has it, nil if that does not name it.
+func (r *Relay) identify(view *zlregistry.View, req *Request, name zlunit.Organisation) *zltable.Organisation {
+	keys := view.KeyTable()
+	if !keys.NeedsKeys() {
+		return nil
+	}
+	req.Organisation = name
+	if r.SetOrganisation != nil {
+		r.SetOrganisation(req.Message.Header, name)
+	}
+	return keys.Organisation(name)
+}
+
+// allowsAnonymous reports whether callers of a request need no key. The route of the table
+// that has the keys decides, if that table has one for the request.
+func allowsAnonymous(view *zlregistry.View, route *zltable.Route, req *Request) bool {
+	keys := view.KeyTable()
+	if !keys.NeedsKeys() {
+		return true
+	}
+	if keys != view.Table {
+		if newer, ok := keys.Match(req.Message.Host, req.Message.Path); ok {
+			return newer.AllowAnonymous
+		}
+	}
+	return route.AllowAnonymous
+}
+
+// keysConfirmed reports whether the keys may be relied on. They always may, unless the
+// deployment refuses callers at a VM that is out of contact.
+func (r *Relay) keysConfirmed(view *zlregistry.View) bool {
+	if !r.Settings.FailClosed {
+		return true
+	}
+	at := view.TableAt
+	if r.TableConfirmedAt != nil {
+		if confirmed := r.TableConfirmedAt(); confirmed.After(at) {
+			at = confirmed
+		}
+	}
+	return !at.IsZero() && age(r.Timer.Now(), at) <= r.Settings.RevokeTimeout
+}
+
+// age returns the time since at. The monotonic clock stands still while a VM is suspended,
+// so the wall clock counts as well if it shows more; if it was set forward, callers are
+// refused until the next confirmation.
+func age(now, at time.Time) time.Duration {
+	return max(now.Sub(at), now.Round(0).Sub(at.Round(0)))
+}
+
+// refuseKey refuses a request for its key. A refusal that comes from the table is final, so
+// that it has no advice when to retry.
+func (r *Relay) refuseKey(view *zlregistry.View, req *Request, route *zltable.Route, reason zldecision.Reason) Answer {
+	if reason == zldecision.ReasonKeysUnconfirmed {
+		return r.refuse(view, req, route, reason, "")
+	}
+	r.note(&zldecision.Refused{
+		Subject: r.subject(view, req, route),
+		Reason:  reason,
+	})
+	return &Refused{
+		Reason: reason,
+	}
+}
--- a/core/request/zlrelay/message.go
+++ b/core/request/zlrelay/message.go
@@ -35,7 +35,7 @@
 	// Message is the HTTP request to forward.
 	Message *Message
 	// Key is the digest of the caller's key, nil if it sent none, and Organisation whose
-	// key that is, empty if the request has none.
+	// key that is, empty if the request has none. Serve sets Organisation.
 	Key          *zltable.KeyDigest
 	Organisation zlunit.Organisation
 	// Received is when the request arrived at this VM.
--- a/core/request/zlrelay/run.go
+++ b/core/request/zlrelay/run.go
@@ -49,15 +49,17 @@
 // run is the state of one request. Its fields are only used by the goroutine that
 // runs serve, except where attempts read what is fixed at the start.
 type run struct {
-	relay   *Relay
-	view    *zlregistry.View
-	route   *zltable.Route
-	req     *Request
-	ctx     context.Context
-	profile *zlquantile.Tracker
-	parts   []part
-	results chan result
-	wakeups chan struct{}
+	relay *Relay
+	view  *zlregistry.View
+	route *zltable.Route
+	req   *Request
+	// organisation is the caller's organisation, nil if the request has none.
+	organisation *zltable.Organisation
+	ctx          context.Context
+	profile      *zlquantile.Tracker
+	parts        []part
+	results      chan result
+	wakeups      chan struct{}
 	// partialAnswerAt is when an answer is sent even if parts are missing;
 	// placementDeadline is when a request that was not sent is refused;
 	// deadline is when the request ends, for the reason deadlineReason.
@@ -361,14 +363,18 @@
 }
 
 // rank returns the request's rank in the queue for capacity at a replica; the lowest
-// goes first. It orders by the priority of the route, then puts retries of callers
-// that were refused before first attempts, so that no caller is refused twice while
-// others are admitted at once.
+// goes first. It orders by the priority of the organisation, or of the route if that has
+// none, then puts retries of callers that were refused before first attempts, so that no
+// caller is refused twice while others are admitted at once.
 func (x *run) rank() int {
+	priority := x.route.Priority
+	if x.organisation != nil && x.organisation.HasPriority {
+		priority = x.organisation.Priority
+	}
 	if x.likelyRetry {
-		return 2 * x.route.Priority
+		return 2 * priority
 	}
-	return 2*x.route.Priority + 1
+	return 2*priority + 1
 }
 
 // nextWakeup returns when step must be called at the latest.
--- a/core/request/zlrelay/zlrelay.go
+++ b/core/request/zlrelay/zlrelay.go
@@ -9,6 +9,7 @@
 import (
 	"context"
 	"maps"
+	"net/http"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -39,6 +40,10 @@
 	// BudgetWindow is the length of the sliding window over which the limit
 	// holds.
 	BudgetWindow time.Duration
+	// FailClosed makes this VM refuse callers that need a key once its table was not
+	// confirmed for RevokeTimeout. Otherwise it goes on with the keys that it knows.
+	FailClosed    bool
+	RevokeTimeout time.Duration
 	// Cores is the number of processor cores of this VM, which may be a
 	// fraction; 0 means one or more.
 	Cores float64
@@ -70,6 +75,14 @@
 	// Connector opens the connections by which Probe finds out that this VM reaches
 	// replicas again.
 	Connector Connector
+	// SetOrganisation removes the caller's key from the headers of a request and replaces
+	// the organisation that they name; an empty one is removed. It is called for requests
+	// that are served by a table with organisations, before they are sent anywhere. Nil if
+	// headers hold neither.
+	SetOrganisation func(h http.Header, o zlunit.Organisation)
+	// TableConfirmedAt returns the latest time as of which the newest table is known, as the
+	// store or peers confirmed it; nil if that is not tracked beyond the view.
+	TableConfirmedAt func() time.Time
 	// Settings holds the limits of the deployment.
 	Settings Settings
 	// Start is when this process started.
@@ -155,7 +168,13 @@
 			Reason: zldecision.ReasonNoRoute,
 		}
 	}
-	return r.start(ctx, view, route, req).serve()
+	organisation, reason := r.checkKey(view, route, req)
+	if reason != "" {
+		return r.refuseKey(view, req, route, reason)
+	}
+	x := r.start(ctx, view, route, req)
+	x.organisation = organisation
+	return x.serve()
 }
 
 // Refuse refuses a request that nothing was done for.
--- a/core/version/zlregistry/pending.go
+++ b/core/version/zlregistry/pending.go
@@ -50,6 +50,9 @@
 	}
 	r.addNotice("table", "coming", "")
 	r.pending = p
+	next := r.copyView()
+	next.PendingTable = t
+	r.view.Store(next)
 	r.pendingDeadline.Store(&p.deadline)
 	r.settlePending()
 	return true
--- a/core/version/zlregistry/registry.go
+++ b/core/version/zlregistry/registry.go
@@ -148,6 +148,7 @@
 	next := r.copyView()
 	isNew := next.Table == nil || t.Version > next.Table.Version
 	next.Table = t
+	next.PendingTable = nil
 	next.TableAt = at
 	r.view.Store(next)
 	// Cleared after the view is stored: Current reads it first, and must not find it
--- a/core/version/zltable/zltable.go
+++ b/core/version/zltable/zltable.go
@@ -103,13 +103,14 @@
 	Limits   Limits
 	Services map[zlunit.Service]Service
 	// Organisations are the organisations whose keys callers must send; empty if callers
-	// need none.
+	// need none. They are set by WithOrganisations.
 	Organisations []Organisation
 	// Routes are all routes, in the operators' order.
 	Routes []Route
 
 	// hosts holds the routes by lower-case host, the longest prefix first.
 	hosts map[string][]*Route
+	index keyIndex
 }
 
 // New returns a table of the given routes and services. It keeps routes, which must not
--- a/core/version/zlwatcher/delta.go
+++ b/core/version/zlwatcher/delta.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"zinnialock/core/version/zlrevision"
+	"zinnialock/core/version/zltable"
 )
 
 // maxDeltas is how many deltas of a topic are kept for peers that missed some. A peer
@@ -45,6 +46,8 @@
 	deltas []*Delta
 	// changedAt is when items last changed.
 	changedAt time.Time
+	// refusedRevision is that of the last delta that dropsOrganisations refused.
+	refusedRevision zlrevision.Revision
 }
 
 func (s *topicState) isListed() bool {
@@ -114,12 +117,15 @@
 	}
 }
 
+// tableKey is the name of the only item of TopicTable.
+const tableKey = "table"
+
 // key returns the name of an item within its topic; gone reports that the item is
 // removed.
 func key(i Item) (name string, gone bool) {
 	switch i := i.(type) {
 	case *TableItem:
-		return "table", i.Table == nil
+		return tableKey, i.Table == nil
 	case *ReplicaItem:
 		return string(i.ID), i.Replica == nil
 	case *OutOfServiceItem:
@@ -150,6 +156,14 @@
 		d = s.withLaterDeltas(d)
 	case !isList && s.items != nil && !s.revision.Before(d.ToRevision):
 		d = nil
+	case !fromStore && s.dropsOrganisations(d):
+		isNew := s.refusedRevision != d.ToRevision
+		s.refusedRevision = d.ToRevision
+		s.mu.Unlock()
+		if isNew {
+			w.noteDependency("peer", "refused", fmt.Sprintf("%s: revision %d without organisations", t, d.ToRevision.Number), 0)
+		}
+		return false
 	}
 	if d == nil {
 		s.mu.Unlock()
@@ -173,6 +187,19 @@
 	return true
 }
 
+// dropsOrganisations reports whether a delta of a peer has a table without organisations
+// while the table that this VM holds has some. The caller holds mu.
+func (s *topicState) dropsOrganisations(d *Delta) bool {
+	held, ok := s.items[tableKey].(*TableItem)
+	if !ok || !held.Table.NeedsKeys() {
+		return false
+	}
+	return slices.ContainsFunc(d.Items, func(i Item) bool {
+		item, ok := i.(*TableItem)
+		return ok && item.Table != nil && !item.Table.NeedsKeys()
+	})
+}
+
 // hasOvertaken reports whether a peer sent a later state of the topic while the answer to a
 // list, which was sent at the given time, was on its way. The caller holds mu.
 func (s *topicState) hasOvertaken(list *Delta, at time.Time) bool {
@@ -212,6 +239,9 @@
 		s.items = map[string]Item{}
 		s.deltas = nil
 	} else {
+		if t == TopicTable {
+			s.dropOlderTables(d)
+		}
 		s.deltas = append(s.deltas, d)
 		if len(s.deltas) > maxDeltas {
 			s.deltas = s.deltas[len(s.deltas)-maxDeltas:]
@@ -229,11 +259,36 @@
 	s.changedAt = now
 }
 
+// dropOlderTables removes the tables that the one of d replaces from the kept deltas: a
+// table may have 1 MB of organisations, and a peer needs the newest one only. The caller
+// holds mu.
+func (s *topicState) dropOlderTables(d *Delta) {
+	newest := zltable.Version(0)
+	for _, i := range d.Items {
+		if item, ok := i.(*TableItem); ok && item.Table != nil {
+			newest = max(newest, item.Table.Version)
+		}
+	}
+	for i, kept := range s.deltas {
+		isOlder := func(i Item) bool {
+			item, ok := i.(*TableItem)
+			return ok && item.Table != nil && item.Table.Version <= newest
+		}
+		if slices.ContainsFunc(kept.Items, isOlder) {
+			s.deltas[i] = &Delta{
+				FromRevision: kept.FromRevision,
+				ToRevision:   kept.ToRevision,
+				Items:        slices.DeleteFunc(slices.Clone(kept.Items), isOlder),
+			}
+		}
+	}
+}
+
 // withNewestTable returns the items of a whole topic, with the newest table that is
 // known: a store that went back may list an older one until operators write the newer
 // one again, and a VM that starts meanwhile gets it from its peers. The caller holds mu.
 func (s *topicState) withNewestTable(items []Item) []Item {
-	held, ok := s.items["table"].(*TableItem)
+	held, ok := s.items[tableKey].(*TableItem)
 	if !ok {
 		return items
 	}
@@ -262,6 +317,11 @@
 
 // ApplyPeerDelta applies a delta from a peer if it joins what this VM holds, and reports
 // whether this VM now has everything up to the delta's end.
+//
+// A table without organisations is not taken from a peer while this VM's table has some: a
+// peer of a build that knows no organisations drops the field, and all callers would be let
+// in. This VM then lacks the peer's revision, so that its PollPolicy lets it ask the store
+// itself, which tells whether operators removed the organisations.
 func (w *Watcher) ApplyPeerDelta(t Topic, d *Delta) bool {
 	return w.applyDelta(t, d, w.Timer.Now(), false)
 }
--- a/io/version/zlbroadcast/message.go
+++ b/io/version/zlbroadcast/message.go
@@ -57,6 +57,9 @@
 	Routes   []zltable.Route   `cbor:"2,keyasint"`
 	Services []zltable.Service `cbor:"3,keyasint"`
 	Limits   zltable.Limits    `cbor:"4,keyasint"`
+	// Organisations is missing in messages of a build that knows none; see
+	// zlwatcher.Watcher.ApplyPeerDelta.
+	Organisations []zltable.Organisation `cbor:"5,keyasint,omitempty"`
 }
 
 type replicaItem struct {
@@ -127,6 +130,8 @@
 		Version: t.Version,
 		Routes:  t.Routes,
 		Limits:  t.Limits,
+
+		Organisations: t.Organisations,
 	}
 	for _, s := range t.Services {
 		d.Table.Services = append(d.Table.Services, s)
@@ -147,7 +152,7 @@
 	}
 	if t := d.Table; t != nil {
 		out.Items = append(out.Items, &zlwatcher.TableItem{
-			Table: zltable.New(t.Version, t.Routes, t.Services, t.Limits),
+			Table: zltable.New(t.Version, t.Routes, t.Services, t.Limits).WithOrganisations(t.Organisations),
 		})
 	}
 	for _, r := range d.Replicas {
