--- a/core/process/zldecision/zldecision.go
+++ b/core/process/zldecision/zldecision.go
@@ -228,6 +228,22 @@
 	RateLimit float64
 }
 
+// Organisations is the event of a change of the keys that callers may use. It holds counts
+// only: keys and their digests are in no line.
+type Organisations struct {
+	// Version is that of the table with the keys.
+	Version uint64
+	// Organisations and Keys count those of the table; Unusable counts the organisations
+	// without a key that can be used, and Shared the entries of keys that several list.
+	Organisations int
+	Keys          int
+	Unusable      int
+	Shared        int
+	// Added and Removed count the keys that the table before did not have, or had.
+	Added   int
+	Removed int
+}
+
 // Dependency is the event of a dependency that was lost or regained.
 type Dependency struct {
 	Name  string
@@ -243,14 +259,15 @@
 	Why  string
 }
 
-func (*Answered) event()   {}
-func (*Refused) event()    {}
-func (*Failed) event()     {}
-func (*Sent) event()       {}
-func (*Held) event()       {}
-func (*Forwarded) event()  {}
-func (*Declined) event()   {}
-func (*Dropped) event()    {}
-func (*Belief) event()     {}
-func (*Dependency) event() {}
-func (*Process) event()    {}
+func (*Answered) event()      {}
+func (*Refused) event()       {}
+func (*Failed) event()        {}
+func (*Sent) event()          {}
+func (*Held) event()          {}
+func (*Forwarded) event()     {}
+func (*Declined) event()      {}
+func (*Dropped) event()       {}
+func (*Belief) event()        {}
+func (*Organisations) event() {}
+func (*Dependency) event()    {}
+func (*Process) event()       {}
--- a/core/request/zlrelay/forward_message.go
+++ b/core/request/zlrelay/forward_message.go
@@ -15,7 +15,8 @@
 type Forward struct {
 	// Origin is the VM that the caller is connected to.
 	Origin zlunit.VM
-	// Request is the caller's request. Its times are on the clock of this VM.
+	// Request is the caller's request. Its times are on the clock of this VM. It has the
+	// organisation and not the key, which the origin has checked.
 	Request *Request
 	// Version is the least version of the routing table by which it may be served.
 	Version zltable.Version
--- a/core/request/zlrelay/key.go
+++ b/core/request/zlrelay/key.go
@@ -1,6 +1,7 @@
 package zlrelay
 
 import (
+	"net/http"
 	"time"
 
 	"zinnialock/core/process/zldecision"
@@ -46,6 +47,9 @@
 		return nil
 	}
 	req.Organisation = name
+	if req.Message.Header == nil {
+		req.Message.Header = http.Header{}
+	}
 	if r.SetOrganisation != nil {
 		r.SetOrganisation(req.Message.Header, name)
 	}
@@ -75,9 +79,7 @@
 	}
 	at := view.TableAt
 	if r.TableConfirmedAt != nil {
-		if confirmed := r.TableConfirmedAt(); confirmed.After(at) {
-			at = confirmed
-		}
+		at = r.TableConfirmedAt()
 	}
 	return !at.IsZero() && age(r.Timer.Now(), at) <= r.Settings.RevokeTimeout
 }
--- a/core/version/zlpoller/zlpoller.go
+++ b/core/version/zlpoller/zlpoller.go
@@ -195,6 +195,21 @@
 	return p.confirmedHeldAt
 }
 
+// HeldConfirmedAt returns the newest time at which the store confirmed to a peer what this VM
+// holds now; zero if it never did. Unlike PeersConfirmedAt it counts a heartbeat that came
+// before the update that it announced.
+func (p *Policy) HeldConfirmedAt() time.Time {
+	held := p.Revisions()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for i, r := range p.confirmedRevisions {
+		if held[i] == (zlrevision.Revision{}) || held[i].Before(r) {
+			return p.confirmedHeldAt
+		}
+	}
+	return p.confirmedAt
+}
+
 // maxAge returns the greatest age of a confirmation that still counts. The caller holds
 // mu.
 func (p *Policy) maxAge() time.Duration {
--- a/core/version/zlregistry/pending.go
+++ b/core/version/zlregistry/pending.go
@@ -50,9 +50,12 @@
 	}
 	r.addNotice("table", "coming", "")
 	r.pending = p
-	next := r.copyView()
-	next.PendingTable = t
-	r.view.Store(next)
+	if t.NeedsKeys() {
+		next := r.copyView()
+		next.PendingKeys = t
+		r.view.Store(next)
+		r.addKeyNotice(view.KeyTable(), t)
+	}
 	r.pendingDeadline.Store(&p.deadline)
 	r.settlePending()
 	return true
--- a/core/version/zlregistry/registry.go
+++ b/core/version/zlregistry/registry.go
@@ -42,6 +42,8 @@
 	Change string
 	// Service is set for replicas only.
 	Service zlunit.Service
+	// Keys is set if the notice is about the keys that callers may use, and then only.
+	Keys *zltable.KeyChange
 }
 
 // Registry takes updates and publishes views. Timer must be set before use. Its methods
@@ -147,8 +149,9 @@
 func (r *Registry) activate(t *zltable.Table, at time.Time) {
 	next := r.copyView()
 	isNew := next.Table == nil || t.Version > next.Table.Version
+	keysBefore := next.KeyTable()
 	next.Table = t
-	next.PendingTable = nil
+	next.PendingKeys = nil
 	next.TableAt = at
 	r.view.Store(next)
 	// Cleared after the view is stored: Current reads it first, and must not find it
@@ -158,6 +161,7 @@
 	if isNew {
 		r.addNotice("table", "table", "")
 	}
+	r.addKeyNotice(keysBefore, next.KeyTable())
 }
 
 // SetOutOfService replaces the set of data centres that may get no work, as confirmed at the
@@ -416,6 +420,21 @@
 	}
 }
 
+// addKeyNotice queues a notice for OnChange if another table decides on keys and has others.
+// The caller holds mu.
+func (r *Registry) addKeyNotice(before, after *zltable.Table) {
+	if r.OnChange == nil || before == after {
+		return
+	}
+	if change := after.ChangeFrom(before); change != nil {
+		r.notices = append(r.notices, ChangeNotice{
+			Subject: "organisations",
+			Change:  "keys",
+			Keys:    change,
+		})
+	}
+}
+
 // unlockAndNotify unlocks mu and passes the queued notices to OnChange.
 func (r *Registry) unlockAndNotify() {
 	notices := r.notices
--- a/core/version/zlregistry/zlregistry.go
+++ b/core/version/zlregistry/zlregistry.go
@@ -58,8 +58,8 @@
 type View struct {
 	// Table is the routing table in force; nil until one is known.
 	Table *zltable.Table
-	// PendingTable is a newer table that waits, or nil.
-	PendingTable *zltable.Table
+	// PendingKeys is the newest table with organisations among those that wait, or nil.
+	PendingKeys *zltable.Table
 	// Replicas holds the replicas that may get new work, by service and sorted by id.
 	Replicas map[zlunit.Service][]*Entry
 	// OutOfService names the data centres that may get no work.
@@ -76,12 +76,12 @@
 	return v.Table != nil && !v.ReplicasAt.IsZero()
 }
 
-// KeyTable returns the table whose organisations and keys apply. It is the pending table if
-// that has organisations: keys that operators gave or took do not wait for warm replicas. A
-// pending table without organisations, which lets all callers in, waits like its routes.
+// KeyTable returns the table whose organisations and keys apply, nil if no table is known.
+// Keys that operators gave or took do not wait for warm replicas as the routes of a pending
+// table do. A pending table without organisations, which lets all callers in, does.
 func (v *View) KeyTable() *zltable.Table {
-	if v.PendingTable != nil && v.PendingTable.NeedsKeys() {
-		return v.PendingTable
+	if v.PendingKeys != nil {
+		return v.PendingKeys
 	}
 	return v.Table
 }
--- a/core/version/zltable/organisation.go
+++ b/core/version/zltable/organisation.go
@@ -136,6 +136,60 @@
 	return len(t.index.keys)
 }
 
+// KeyChange is how the keys of a table differ from those of the one before.
+type KeyChange struct {
+	Version Version
+	// Organisations and Keys count those of the table; Unusable counts the organisations
+	// without a key that can be used, and Shared the entries of keys that several list.
+	Organisations int
+	Keys          int
+	Unusable      int
+	Shared        int
+	// Added and Removed count the keys that the table before did not have, or had.
+	Added   int
+	Removed int
+}
+
+// ChangeFrom returns how the keys of the table differ from those of the one before, which
+// may be nil, or nil if they do not.
+func (t *Table) ChangeFrom(before *Table) *KeyChange {
+	if before == nil {
+		before = &Table{}
+	}
+	c := &KeyChange{
+		Version:       t.Version,
+		Organisations: len(t.Organisations),
+		Keys:          t.Keys(),
+		Shared:        t.index.shared,
+		Added:         t.keysNotIn(before),
+		Removed:       before.keysNotIn(t),
+	}
+	if c.Added == 0 && c.Removed == 0 && c.Organisations == len(before.Organisations) && c.Shared == before.index.shared {
+		return nil
+	}
+	usable := make([]bool, len(t.Organisations))
+	for _, k := range t.index.keys {
+		usable[k.organisation] = true
+	}
+	for _, u := range usable {
+		if !u {
+			c.Unusable++
+		}
+	}
+	return c
+}
+
+// keysNotIn counts the keys that belong to no organisation of the other table, or to another.
+func (t *Table) keysNotIn(other *Table) int {
+	n := 0
+	for _, k := range t.index.keys {
+		if o := other.Lookup(t.digest(k)); o == nil || o.Name != t.Organisations[k.organisation].Name {
+			n++
+		}
+	}
+	return n
+}
+
 // Lookup returns the organisation that a key belongs to, or nil if the key is unknown.
 func (t *Table) Lookup(d *KeyDigest) *Organisation {
 	hash := hashOf(d)
--- a/core/version/zlwatcher/delta.go
+++ b/core/version/zlwatcher/delta.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"zinnialock/core/version/zlrevision"
-	"zinnialock/core/version/zltable"
 )
 
 // maxDeltas is how many deltas of a topic are kept for peers that missed some. A peer
@@ -117,9 +116,6 @@
 	}
 }
 
-// tableKey is the name of the only item of TopicTable.
-const tableKey = "table"
-
 // key returns the name of an item within its topic; gone reports that the item is
 // removed.
 func key(i Item) (name string, gone bool) {
@@ -180,26 +176,17 @@
 	w.publish(t, s.items, d, at, deadline)
 	// A list of an earlier era must be repeated.
 	s.listed = s.revision.Era >= era
+	isConfirmed := fromStore && t == TopicTable && s.listed
 	s.mu.Unlock()
+	if isConfirmed {
+		w.noteTableConfirmed(at)
+	}
 	if fromStore && w.OnUpdate != nil {
 		w.OnUpdate(t, d)
 	}
 	return true
 }
 
-// dropsOrganisations reports whether a delta of a peer has a table without organisations
-// while the table that this VM holds has some. The caller holds mu.
-func (s *topicState) dropsOrganisations(d *Delta) bool {
-	held, ok := s.items[tableKey].(*TableItem)
-	if !ok || !held.Table.NeedsKeys() {
-		return false
-	}
-	return slices.ContainsFunc(d.Items, func(i Item) bool {
-		item, ok := i.(*TableItem)
-		return ok && item.Table != nil && !item.Table.NeedsKeys()
-	})
-}
-
 // hasOvertaken reports whether a peer sent a later state of the topic while the answer to a
 // list, which was sent at the given time, was on its way. The caller holds mu.
 func (s *topicState) hasOvertaken(list *Delta, at time.Time) bool {
@@ -259,31 +246,6 @@
 	s.changedAt = now
 }
 
-// dropOlderTables removes the tables that the one of d replaces from the kept deltas: a
-// table may have 1 MB of organisations, and a peer needs the newest one only. The caller
-// holds mu.
-func (s *topicState) dropOlderTables(d *Delta) {
-	newest := zltable.Version(0)
-	for _, i := range d.Items {
-		if item, ok := i.(*TableItem); ok && item.Table != nil {
-			newest = max(newest, item.Table.Version)
-		}
-	}
-	for i, kept := range s.deltas {
-		isOlder := func(i Item) bool {
-			item, ok := i.(*TableItem)
-			return ok && item.Table != nil && item.Table.Version <= newest
-		}
-		if slices.ContainsFunc(kept.Items, isOlder) {
-			s.deltas[i] = &Delta{
-				FromRevision: kept.FromRevision,
-				ToRevision:   kept.ToRevision,
-				Items:        slices.DeleteFunc(slices.Clone(kept.Items), isOlder),
-			}
-		}
-	}
-}
-
 // withNewestTable returns the items of a whole topic, with the newest table that is
 // known: a store that went back may list an older one until operators write the newer
 // one again, and a VM that starts meanwhile gets it from its peers. The caller holds mu.
--- a/core/version/zlwatcher/zlwatcher.go
+++ b/core/version/zlwatcher/zlwatcher.go
@@ -186,6 +186,8 @@
 	mu     sync.Mutex
 	// answeredAt is the time at which the latest answered probe or list was sent.
 	answeredAt time.Time
+	// tableConfirmedAt is the latest time at which the store confirmed the table.
+	tableConfirmedAt time.Time
 	// unreachableSince is the time at which the store stopped answering; zero while it
 	// answers. regained is closed when it answers again. storeCtx is the context of the
 	// calls to the store, which cancelCalls ends when the store is lost.
@@ -254,6 +256,7 @@
 		default:
 			w.noteAnswer(at)
 			w.noteEra(era)
+			w.noteTableConfirmed(w.ConfirmedAt())
 			if w.PollPolicy != nil && w.lost() {
 				w.PollPolicy.StoreRegained()
 			}
@@ -313,6 +316,23 @@
 	return w.answeredAt
 }
 
+// TableConfirmedAt returns the latest time at which the store confirmed the newest table that
+// this VM knows; zero if it never did. Unlike ConfirmedAt it does not end with the contact to
+// the store.
+func (w *Watcher) TableConfirmedAt() time.Time {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.tableConfirmedAt
+}
+
+func (w *Watcher) noteTableConfirmed(at time.Time) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if at.After(w.tableConfirmedAt) {
+		w.tableConfirmedAt = at
+	}
+}
+
 func (w *Watcher) lost() bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/io/process/zljournal/count.go
+++ b/io/process/zljournal/count.go
@@ -46,6 +46,8 @@
 		j.increment("dropped", "reason", string(e.Reason))
 	case *zldecision.Belief:
 		j.increment("belief", "what", e.What)
+	case *zldecision.Organisations:
+		j.increment("belief", "what", "keys")
 	case *zldecision.Dependency:
 		j.increment("dependency", "state", e.State)
 	case *zldecision.Process:
--- a/io/process/zljournal/write.go
+++ b/io/process/zljournal/write.go
@@ -60,6 +60,10 @@
 		if e.RateLimit > 0 {
 			line.Float64("rateLimit", e.RateLimit)
 		}
+	case *zldecision.Organisations:
+		line.Str("event", "organisations").Uint64("version", e.Version).Int("organisations", e.Organisations).
+			Int("keys", e.Keys).Int("added", e.Added).Int("removed", e.Removed).Int("unusable", e.Unusable).
+			Int("shared", e.Shared)
 	case *zldecision.Dependency:
 		line.Str("event", "dependency").Str("name", e.Name).Str("state", e.State).Str("why", e.Why).
 			Int64("outMs", e.Out.Milliseconds())
--- a/io/process/zljournal/zljournal.go
+++ b/io/process/zljournal/zljournal.go
@@ -112,6 +112,9 @@
 		return !e.Late && e.Missing == 0
 	case *zldecision.Sent, *zldecision.Held:
 		return true
+	case *zldecision.Refused:
+		// A caller that tries keys must not displace the lines of others.
+		return e.Reason == zldecision.ReasonNoKey || e.Reason == zldecision.ReasonUnknownKey
 	default:
 		return false
 	}
--- a/io/request/zlforward/message.go
+++ b/io/request/zlforward/message.go
@@ -33,6 +33,9 @@
 	Counted  bool            `cbor:"15,keyasint,omitempty"`
 	// Suspected is as in zlrelay.Forward.
 	Suspected bool `cbor:"16,keyasint,omitempty"`
+	// Organisation is as in zlrelay.Request; the key is not sent. A build that knows no
+	// organisations finds the name in Header, where the origin has set it.
+	Organisation zlunit.Organisation `cbor:"17,keyasint,omitempty"`
 }
 
 type part struct {
@@ -124,6 +127,8 @@
 		Counted:  f.Counted,
 
 		Suspected: f.Suspected,
+
+		Organisation: f.Request.Organisation,
 	}
 	if !f.Request.Deadline.IsZero() {
 		w.Left = max(f.Request.Deadline.Sub(now), 1)
@@ -162,6 +167,8 @@
 				Header: r.Header,
 				Body:   r.Body,
 			},
+			Organisation: r.Organisation,
+
 			Received: now.Add(-r.Waited),
 			Transit:  r.Transit + zlrelay.ForwardTransit,
 		},
--- a/io/version/zlbroadcast/message.go
+++ b/io/version/zlbroadcast/message.go
@@ -38,6 +38,8 @@
 	Crash *zlquarantine.Report `cbor:"9,keyasint,omitempty"`
 	Ask   bool                 `cbor:"10,keyasint,omitempty"`
 	Reply bool                 `cbor:"11,keyasint,omitempty"`
+	// Organisations is set if the table of the sender's revision has organisations.
+	Organisations bool `cbor:"12,keyasint,omitempty"`
 }
 
 // delta is the encoded form of a zlwatcher.Delta.
--- a/io/version/zlbroadcast/zlbroadcast.go
+++ b/io/version/zlbroadcast/zlbroadcast.go
@@ -262,6 +262,7 @@
 		AgeMicros: age.Microseconds(),
 	}
 	m.setRevisions(b.Watcher.Revisions())
+	m.Organisations = b.Watcher.NeedsKeys()
 	if age < 0 {
 		m.AgeMicros = -1
 	}
@@ -362,7 +363,11 @@
 		}
 		return
 	}
-	if b.PollPolicy.HandleHeartbeat(m.heartbeat()) {
+	beat := m.heartbeat()
+	if m.Organisations {
+		b.Watcher.DropTableWithoutKeys(beat.Revisions[zlwatcher.TopicTable])
+	}
+	if b.PollPolicy.HandleHeartbeat(beat) {
 		select {
 		case b.fetchSources <- from.String():
 		default:
