--- a/core/version/zlpoller/fleet_test.go
+++ b/core/version/zlpoller/fleet_test.go
@@ -190,6 +190,9 @@
 		select {
 		case <-changed:
 		case <-ctx.Done():
+			if v.isSet(&v.storeCut) {
+				return nil, errCut
+			}
 			return &zlwatcher.Page{
 				Revision: revision,
 			}, nil
