--- a/core/request/zlrelay/key.go
+++ b/core/request/zlrelay/key.go
@@ -77,13 +77,23 @@
 	if !r.Settings.FailClosed {
 		return true
 	}
-	at := view.TableAt
-	if r.TableConfirmedAt != nil {
-		at = r.TableConfirmedAt()
-	}
+	at := r.KeysConfirmedAt(view)
 	return !at.IsZero() && age(r.Timer.Now(), at) <= r.Settings.RevokeTimeout
 }
 
+// KeysConfirmedAt returns the time as of which the keys are known; zero if they never were, or
+// if callers need none.
+func (r *Relay) KeysConfirmedAt(view *zlregistry.View) time.Time {
+	switch {
+	case view.Table == nil || !view.KeyTable().NeedsKeys():
+		return time.Time{}
+	case r.TableConfirmedAt != nil:
+		return r.TableConfirmedAt()
+	default:
+		return view.TableAt
+	}
+}
+
 // age returns the time since at. The monotonic clock stands still while a VM is suspended,
 // so the wall clock counts as well if it shows more; if it was set forward, callers are
 // refused until the next confirmation.
