--- a/core/request/zlrelay/key_test.go
+++ b/core/request/zlrelay/key_test.go
@@ -111,12 +111,16 @@
 	synctest.Test(t, func(t *testing.T) {
 		r := newKeyRelay("a", "ranked")
 		check := func(path string, name zlunit.Organisation, wantDeclined bool, wantRank int) {
-			req := request(path)
+			req, table := request(path), r.Registry.View().Table
 			req.Organisation = name
-			parts := []ForwardPart{{Service: "s0"}}
-			_, declined := r.ServeForward(context.Background(), &Forward{Request: req, Parts: parts, MinParts: 1}).(*Declined)
-			table := r.Registry.View().Table
-			x := &run{route: &table.Routes[0], organisation: table.Organisation(name)}
+			f := &Forward{
+				Request:  req,
+				Parts:    []ForwardPart{{Service: "s0"}},
+				MinParts: 1,
+			}
+			_, declined := r.ServeForward(context.Background(), f).(*Declined)
+			x := r.newRun(context.Background(), r.Registry.View(), &table.Routes[0], req)
+			x.organisation = table.Organisation(name)
 			if declined != wantDeclined || req.Organisation != name || x.rank() != wantRank {
 				t.Errorf("%s, %q: got declined %v, organisation %q, rank %d", path, name, declined, req.Organisation, x.rank())
 			}
