--- a/core/process/zldecision/zldecision.go
+++ b/core/process/zldecision/zldecision.go
@@ -31,6 +31,13 @@
 	ReasonNoTable   Reason = "noTable"
 	ReasonNoRoute   Reason = "noRoute"
 	ReasonNoReplica Reason = "noReplica"
+	// ReasonNoKey: the route needs a key and the caller sent none, or several.
+	ReasonNoKey Reason = "noKey"
+	// ReasonUnknownKey: the caller's key belongs to no organisation.
+	ReasonUnknownKey Reason = "unknownKey"
+	// ReasonKeysUnconfirmed: the keys were not confirmed for too long, so that this VM
+	// cannot tell whether the caller's key is still valid.
+	ReasonKeysUnconfirmed Reason = "keysUnconfirmed"
 	// ReasonNoRoom: all replicas that may serve are at their limit for this VM.
 	ReasonNoRoom Reason = "noRoom"
 	// ReasonBackoff: all replicas that may serve asked for no requests for a time.
@@ -221,6 +228,22 @@
 	RateLimit float64
 }
 
+// Organisations is the event of a change of the keys that callers may use. It holds counts
+// only: keys and their digests are in no line.
+type Organisations struct {
+	// Version is that of the table with the keys.
+	Version uint64
+	// Organisations and Keys count those of the table; Unusable counts the organisations
+	// without a key that can be used, and Shared the entries of keys that several list.
+	Organisations int
+	Keys          int
+	Unusable      int
+	Shared        int
+	// Added and Removed count the keys that the table before did not have, or had.
+	Added   int
+	Removed int
+}
+
 // Dependency is the event of a dependency that was lost or regained.
 type Dependency struct {
 	Name  string
@@ -236,14 +259,15 @@
 	Why  string
 }
 
-func (*Answered) event()   {}
-func (*Refused) event()    {}
-func (*Failed) event()     {}
-func (*Sent) event()       {}
-func (*Held) event()       {}
-func (*Forwarded) event()  {}
-func (*Declined) event()   {}
-func (*Dropped) event()    {}
-func (*Belief) event()     {}
-func (*Dependency) event() {}
-func (*Process) event()    {}
+func (*Answered) event()      {}
+func (*Refused) event()       {}
+func (*Failed) event()        {}
+func (*Sent) event()          {}
+func (*Held) event()          {}
+func (*Forwarded) event()     {}
+func (*Declined) event()      {}
+func (*Dropped) event()       {}
+func (*Belief) event()        {}
+func (*Organisations) event() {}
+func (*Dependency) event()    {}
+func (*Process) event()       {}
--- a/core/version/zlwatcher/delta.go
+++ b/core/version/zlwatcher/delta.go
@@ -45,6 +45,8 @@
 	deltas []*Delta
 	// changedAt is when items last changed.
 	changedAt time.Time
+	// refusedRevision is that of the last delta that dropsOrganisations refused.
+	refusedRevision zlrevision.Revision
 }
 
 func (s *topicState) isListed() bool {
@@ -119,7 +121,7 @@
 func key(i Item) (name string, gone bool) {
 	switch i := i.(type) {
 	case *TableItem:
-		return "table", i.Table == nil
+		return tableKey, i.Table == nil
 	case *ReplicaItem:
 		return string(i.ID), i.Replica == nil
 	case *OutOfServiceItem:
@@ -139,18 +141,12 @@
 	deadline := w.tableDeadline()
 	era := w.noteEra(d.ToRevision.Era)
 	s.mu.Lock()
-	isList := fromStore && d.Full
-	switch {
-	case d.ToRevision.Era < s.revision.Era:
+	if d.ToRevision.Era < s.revision.Era {
 		// A reply or message that was sent before the store went back.
 		s.mu.Unlock()
 		return true
-	case isList && s.hasOvertaken(d, at):
-		w.noteDependency("list", "overtaken", fmt.Sprintf("%s: revision %d, held %d", t, d.ToRevision.Number, s.revision.Number), 0)
-		d = s.withLaterDeltas(d)
-	case !isList && s.items != nil && !s.revision.Before(d.ToRevision):
-		d = nil
 	}
+	d = w.withoutHeld(t, s, d, at, fromStore)
 	if d == nil {
 		s.mu.Unlock()
 		if fromStore {
@@ -158,7 +154,7 @@
 		}
 		return true
 	}
-	if !s.joins(d) {
+	if !s.joins(d) || !fromStore && w.refuses(s, d) {
 		s.mu.Unlock()
 		return false
 	}
@@ -166,6 +162,9 @@
 	w.publish(t, s.items, d, at, deadline)
 	// A list of an earlier era must be repeated.
 	s.listed = s.revision.Era >= era
+	if fromStore && s.listed {
+		w.noteConfirmed(t, at)
+	}
 	s.mu.Unlock()
 	if fromStore && w.OnUpdate != nil {
 		w.OnUpdate(t, d)
@@ -173,6 +172,21 @@
 	return true
 }
 
+// withoutHeld returns the delta as far as what this VM holds is not newer: nil if all of it is,
+// and a list that a peer has overtaken with the later changes. The caller holds the lock of s.
+func (w *Watcher) withoutHeld(t Topic, s *topicState, d *Delta, at time.Time, fromStore bool) *Delta {
+	isList := fromStore && d.Full
+	switch {
+	case isList && s.hasOvertaken(d, at):
+		w.noteDependency("list", "overtaken", fmt.Sprintf("%s: revision %d, held %d", t, d.ToRevision.Number, s.revision.Number), 0)
+		return s.withLaterDeltas(d)
+	case !isList && s.items != nil && !s.revision.Before(d.ToRevision):
+		return nil
+	default:
+		return d
+	}
+}
+
 // hasOvertaken reports whether a peer sent a later state of the topic while the answer to a
 // list, which was sent at the given time, was on its way. The caller holds mu.
 func (s *topicState) hasOvertaken(list *Delta, at time.Time) bool {
@@ -212,6 +226,9 @@
 		s.items = map[string]Item{}
 		s.deltas = nil
 	} else {
+		if t == TopicTable {
+			s.dropOlderTables(d)
+		}
 		s.deltas = append(s.deltas, d)
 		if len(s.deltas) > maxDeltas {
 			s.deltas = s.deltas[len(s.deltas)-maxDeltas:]
@@ -233,7 +250,7 @@
 // known: a store that went back may list an older one until operators write the newer
 // one again, and a VM that starts meanwhile gets it from its peers. The caller holds mu.
 func (s *topicState) withNewestTable(items []Item) []Item {
-	held, ok := s.items["table"].(*TableItem)
+	held, ok := s.items[tableKey].(*TableItem)
 	if !ok {
 		return items
 	}
@@ -262,6 +279,11 @@
 
 // ApplyPeerDelta applies a delta from a peer if it joins what this VM holds, and reports
 // whether this VM now has everything up to the delta's end.
+//
+// A table without organisations is not taken from a peer while this VM's table has some: a
+// peer of a build that knows no organisations drops the field, and all callers would be let
+// in. This VM then lacks the peer's revision, so that its PollPolicy lets it ask the store
+// itself, which tells whether operators removed the organisations.
 func (w *Watcher) ApplyPeerDelta(t Topic, d *Delta) bool {
 	return w.applyDelta(t, d, w.Timer.Now(), false)
 }
--- a/io/version/zlbroadcast/message.go
+++ b/io/version/zlbroadcast/message.go
@@ -38,6 +38,8 @@
 	Crash *zlquarantine.Report `cbor:"9,keyasint,omitempty"`
 	Ask   bool                 `cbor:"10,keyasint,omitempty"`
 	Reply bool                 `cbor:"11,keyasint,omitempty"`
+	// Organisations is set if the table of the sender's revision has organisations.
+	Organisations bool `cbor:"12,keyasint,omitempty"`
 }
 
 // delta is the encoded form of a zlwatcher.Delta.
@@ -57,6 +59,12 @@
 	Routes   []zltable.Route   `cbor:"2,keyasint"`
 	Services []zltable.Service `cbor:"3,keyasint"`
 	Limits   zltable.Limits    `cbor:"4,keyasint"`
+	// Organisations is missing in messages of a build that knows none; see
+	// zlwatcher.Watcher.ApplyPeerDelta.
+	Organisations []zltable.Organisation `cbor:"5,keyasint,omitempty"`
+	// Kept is a bit for each bucket of organisations that the reply to a fetch leaves out,
+	// since the receiver has them; empty if Organisations is whole.
+	Kept []byte `cbor:"6,keyasint,omitempty"`
 }
 
 type replicaItem struct {
@@ -127,6 +135,8 @@
 		Version: t.Version,
 		Routes:  t.Routes,
 		Limits:  t.Limits,
+
+		Organisations: t.Organisations,
 	}
 	for _, s := range t.Services {
 		d.Table.Services = append(d.Table.Services, s)
@@ -147,7 +157,7 @@
 	}
 	if t := d.Table; t != nil {
 		out.Items = append(out.Items, &zlwatcher.TableItem{
-			Table: zltable.New(t.Version, t.Routes, t.Services, t.Limits),
+			Table: zltable.New(t.Version, t.Routes, t.Services, t.Limits).WithOrganisations(t.Organisations),
 		})
 	}
 	for _, r := range d.Replicas {
--- a/io/version/zlbroadcast/zlbroadcast.go
+++ b/io/version/zlbroadcast/zlbroadcast.go
@@ -262,6 +262,7 @@
 		AgeMicros: age.Microseconds(),
 	}
 	m.setRevisions(b.Watcher.Revisions())
+	m.Organisations = b.Watcher.NeedsKeys()
 	if age < 0 {
 		m.AgeMicros = -1
 	}
@@ -353,7 +354,8 @@
 	if b.Quarantine != nil && b.handleCrash(m, from) {
 		return
 	}
-	if m.Update != nil && m.Topic >= 0 && int(m.Topic) < zlwatcher.NumTopics {
+	isPartial := m.Update != nil && m.Update.Table != nil && len(m.Update.Table.Kept) > 0
+	if m.Update != nil && !isPartial && m.Topic >= 0 && int(m.Topic) < zlwatcher.NumTopics {
 		b.Watcher.ApplyPeerDelta(m.Topic, fromWire(m.Update))
 	}
 	if len(m.HealthReports) > 0 {
@@ -362,7 +364,11 @@
 		}
 		return
 	}
-	if b.PollPolicy.HandleHeartbeat(m.heartbeat()) {
+	beat := m.heartbeat()
+	if m.Organisations {
+		b.Watcher.DropTableWithoutKeys(beat.Revisions[zlwatcher.TopicTable])
+	}
+	if b.PollPolicy.HandleHeartbeat(beat) {
 		select {
 		case b.fetchSources <- from.String():
 		default:
