Connections without a whole request are bounded on each HTTP listener

Cause: net/http keeps up to 40 bytes for each byte of a head that it is reading, and 20 to 38 KB for a connection; the read budget counted raw bytes only, connections had no limit, and one that sent nothing was kept for a minute. Change: zlconnlimit gathers a head before net/http gets its connection, within a limit for each head and in sum; whole heads are charged by what they take in memory; the number of connections follows memory_mb and max_open_files. When connections are short, those without a whole head are closed first, then those without a whole body, then idle ones, the oldest first; a request whose connection was closed is not passed on. Conclusion: TestCrowdOfCallersIsBounded passes, with its crowd and bounds unchanged.

--- a/io/process/zldaemon/zldaemon.go
+++ b/io/process/zldaemon/zldaemon.go
@@ -7,10 +7,8 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"strconv"
 	"sync"
@@ -216,46 +214,6 @@
 	d.buildFleet()
 }
 
-// listen starts the HTTP servers for callers and for the admin interface.
-func (d *Daemon) listen() error {
-	callers := http.NewServeMux()
-	callers.Handle("POST "+zlfront.Path, d.countInFlight(&zlfront.Handler{
-		Answerer: &stoppingAnswerer{
-			Answerer: d.claims.guard,
-			closed:   &d.closed,
-		},
-		Timer: d.timer,
-	}))
-	var err error
-	if d.callerServer, err = d.startServer(d.Config.CallerListen, callers); err != nil {
-		return err
-	}
-	d.adminServer, err = d.startServer(d.Config.AdminListen, d.adminMux())
-	return err
-}
-
-// startServer starts an HTTP server at address.
-func (d *Daemon) startServer(address string, handler http.Handler) (*http.Server, error) {
-	listener, err := net.Listen("tcp", address)
-	if err != nil {
-		return nil, &Error{
-			Op:   "serve",
-			Kind: KindListen,
-			Err:  eris.Wrap(err, address),
-		}
-	}
-	server := &http.Server{
-		Handler:           handler,
-		ReadHeaderTimeout: 10 * time.Second,
-	}
-	d.goroutines.Go(func() {
-		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-			d.Log.Error().Err(err).Msg("daemon: HTTP server ended unexpectedly; its listener stays closed")
-		}
-	})
-	return server, nil
-}
-
 // countInFlight counts the queries in flight, for a planned stop. While the daemon is
 // leaving, its replies ask callers to close their connections: a query that a caller
 // sends on a kept connection while the daemon closes it would be lost.
--- a/io/request/zlserver/zlserver_test.go
+++ b/io/request/zlserver/zlserver_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"zinnialock/core/connection/zlreadbudget"
+	"zinnialock/io/connection/zlconnlimit"
 )
 
 // pipeListener accepts in-memory connections, which work with the virtual time of
@@ -52,8 +53,17 @@
 const (
 	headLimit = 3 * time.Second
 	idleLimit = 15 * time.Second
+	// sweepInterval is that of zlconnlimit.
+	sweepInterval = time.Second
 )
 
+func testLimits() zlconnlimit.Limits {
+	return zlconnlimit.Limits{
+		HeadTime: headLimit,
+		IdleTime: idleLimit,
+	}
+}
+
 // serve calls test with a running server, in virtual time, and stops the server
 // unless test did.
 func serve(t *testing.T, handler http.HandlerFunc, test func(t *testing.T, s *Server, l *pipeListener)) {
@@ -66,8 +76,8 @@
 		s := &Server{
 			Listener: l,
 			Handler:  handler,
-			Limits: func() (time.Duration, time.Duration) {
-				return headLimit, idleLimit
+			Limiter: &zlconnlimit.Limiter{
+				Limits: testLimits,
 			},
 		}
 		ended := make(chan error, 1)
@@ -168,11 +178,11 @@
 		Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 			w.WriteHeader(http.StatusNoContent)
 		}),
-		Limits: func() (time.Duration, time.Duration) {
-			return headLimit, idleLimit
-		},
-		Budget: &zlreadbudget.Budget{
-			Limit: 1 << 20,
+		Limiter: &zlconnlimit.Limiter{
+			Limits: testLimits,
+			Heads: &zlreadbudget.Budget{
+				Limit: 1 << 20,
+			},
 		},
 	}
 	ended := make(chan error, 1)
@@ -199,8 +209,8 @@
 			t.Fatal(err)
 		}
 		_ = resp.Body.Close()
-		if used := s.Budget.Used(); used > s.Budget.Limit {
-			t.Errorf("%d bytes held, limit %d", used, s.Budget.Limit)
+		if used := s.Limiter.Heads.Used(); used > s.Limiter.Heads.Limit {
+			t.Errorf("%d bytes held, limit %d", used, s.Limiter.Heads.Limit)
 		}
 	}
 	group.Wait()
@@ -226,11 +236,17 @@
 	s := &Server{
 		Listener: l,
 		Handler:  http.NotFoundHandler(),
-		Limits: func() (time.Duration, time.Duration) {
-			return maxHeadTime, maxHeadTime
-		},
-		Budget: &zlreadbudget.Budget{
-			Limit: budget,
+		Limiter: &zlconnlimit.Limiter{
+			Limits: func() zlconnlimit.Limits {
+				return zlconnlimit.Limits{
+					HeadTime:  time.Minute,
+					IdleTime:  time.Minute,
+					HeadBytes: 2 * headBytes,
+				}
+			},
+			Heads: &zlreadbudget.Budget{
+				Limit: budget,
+			},
 		},
 	}
 	ended := make(chan error, 1)
--- a/io/version/zlbroadcast/zlbroadcast.go
+++ b/io/version/zlbroadcast/zlbroadcast.go
@@ -15,6 +15,7 @@
 	"sync/atomic"
 	"time"
 
+	"zinnialock/core/connection/zlreadbudget"
 	"zinnialock/core/process/zlbalancer"
 	"zinnialock/core/process/zldecision"
 	"zinnialock/core/process/zlquarantine"
@@ -22,6 +23,7 @@
 	"zinnialock/core/process/zlunit"
 	"zinnialock/core/version/zlpoller"
 	"zinnialock/core/version/zlwatcher"
+	"zinnialock/io/connection/zlconnlimit"
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/rotisserie/eris"
@@ -51,6 +53,14 @@
 	fetchPath = "/news/"
 	// idlePeerTimeout is how long an idle connection to another VM is kept.
 	idlePeerTimeout = 90 * time.Second
+	// maxPeerConns bounds the connections of other VMs: one for fetches, or some for
+	// forwards, of each VM of the largest deployment (660).
+	maxPeerConns = 1024
+	// peerConnIdleTime is how long an idle connection of another VM is kept: it closes the
+	// connection itself before that, since its request would be lost otherwise.
+	peerConnIdleTime = 2 * time.Minute
+	// peerHeadBudget bounds the bytes of all incomplete heads of other VMs, which are short.
+	peerHeadBudget = 1 << 20
 	// minFetchPause is the shortest pause after a fetch.
 	minFetchPause = 30 * time.Millisecond
 )
@@ -107,6 +117,9 @@
 	Quarantine *zlquarantine.Ledger
 	// Handlers serve further requests of other VMs, by path.
 	Handlers map[string]http.Handler
+	// OnClose is called for each connection of another VM that is closed for a limit; may be
+	// nil.
+	OnClose func(zlconnlimit.Cause)
 	// Done ends Run when it is closed.
 	Done <-chan struct{}
 
@@ -177,13 +190,22 @@
 	server := &http.Server{
 		Handler:           mux,
 		ReadHeaderTimeout: fetchTimeout,
-		MaxHeaderBytes:    maxHeadBytes,
 	}
+	limiter := &zlconnlimit.Limiter{
+		Limits:   peerLimits,
+		MaxConns: maxPeerConns,
+		Heads: &zlreadbudget.Budget{
+			Limit: peerHeadBudget,
+		},
+		OnClose: b.OnClose,
+	}
+	limiter.Apply(server)
+	listener := limiter.Listen(b.listener)
 	var group sync.WaitGroup
 	group.Go(b.receive)
 	group.Go(b.runFetches)
 	group.Go(func() {
-		if err := server.Serve(b.listener); err != nil && !b.closed() {
+		if err := server.Serve(listener); err != nil && !b.closed() {
 			b.recordFailure(err)
 		}
 	})
@@ -208,6 +230,14 @@
 	group.Wait()
 }
 
+func peerLimits() zlconnlimit.Limits {
+	return zlconnlimit.Limits{
+		HeadTime:  fetchTimeout,
+		IdleTime:  peerConnIdleTime,
+		HeadBytes: maxHeadBytes + zlconnlimit.HeadSlack,
+	}
+}
+
 func (b *Broadcaster) closed() bool {
 	select {
 	case <-b.Done:
