A status outside 200 to 599 is an invalid reply

Cause: a failing replica may send any status. 600 to 999 were passed on; 000, 099 and a sign with two digits were taken for interim answers, and the next answer on the connection for that of the request, or the time was spent waiting for it. A forward accepted any number, a refusal of an upstream counted as not run with any status, and the store's reply with a status below 200 as a success. An invalid reply means an unknown outcome. Bytes that are no three digits were malformed before and stay so.

--- a/io/request/zlexchange/exchange.go
+++ b/io/request/zlexchange/exchange.go
@@ -14,6 +14,7 @@
 	"zinnialock/core/connection/zlreadbudget"
 	"zinnialock/core/process/zldecision"
 	"zinnialock/core/request/zlrelay"
+	"zinnialock/core/request/zlstatus"
 	"zinnialock/core/version/zlregistry"
 )
 
@@ -131,12 +132,15 @@
 	for range maxForeignReplies + 1 {
 		c.allowance = maxHeadBytes
 		resp, err := http.ReadResponse(c.reader, req)
-		for err == nil && resp.StatusCode < http.StatusOK {
+		for err == nil && zlstatus.IsInterim(resp.StatusCode) {
 			resp, err = http.ReadResponse(c.reader, req)
 		}
 		if err != nil {
 			return c.headFailure(err), false
 		}
+		if !zlstatus.IsFinal(resp.StatusCode) {
+			return unknown(zldecision.ReasonConnectionBroken), false
+		}
 		c.allowance = maxReplyBytes + maxFramingBytes
 		body, err := io.ReadAll(io.LimitReader(resp.Body, maxReplyBytes+1))
 		if len(body) > maxReplyBytes {
--- a/io/request/zlforward/message.go
+++ b/io/request/zlforward/message.go
@@ -7,6 +7,7 @@
 	"zinnialock/core/process/zldecision"
 	"zinnialock/core/process/zlunit"
 	"zinnialock/core/request/zlrelay"
+	"zinnialock/core/request/zlstatus"
 	"zinnialock/core/version/zltable"
 
 	"github.com/fxamacker/cbor/v2"
@@ -269,10 +270,10 @@
 	}, nil
 }
 
-// answer returns the answer that the reply holds, or nil.
+// answer returns the answer that the reply holds, or nil if it has none that is valid.
 func (w *reply) answer() zlrelay.Answer {
 	switch {
-	case w.Served != nil && w.Served.Signature != "":
+	case w.Served != nil && w.Served.Signature != "" && zlstatus.IsFinal(w.Served.Status):
 		return &zlrelay.Served{
 			Response: &zlrelay.Response{
 				Status:    w.Served.Status,
--- a/io/request/zlupstreamclient/message.go
+++ b/io/request/zlupstreamclient/message.go
@@ -9,6 +9,7 @@
 	"zinnialock/core/process/zlunit"
 	"zinnialock/core/request/zlexecutor"
 	"zinnialock/core/request/zlquery"
+	"zinnialock/core/request/zlstatus"
 )
 
 // Query is the body of a request to an upstream.
@@ -93,6 +94,9 @@
 // decodeReply decodes a reply and checks that it belongs to f and to the upstream
 // called name.
 func decodeReply(status int, data []byte, name zlunit.Upstream, f *zlexecutor.Fetch) zlexecutor.Fetched {
+	if !zlstatus.IsFinal(status) {
+		return unknown(zlquery.ReasonBadReply, "")
+	}
 	if status != http.StatusOK {
 		return decodeRefusal(data)
 	}
