--- a/io/connection/zlconnlimit/conn.go
+++ b/io/connection/zlconnlimit/conn.go
@@ -50,7 +50,7 @@
 	// became idle, or got the first byte of a head or body.
 	since time.Time
 	state state
-	// passed is true once the connection has left the listener.
+	// passed is true once the connection has a first whole head and leaves the listener.
 	passed bool
 	// contentLength is that of the request, or -1 if it isn't known.
 	contentLength int64
--- a/io/connection/zlconnlimit/head.go
+++ b/io/connection/zlconnlimit/head.go
@@ -9,11 +9,11 @@
 const (
 	// bytesPerLine and factorPerByte estimate what a head takes in net/http and in the
 	// copy of its handler: a map entry with a name and a list for each line (measured:
-	// 110 to 230 bytes with a copy), and the text twice.
+	// 219 to 234 bytes with a copy), and the text twice.
 	bytesPerLine  = 256
 	factorPerByte = 2
-	// pipelinedFactor is what net/http keeps for each byte of a head that it is reading
-	// itself: a line has at least 5 bytes.
+	// pipelinedFactor is what net/http and a copy keep for each byte of a head in the
+	// shortest lines (measured: 39).
 	pipelinedFactor = 40
 )
 
--- a/io/connection/zlconnlimit/listen.go
+++ b/io/connection/zlconnlimit/listen.go
@@ -140,6 +140,10 @@
 func (l *listener) awaitHead(c *Conn) {
 	_, err := c.gather(nil)
 	if err == nil {
+		// Close of the Limiter must not meet a connection whose request is passed on.
+		l.limiter.mu.Lock()
+		c.passed = true
+		l.limiter.mu.Unlock()
 		select {
 		case l.ready <- c:
 		case <-l.ended:
@@ -151,7 +155,6 @@
 	}
 	l.limiter.mu.Lock()
 	defer l.limiter.mu.Unlock()
-	c.passed = true
 	l.limiter.first--
 	l.limiter.notify()
 }
--- a/io/connection/zlconnlimit/read.go
+++ b/io/connection/zlconnlimit/read.go
@@ -57,10 +57,11 @@
 	n := zlreadbudget.Bytes(len(data))
 	if c.phase == phaseRequest {
 		if size == 1 {
+			// An error would end the request that is being served.
 			c.early = append(c.early, data...)
-		} else {
-			c.bodyBytes += int64(n)
+			return true
 		}
+		c.bodyBytes += int64(n)
 		return c.request.Grow(n)
 	}
 	c.limiter.mu.Lock()
--- a/io/connection/zlconnlimit/zlconnlimit.go
+++ b/io/connection/zlconnlimit/zlconnlimit.go
@@ -1,14 +1,14 @@
 // Package zlconnlimit bounds what the connections of an HTTP listener hold before a
 // request is served: the bytes of incomplete request heads, for each connection and in
 // sum, the number of connections, and the time for a head. It passes a connection to
-// net/http only once a whole head is there, since a connection takes 5 KB before that
+// net/http only once a whole head is there, since a connection takes 5 to 7 KB before that
 // and 32 KB afterwards, and net/http keeps up to 40 bytes for each byte of a head that
 // it is reading. It doesn't interpret requests.
 //
 // Load pattern: thousands of callers that hold connections or incomplete heads open, or
 // send without end, beside ordinary callers that send a head at once. When there is no
 // room for another connection, the one that has waited longest without a whole head is
-// closed, then the one that has been idle longest. When there is no room for more bytes,
+// closed, then without a whole body, then the one that has been idle longest. When there is no room for more bytes,
 // the connection that asks for them is closed; zlreadbudget leaves room for short heads.
 package zlconnlimit
 
@@ -95,8 +95,8 @@
 	// of all whole requests that are being read or served; nil means no limit.
 	Heads    *zlreadbudget.Budget
 	Requests *zlreadbudget.Budget
-	// OnClose is called for each connection that is closed for a limit, once, with
-	// internal locks held; nil if nobody needs to know.
+	// OnClose is called for each connection that is closed, or request that is refused, for a
+	// limit. Internal locks may be held; nil if nobody needs to know.
 	OnClose func(Cause)
 
 	mu sync.Mutex
@@ -259,8 +259,8 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for c := range l.conns {
-		time, cause := limits.of(c.state)
-		if cause != "" && now.Sub(c.since) > time {
+		limit, cause := limits.of(c.state)
+		if cause != "" && now.Sub(c.since) > limit {
 			l.closeLocked(c, cause)
 		}
 	}
--- a/io/process/zlplatform/zlplatform.go
+++ b/io/process/zlplatform/zlplatform.go
@@ -18,6 +18,7 @@
 	"time"
 
 	"zinnialock/core/process/zlunit"
+	"zinnialock/core/request/zlstatus"
 	"zinnialock/io/process/zljson"
 
 	"github.com/rotisserie/eris"
@@ -32,7 +33,7 @@
 	KindConflict Kind = "conflict"
 	// KindNotFound means that the object does not exist.
 	KindNotFound Kind = "notFound"
-	// KindUnavailable means that no reply came, or status 502, 503 or 504; a write may
+	// KindUnavailable means that no valid reply came, or status 502, 503 or 504; a write may
 	// have taken effect.
 	KindUnavailable Kind = "unavailable"
 	// KindLimited means that the platform's rate limit is reached; nothing changed.
@@ -250,6 +251,9 @@
 
 // kindOf returns the kind of error for an HTTP status other than 200.
 func kindOf(status int) Kind {
+	if !zlstatus.IsFinal(status) {
+		return KindUnavailable
+	}
 	switch status {
 	case http.StatusConflict:
 		return KindConflict
--- a/io/version/zlbroadcast/zlbroadcast.go
+++ b/io/version/zlbroadcast/zlbroadcast.go
@@ -53,9 +53,6 @@
 	fetchPath = "/news/"
 	// idlePeerTimeout is how long an idle connection to another VM is kept.
 	idlePeerTimeout = 90 * time.Second
-	// maxPeerConns bounds the connections of other VMs: one for fetches, or some for
-	// forwards, of each VM of the largest deployment (660).
-	maxPeerConns = 1024
 	// peerConnIdleTime is how long an idle connection of another VM is kept: it closes the
 	// connection itself before that, since its request would be lost otherwise.
 	peerConnIdleTime = 2 * time.Minute
@@ -117,6 +114,8 @@
 	Quarantine *zlquarantine.Ledger
 	// Handlers serve further requests of other VMs, by path.
 	Handlers map[string]http.Handler
+	// MaxConns limits the number of connections of other VMs; 0 means no limit.
+	MaxConns int
 	// OnClose is called for each connection of another VM that is closed for a limit; may be
 	// nil.
 	OnClose func(zlconnlimit.Cause)
@@ -193,7 +192,7 @@
 	}
 	limiter := &zlconnlimit.Limiter{
 		Limits:   peerLimits,
-		MaxConns: maxPeerConns,
+		MaxConns: b.MaxConns,
 		Heads: &zlreadbudget.Budget{
 			Limit: peerHeadBudget,
 		},
