--- a/core/version/zlregistry/zlregistry.go
+++ b/core/version/zlregistry/zlregistry.go
@@ -18,6 +18,8 @@
 	Service    zlunit.Service
 	Address    string
 	DataCentre zlunit.DataCentre
+	// Build is the version that the replica registered with; empty if it named none.
+	Build zlunit.Build `cbor:",omitempty"`
 	// Slots is how many requests the replica runs at once.
 	Slots int
 	// Draining is true if the replica takes no new work.
