Rendezvous ranks of VMs for any key

Cause: roll-outs rank VMs by rendezvous hashing of the service's name; the hash was private to the holders of upstreams. Change: score and key hash move to their own file, Rank sorts VMs by them. Holders is unchanged; the tests of zlroster pass.

--- a/core/version/zlroster/zlroster.go
+++ b/core/version/zlroster/zlroster.go
@@ -4,11 +4,7 @@
 // stores nor distributes rosters.
 package zlroster
 
-import (
-	"zinnialock/core/process/zlunit"
-
-	"github.com/cespare/xxhash/v2"
-)
+import "zinnialock/core/process/zlunit"
 
 // HoldersPerUpstream is how many daemons send to one upstream.
 const HoldersPerUpstream = 1
@@ -108,16 +104,6 @@
 	return r.Member(holders[0])
 }
 
-// score returns the rank value of a member for an upstream with the given hash.
-// The last steps are the finalizer of SplitMix64: a difference of one bit
-// affects all bits of the result.
-func score(vm zlunit.VM, upstream uint64) uint64 {
-	x := xxhash.Sum64String(string(vm)) ^ upstream
-	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
-	x = (x ^ x>>27) * 0x94d049bb133111eb
-	return x ^ x>>31
-}
-
 // Holders returns the daemons that send to u, chosen by rendezvous hashing,
 // highest score first.
 func (r Roster) Holders(u zlunit.Upstream) []zlunit.VM {
@@ -127,9 +113,7 @@
 	}
 	var best [HoldersPerUpstream]ranked
 	n := 0
-	// Without the multiplication the hashes of a VM and an upstream of the same
-	// name would cancel out.
-	upstream := xxhash.Sum64String(string(u)) * 0x9e3779b97f4a7c15
+	upstream := keyHash(string(u))
 	for _, m := range r.eligible() {
 		c := ranked{
 			vm:    m.VM,
