Roll-outs: stages, evidence, verdicts, remembered outcomes

Cause: the interface had no behaviour yet. Change: each VM divides its sends by the share in the status and by its own allowance, counts outcomes, and the first VMs of the ranking compare both groups and write the status.

--- /dev/null
+++ b/core/version/zlrollout/decide.go
@@ -0,0 +1,263 @@
+package zlrollout
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"zinnialock/core/process/zlunit"
+	"zinnialock/core/version/zlrevision"
+)
+
+const (
+	// deciders is how many VMs receive the evidence of an order.
+	deciders = 2
+	// takeOverAfter is how long, for each VM that ranks before it, a VM waits for the
+	// status that is due.
+	takeOverAfter = time.Second
+	// writeRetry is after what time a write without a known result is asked for again: a
+	// status takes up to orderLag to be seen.
+	writeRetry = 2 * time.Second
+	// failedWriteRetry is the same after a failed call, each of which has its price.
+	failedWriteRetry = time.Second
+	// heardWithin is how recent a report must be for its VM to count as heard from, twice
+	// refreshInterval and the time of a lost datagram.
+	heardWithin = 2 * refreshInterval
+	// verdictRepeats is how often a verdict is sent to all VMs. A VM that misses them gets
+	// it in reply to its evidence.
+	verdictRepeats  = 2
+	verdictInterval = 300 * time.Millisecond
+)
+
+// rank returns how many VMs decide on the service before this one.
+func (c *Controller) rank(s *service) int {
+	return slices.Index(c.ranking(s), c.Self)
+}
+
+// decide returns the actions for the service's order.
+func (c *Controller) decide(s *service, now time.Time) []Action {
+	o := s.order
+	d := &o.decision
+	rank := c.rank(s)
+	if !o.outcome.Final() && (rank < deciders || d.lead || len(o.evidence.reporters) > 1) {
+		c.judge(s, now)
+	}
+	actions := c.sendVerdict(o, now)
+	want := c.due(s, now)
+	if want != d.want || c.wasWritten(s, want, now) {
+		d.want = want
+		d.since = now
+	}
+	if want == (Status{}) || !d.mayIssue(rank, o.latest.Revision, now) {
+		return actions
+	}
+	if rank > 0 && !d.lead {
+		d.lead = true
+		c.note(s, "takeover", string(want.State))
+	}
+	if d.issued != want && o.stored && d.verdictAt.IsZero() {
+		// The store has lost the outcome, so VMs that have started since do not know it.
+		d.verdicts = verdictRepeats
+		c.note(s, "restored", string(o.outcome))
+	}
+	d.issued = want
+	d.revision = o.latest.Revision
+	d.issuedAt = now
+	return append(actions, &WriteStatus{
+		Order:  o.latest,
+		Status: want,
+	})
+}
+
+// mayIssue reports whether a VM of the given rank asks for the write of the status that is
+// due, at this revision of the order.
+func (d *decision) mayIssue(rank int, revision zlrevision.Revision, now time.Time) bool {
+	if !d.lead && now.Sub(d.since) < time.Duration(rank)*takeOverAfter {
+		return false
+	}
+	return d.issued != d.want || d.revision != revision || now.Sub(d.issuedAt) >= writeRetry
+}
+
+// wasWritten reports whether a VM that ranks before this one already gives the target the
+// share that is wanted, so that its status is on the way.
+func (c *Controller) wasWritten(s *service, want Status, now time.Time) bool {
+	if want.State != StateRunning || want.Share <= 0 {
+		return false
+	}
+	for _, vm := range c.ranking(s) {
+		if vm == c.Self {
+			return false
+		}
+		v := s.order.evidence.reporters[vm]
+		if v != nil && now.Sub(v.heard) <= takeOverAfter && v.percent >= percent(want.Share) {
+			return true
+		}
+	}
+	return false
+}
+
+// judge ends the order if its target is bad.
+func (c *Controller) judge(s *service, now time.Time) {
+	o := s.order
+	if !o.evidence.dirty || o.already {
+		return
+	}
+	o.evidence.dirty = false
+	f := o.evidence.test()
+	if f == nil {
+		return
+	}
+	c.note(s, "bad", fmt.Sprintf("%s: %.0f of %.0f bad, %.1f expected, route %q",
+		o.id.Target, f.bad, f.of, f.expected, f.route))
+	s.end(StateRolledBack, false, now)
+	o.decision.verdicts = verdictRepeats
+	c.updateSplit(s, now)
+}
+
+// sendVerdict returns the outcome for all VMs, or for those that do not know it, if it is
+// to be sent now.
+func (c *Controller) sendVerdict(o *order, now time.Time) []Action {
+	d := &o.decision
+	if !o.outcome.Final() || now.Sub(d.verdictAt) < verdictInterval {
+		return nil
+	}
+	var to []zlunit.VM
+	switch {
+	case d.verdicts > 0:
+		d.verdicts--
+	case len(d.behind) > 0:
+		to = slices.Sorted(maps.Keys(d.behind))
+	default:
+		return nil
+	}
+	d.behind = nil
+	d.verdictAt = now
+	return []Action{c.verdict(to, o.key, o.outcome, o.stored)}
+}
+
+// verdict returns the action that sends an outcome.
+func (c *Controller) verdict(to []zlunit.VM, key OrderKey, state State, stored bool) *SendReport {
+	return &SendReport{
+		To: to,
+		Report: Report{
+			VM:    c.Self,
+			Start: c.start,
+			Verdicts: []Verdict{
+				{
+					Order:  key,
+					State:  state,
+					Stored: stored,
+				},
+			},
+		},
+	}
+}
+
+// due returns the status that the order should have now, or the zero value if the one
+// that it has is right or none is due yet.
+func (c *Controller) due(s *service, now time.Time) Status {
+	o := s.order
+	status := o.latest.status()
+	switch {
+	case o.outcome.Final() && status.State == o.outcome:
+		return Status{}
+	case o.outcome.Final():
+		return o.wanted(o.outcome, o.finalShare())
+	case status.State != StateRunning:
+		return o.firstStatus(now)
+	case !o.hasTarget():
+		if now.Sub(o.seen) >= o.times.latest {
+			return o.wanted(StateRolledBack, 0)
+		}
+		return Status{}
+	case status.Share >= 1:
+		if c.settled(o, now) {
+			return o.wanted(StateCompleted, 1)
+		}
+		return Status{}
+	}
+	return o.nextStage(status.Share, now)
+}
+
+// wanted returns a status of the order.
+func (o *order) wanted(state State, share float64) Status {
+	return Status{
+		State:  state,
+		Target: o.id.Target,
+		Share:  share,
+	}
+}
+
+// finalShare returns the share that goes with the outcome.
+func (o *order) finalShare() float64 {
+	if o.outcome == StateCompleted {
+		return 1
+	}
+	return 0
+}
+
+// firstStatus returns the first status of an order, if it is due.
+func (o *order) firstStatus(now time.Time) Status {
+	switch {
+	case o.already:
+		return o.wanted(StateRunning, 1)
+	case o.hasTarget():
+		return o.wanted(StateRunning, smallShare)
+	case now.Sub(o.seen) >= o.times.noTarget:
+		return o.wanted(StateRunning, 0)
+	}
+	return Status{}
+}
+
+// nextStage returns the status after one with the given share below 1, if it is due.
+func (o *order) nextStage(share float64, now time.Time) Status {
+	elapsed := now.Sub(o.seen)
+	// A stage is not shorter than planned if the last one began late.
+	stage := o.times.full - o.times.half
+	waited := now.Sub(o.shareAt)
+	switch {
+	case o.already:
+		return o.wanted(StateRunning, 1)
+	case share <= 0:
+		return o.wanted(StateRunning, smallShare)
+	case now.Sub(o.targetSince) < o.times.minSmall || (share < halfShare && waited < o.times.minSmall):
+		return Status{}
+	case share < halfShare && o.hadNoTarget:
+		if elapsed >= o.times.full {
+			return o.wanted(StateRunning, 1)
+		}
+	case share < halfShare:
+		if elapsed >= o.times.half {
+			return o.wanted(StateRunning, halfShare)
+		}
+	case elapsed >= o.times.full && waited >= stage/2:
+		return o.wanted(StateRunning, 1)
+	}
+	return Status{}
+}
+
+// settled reports whether an order at share 1 may be completed: all VMs have reported
+// that they send nothing to old replicas, or those that are heard from have and the others
+// have had the time in which a status reaches all VMs in contact, or it is the latest time.
+func (c *Controller) settled(o *order, now time.Time) bool {
+	elapsed := now.Sub(o.seen)
+	waited := now.Sub(o.shareAt)
+	if elapsed >= o.times.force && waited >= heardWithin {
+		return true
+	}
+	silent := false
+	for _, vm := range c.members {
+		v := o.evidence.reporters[vm]
+		switch {
+		case v == nil || now.Sub(v.heard) > heardWithin:
+			silent = true
+		case v.percent < 100 || v.busy:
+			return false
+		}
+	}
+	if !silent {
+		return true
+	}
+	return waited >= heardWithin && (waited >= c.configApply() || elapsed >= o.times.latest)
+}
--- /dev/null
+++ b/core/version/zlrollout/send.go
@@ -0,0 +1,181 @@
+package zlrollout
+
+import (
+	"slices"
+	"time"
+
+	"zinnialock/core/process/zlunit"
+)
+
+const (
+	// reportInterval is the least time between two reports on an order, except that bad
+	// responses of the target are reported at the next step.
+	reportInterval = 250 * time.Millisecond
+	// reportBytes is what one order's evidence takes about, to two VMs, and
+	// reportByteRate what reports may take: half of what all control traffic may.
+	reportBytes    = 160
+	reportByteRate = 3000
+	// refreshInterval is how long evidence is not repeated that has not changed.
+	refreshInterval = time.Second
+	// maxUrgent is how many bad responses of the target are reported at the next step; a
+	// verdict needs far fewer from each VM.
+	maxUrgent = 30
+	// maxReportBytes limits the estimated size of a report. Datagrams between VMs hold
+	// 1,200 bytes, of which the transport needs some.
+	maxReportBytes = 1000
+	// The estimated sizes of the parts of a report, beside names.
+	headBytes     = 30
+	evidenceBytes = 22
+	tallyBytes    = 32
+)
+
+// report returns this VM's own evidence of the order.
+func (s *service) report() Evidence {
+	o := s.order
+	e := Evidence{
+		Order: o.key,
+	}
+	e.Percent = percent(o.appliedShare())
+	e.Busy = s.split != nil && s.split.baselineInFlight()
+	for _, t := range o.tallies {
+		e.Tallies = append(e.Tallies, *t)
+	}
+	return e
+}
+
+// percent returns a share in percent.
+func percent(share float64) int {
+	return int(share*100 + 0.5)
+}
+
+// needsReport reports whether the VM's evidence is to be sent now.
+func (o *order) needsReport(e *Evidence, interval time.Duration, now time.Time) bool {
+	since := now.Sub(o.sent.at)
+	switch {
+	case o.badTarget > o.sent.badTarget && o.badTarget <= maxUrgent:
+		return true
+	case since < reportInterval:
+		return false
+	case e.Percent != o.sent.percent || (e.Percent >= 100 && e.Busy != o.sent.busy):
+		return true
+	case o.changes > o.sent.changes:
+		return since >= interval
+	}
+	return since >= max(refreshInterval, interval)
+}
+
+// receivers returns who gets the evidence: the first VMs of the ranking and, if a status
+// is overdue, those that may act in their place.
+func (c *Controller) receivers(s *service, now time.Time) []zlunit.VM {
+	o := s.order
+	n := deciders
+	if d := &o.decision; d.want != (Status{}) {
+		n += int(now.Sub(d.since) / takeOverAfter)
+	}
+	ranking := c.ranking(s)
+	list := slices.Clone(ranking[:min(n, len(ranking))])
+	return slices.DeleteFunc(list, func(vm zlunit.VM) bool {
+		return vm == c.Self
+	})
+}
+
+// reports returns the evidence to be sent now. Evidence for the same VMs goes into one
+// report.
+func (c *Controller) reports(now time.Time) []Action {
+	running := 0
+	for _, s := range c.ordered {
+		if s.running() {
+			running++
+		}
+	}
+	interval := max(reportInterval, time.Duration(running)*time.Second*reportBytes/reportByteRate)
+	var batches []*SendReport
+	for _, s := range c.ordered {
+		if !s.running() {
+			continue
+		}
+		o := s.order
+		e := s.report()
+		o.evidence.take(c.Self, c.start, &e, now)
+		if !o.needsReport(&e, interval, now) {
+			continue
+		}
+		o.sent = sentEvidence{
+			at:        now,
+			changes:   o.changes,
+			badTarget: o.badTarget,
+			percent:   e.Percent,
+			busy:      e.Busy,
+		}
+		if to := c.receivers(s, now); len(to) > 0 {
+			batches = c.batch(batches, to, &e)
+		}
+	}
+	actions := make([]Action, 0, len(batches))
+	for _, b := range batches {
+		actions = append(actions, b)
+	}
+	return actions
+}
+
+// batch adds evidence to the last report for these VMs that has room for it, else to a new
+// one.
+func (c *Controller) batch(list []*SendReport, to []zlunit.VM, e *Evidence) []*SendReport {
+	for _, piece := range pieces(e) {
+		i := slices.IndexFunc(list, func(b *SendReport) bool {
+			return slices.Equal(b.To, to) && size(&b.Report)+piece.size() <= maxReportBytes
+		})
+		if i < 0 {
+			i = len(list)
+			list = append(list, &SendReport{
+				To: to,
+				Report: Report{
+					VM:    c.Self,
+					Start: c.start,
+				},
+			})
+		}
+		r := &list[i].Report
+		r.Evidence = append(r.Evidence, piece)
+	}
+	return list
+}
+
+// pieces divides evidence of many routes, so that each piece fits into a report.
+func pieces(e *Evidence) []Evidence {
+	var out []Evidence
+	rest := e.Tallies
+	for {
+		piece := *e
+		piece.Tallies = nil
+		for len(rest) > 0 {
+			piece.Tallies = append(piece.Tallies, rest[0])
+			if len(piece.Tallies) > 1 && piece.size() > maxReportBytes/2 {
+				piece.Tallies = piece.Tallies[:len(piece.Tallies)-1]
+				break
+			}
+			rest = rest[1:]
+		}
+		out = append(out, piece)
+		if len(rest) == 0 {
+			return out
+		}
+	}
+}
+
+// size returns about how many bytes a report takes.
+func size(r *Report) int {
+	n := headBytes + len(r.VM)
+	for i := range r.Evidence {
+		n += r.Evidence[i].size()
+	}
+	return n
+}
+
+func (e *Evidence) size() int {
+	n := evidenceBytes
+	for i := range e.Tallies {
+		n += tallyBytes + len(e.Tallies[i].Route)
+	}
+	return n
+}
