Roll-outs: a steady small share also with few sends for each VM; latest times

Cause: with 1.4 requests a second for each VM and draws limited by the allowance, 70 VMs gave a new build 3 of 100 requests instead of 5, and too few latencies of a route were known. Change: each VM keeps a quota, whose expected sends are exact; latencies of all routes serve while few of one are known; reports are repeated each 500 ms in the last stage.

--- a/core/version/zlrollout/controller.go
+++ b/core/version/zlrollout/controller.go
@@ -154,14 +154,15 @@
 	c.splits.Store(&next)
 }
 
-// newSplit returns the split of a service. Its phase differs between VMs.
+// newSplit returns the split of a service. VMs begin at different quotas, so that those
+// with few sends do not all expose the target at once.
 func (c *Controller) newSplit(s *service) *Split {
 	b := string(c.Self) + "/" + string(s.name)
 	if s.order != nil {
 		b += "/" + string(s.order.id.Target)
 	}
 	return &Split{
-		phase: float64(xxhash.Sum64String(b)>>11) / (1 << 53),
+		next: float64(xxhash.Sum64String(b)>>11) / (1 << 53),
 	}
 }
 
--- a/core/version/zlrollout/decide.go
+++ b/core/version/zlrollout/decide.go
@@ -21,9 +21,9 @@
 	writeRetry = 2 * time.Second
 	// failedWriteRetry is the same after a failed call, each of which has its price.
 	failedWriteRetry = time.Second
-	// heardWithin is how recent a report must be for its VM to count as heard from, twice
-	// refreshInterval and the time of a lost datagram.
-	heardWithin = 2 * refreshInterval
+	// heardWithin is how recent a report must be for its VM to count as heard from; three
+	// reports in a row are then lost or not sent.
+	heardWithin = 3 * lastRefreshInterval
 	// verdictRepeats is how often a verdict is sent to all VMs. A VM that misses them gets
 	// it in reply to its evidence.
 	verdictRepeats  = 2
@@ -45,11 +45,19 @@
 	}
 	actions := c.sendVerdict(o, now)
 	want := c.due(s, now)
-	if want != d.want || c.wasWritten(s, want, now) {
+	if want != d.want {
 		d.want = want
 		d.since = now
+		d.first = now
 	}
-	if want == (Status{}) || !d.mayIssue(rank, o.latest.Revision, now) {
+	if want == (Status{}) {
+		return actions
+	}
+	if now.Sub(d.first) < writeRetry && c.wasWritten(s, want, now) {
+		d.since = now
+		return actions
+	}
+	if !d.mayIssue(rank, o.latest.Revision, now) {
 		return actions
 	}
 	if rank > 0 && !d.lead {
@@ -79,18 +87,14 @@
 	return d.issued != d.want || d.revision != revision || now.Sub(d.issuedAt) >= writeRetry
 }
 
-// wasWritten reports whether a VM that ranks before this one already gives the target the
-// share that is wanted, so that its status is on the way.
+// wasWritten reports whether another VM already gives the target the share that is wanted,
+// so that the status that says so is on its way to this one.
 func (c *Controller) wasWritten(s *service, want Status, now time.Time) bool {
 	if want.State != StateRunning || want.Share <= 0 {
 		return false
 	}
-	for _, vm := range c.ranking(s) {
-		if vm == c.Self {
-			return false
-		}
-		v := s.order.evidence.reporters[vm]
-		if v != nil && now.Sub(v.heard) <= takeOverAfter && v.percent >= percent(want.Share) {
+	for vm, v := range s.order.evidence.reporters {
+		if vm != c.Self && now.Sub(v.heard) <= takeOverAfter && v.percent >= percent(want.Share) {
 			return true
 		}
 	}
--- a/core/version/zlrollout/order.go
+++ b/core/version/zlrollout/order.go
@@ -56,8 +56,10 @@
 
 // decision is what this VM would write, and what it has done for it.
 type decision struct {
-	// want is the status that is due, and since when.
+	// want is the status that is due, first since when, and since from when this VM waits
+	// for those that rank before it.
 	want  Status
+	first time.Time
 	since time.Time
 	// lead: this VM has acted in the place of one that ranks before it.
 	lead bool
--- a/core/version/zlrollout/schedule.go
+++ b/core/version/zlrollout/schedule.go
@@ -26,17 +26,17 @@
 	orderLag   = 1300 * time.Millisecond
 	maxLagPart = 0.11
 	// settleTime is what VMs need after the last stage was written to learn of it, to end
-	// what is in flight and to report that: orderLag and some reports.
-	settleTime    = 2200 * time.Millisecond
-	maxSettlePart = 0.18
+	// what is in flight and to report that: orderLag and two reports.
+	settleTime    = 1800 * time.Millisecond
+	maxSettlePart = 0.15
 	// staggerPart and maxStagger limit how much earlier the stages of a service may be, so
 	// that services do not all change at the same moment.
 	staggerPart = 0.05
 	maxStagger  = 2 * time.Second
 	// minSmallPart is the least time at the small share before it grows.
 	minSmallPart = 0.1
-	// extraPart is how much later than the latest time completion is written if VMs that
-	// are heard from still use old replicas.
+	// extraPart is how much of the duration before the last moment completion is written
+	// unless VMs that are heard from still use old replicas.
 	extraPart = 0.04
 	// noTargetPart is after which part of the duration an order without replicas of its
 	// target gets a status.
@@ -60,7 +60,8 @@
 	lag := min(orderLag, part(d, maxLagPart))
 	stagger := min(maxStagger, part(d, staggerPart))
 	early := part(stagger, float64(xxhash.Sum64String(string(id.Service))%1024)/1024)
-	latest := part(d, completeAt) - lag
+	force := part(d, completeAt) - lag
+	latest := force - part(d, extraPart)
 	full := min(part(d, fullAt), latest-min(settleTime, part(d, maxSettlePart)))
 	half := min(part(d, halfAt), full-lag)
 	return schedule{
@@ -68,7 +69,7 @@
 		half:     half - early,
 		full:     full - early,
 		latest:   latest,
-		force:    latest + part(d, extraPart),
+		force:    force,
 		noTarget: part(d, noTargetPart),
 		minSmall: part(d, minSmallPart),
 	}
--- a/core/version/zlrollout/send.go
+++ b/core/version/zlrollout/send.go
@@ -15,8 +15,10 @@
 	// reportByteRate what reports may take: half of what all control traffic may.
 	reportBytes    = 160
 	reportByteRate = 3000
-	// refreshInterval is how long evidence is not repeated that has not changed.
-	refreshInterval = time.Second
+	// refreshInterval is how long evidence is not repeated that has not changed, and
+	// lastRefreshInterval the same in the last stage, whose end waits for all reports.
+	refreshInterval     = time.Second
+	lastRefreshInterval = 500 * time.Millisecond
 	// maxUrgent is how many bad responses of the target are reported at the next step; a
 	// verdict needs far fewer from each VM.
 	maxUrgent = 30
@@ -60,6 +62,8 @@
 		return true
 	case o.changes > o.sent.changes:
 		return since >= interval
+	case e.Percent >= 100:
+		return since >= max(lastRefreshInterval, interval)
 	}
 	return since >= max(refreshInterval, interval)
 }
--- a/core/version/zlrollout/split.go
+++ b/core/version/zlrollout/split.go
@@ -1,6 +1,7 @@
 package zlrollout
 
 import (
+	"math"
 	"sync"
 	"sync/atomic"
 
@@ -8,6 +9,9 @@
 	"zinnialock/core/version/zlregistry"
 )
 
+// maxQuotaDebt is how many sends the target may be behind its share.
+const maxQuotaDebt = 2
+
 // Split divides the requests of one service between two groups of replicas. Its methods
 // may be called concurrently. For each send the caller gets a group from Choose, places
 // the request at a replica that Allows accepts for it, and calls Sent with GroupOf of that
@@ -17,12 +21,14 @@
 	plan atomic.Pointer[plan]
 
 	mu sync.Mutex
-	// phase is where this VM begins to count its allowance, from 0 to 1.
-	phase float64
-	// sends and targetSends count this VM's sends since the order.
-	sends       uint64
-	targetSends uint64
-	inFlight    [2]int
+	// quota is how many sends the target should have had by now. The next one goes to it
+	// when quota exceeds next, which grows by 1 for each, with a random part in [0, 1): so
+	// the expected number of sends to the target is quota, also if a VM has few sends.
+	quota float64
+	next  float64
+	// sends counts this VM's sends since the order.
+	sends    uint64
+	inFlight [2]int
 }
 
 // plan is what the sends follow until the next one. It is immutable.
@@ -53,21 +59,26 @@
 		return GroupBaseline
 	case !p.hasBaseline || p.share >= 1:
 		return GroupTarget
-	case draw >= p.share:
+	case p.share <= 0:
 		return GroupBaseline
-	case p.exposure > 0 && !s.mayExpose(p.exposure):
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.nextQuota(p) <= s.next {
 		return GroupBaseline
 	}
+	s.next = math.Floor(s.next) + draw
 	return GroupTarget
 }
 
-// mayExpose reports whether one more send to the target keeps this VM's sends to it within
-// the given part of its sends. The phase differs between VMs, so that the sum over many
-// VMs with few sends each is near that part of the sum of their sends.
-func (s *Split) mayExpose(exposure float64) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.phase+exposure*float64(s.sends+1) >= float64(s.targetSends+1)
+// nextQuota returns the quota after one more send. The caller holds mu.
+func (s *Split) nextQuota(p *plan) float64 {
+	quota := s.quota + p.share
+	if p.exposure > 0 {
+		quota = min(quota, max(p.exposure*float64(s.sends+1), s.quota))
+	}
+	// A target that could not take its requests does not get them all later.
+	return min(quota, s.next+maxQuotaDebt)
 }
 
 // GroupOf returns the group of a replica of the given build.
@@ -107,9 +118,10 @@
 func (s *Split) Sent(g Group) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.quota = s.nextQuota(s.plan.Load())
 	s.sends++
 	if g == GroupTarget {
-		s.targetSends++
+		s.next++
 	}
 	s.inFlight[g]++
 }
--- a/core/version/zlrollout/tally.go
+++ b/core/version/zlrollout/tally.go
@@ -15,6 +15,8 @@
 	// Errors of the median affect both groups alike, so few are enough.
 	medianSamples    = 31
 	minMedianSamples = 5
+	// medianInterval is after how many further latencies the median is computed again.
+	medianInterval = 8
 	// maxRoutes limits the routes of a service that are counted apart; further ones are
 	// counted together under the empty name.
 	maxRoutes = 16
@@ -32,18 +34,21 @@
 func (m *median) add(d time.Duration) {
 	m.samples[m.next] = d
 	m.next = (m.next + 1) % medianSamples
+	if m.n == medianSamples && m.next%medianInterval != 0 {
+		return
+	}
 	m.n = min(m.n+1, medianSamples)
 	sorted := m.samples
 	slices.Sort(sorted[:m.n])
 	m.value = sorted[m.n/2]
 }
 
-// slow reports whether d is slow.
-func (m *median) slow(d time.Duration) bool {
-	return m.n >= minMedianSamples && d > slowFactor*m.value
+// known reports whether there are enough latencies for a median.
+func (m *median) known() bool {
+	return m.n >= minMedianSamples
 }
 
-// median returns the median of a route.
+// median returns the median of a route; that of the empty name is of all routes.
 func (s *service) median(route zltable.RouteName) *median {
 	m := s.medians[route]
 	if m == nil {
@@ -53,16 +58,28 @@
 	return m
 }
 
+// isSlow reports whether a latency is slow for the route, or for all routes while too
+// few requests of the route are known.
+func (s *service) isSlow(route zltable.RouteName, took time.Duration) bool {
+	m := s.median(route)
+	if !m.known() {
+		m = s.median("")
+	}
+	return m.known() && took > slowFactor*m.value
+}
+
 // record counts the outcome of a send to a replica of build b.
 func (s *service) record(route zltable.RouteName, b zlunit.Build, out Outcome, took time.Duration) {
 	if s.medians[route] == nil && len(s.medians) >= maxRoutes {
 		route = ""
 	}
-	m := s.median(route)
 	timed := out == OutcomeGood && took > 0
-	slow := timed && m.slow(took)
+	slow := timed && s.isSlow(route, took)
 	if timed && b == s.baseline {
-		m.add(took)
+		s.median("").add(took)
+		if route != "" {
+			s.median(route).add(took)
+		}
 	}
 	if s.running() {
 		s.order.count(route, b, out, slow)
