--- a/core/version/zlrollout/controller.go
+++ b/core/version/zlrollout/controller.go
@@ -219,6 +219,11 @@
 	for i := range r.Verdicts {
 		c.handleVerdict(&r.Verdicts[i], now)
 	}
+	for _, key := range r.Leads {
+		if s := c.find(key); s != nil {
+			s.order.addLeader(r.VM)
+		}
+	}
 	for i := range r.Evidence {
 		e := &r.Evidence[i]
 		s := c.find(e.Order)
@@ -247,7 +252,11 @@
 // handleVerdict takes an outcome that another VM knows. The caller holds mu.
 func (c *Controller) handleVerdict(v *Verdict, now time.Time) {
 	s := c.find(v.Order)
-	if s == nil || s.order.outcome.Final() || !v.State.Final() || (v.State != StateRolledBack && !v.Stored) {
+	if s == nil || !v.State.Final() {
+		return
+	}
+	o := s.order
+	if o.stored || o.outcome == v.State || (!v.Stored && (o.outcome.Final() || v.State != StateRolledBack)) {
 		return
 	}
 	s.end(v.State, v.Stored, now)
@@ -277,6 +286,10 @@
 		return
 	}
 	c.setOrder(s, latest, now, now)
+	if d := &s.order.decision; s.order.stored && d.issued == latest.status() {
+		// Told at once, since the platform acts on the outcome before VMs read it.
+		d.verdicts = 1
+	}
 	c.updateSplit(s, now)
 }
 
--- a/core/version/zlrollout/decide.go
+++ b/core/version/zlrollout/decide.go
@@ -24,6 +24,9 @@
 	// heardWithin is how recent a report must be for its VM to count as heard from; three
 	// reports in a row are then lost or not sent.
 	heardWithin = 3 * lastRefreshInterval
+	// silentAfter is how long a VM that ranks before this one has not reported when it is
+	// not waited for; two reports in a row are then lost or not sent.
+	silentAfter = 2*refreshInterval + reportInterval
 	// verdictRepeats is how often a verdict is sent to all VMs. A VM that misses them gets
 	// it in reply to its evidence.
 	verdictRepeats  = 2
@@ -43,7 +46,7 @@
 	if !o.outcome.Final() && (rank < deciders || d.lead || len(o.evidence.reporters) > 1) {
 		c.judge(s, now)
 	}
-	actions := c.sendVerdict(o, now)
+	actions := append(c.sendVerdict(o, now), c.sendLead(o, now)...)
 	want := c.due(s, now)
 	if want != d.want {
 		d.want = want
@@ -57,11 +60,12 @@
 		d.since = now
 		return actions
 	}
-	if !d.mayIssue(rank, o.latest.Revision, now) {
+	if !d.mayIssue(c.before(s, rank, now), o.latest.Revision, now) {
 		return actions
 	}
 	if rank > 0 && !d.lead {
 		d.lead = true
+		d.leads = verdictRepeats
 		c.note(s, "takeover", string(want.State))
 	}
 	if d.issued != want && o.stored && d.verdictAt.IsZero() {
@@ -78,10 +82,35 @@
 	})
 }
 
-// mayIssue reports whether a VM of the given rank asks for the write of the status that is
-// due, at this revision of the order.
-func (d *decision) mayIssue(rank int, revision zlrevision.Revision, now time.Time) bool {
-	if !d.lead && now.Sub(d.since) < time.Duration(rank)*takeOverAfter {
+// before returns how many VMs a VM of the given rank waits for: those that rank before it,
+// except those that are silent while others report to it.
+func (c *Controller) before(s *service, rank int, now time.Time) int {
+	limit := silentAfter
+	if s.order.latest.status().Share >= 1 {
+		limit = heardWithin
+	}
+	recent := map[zlunit.VM]bool{}
+	for vm, v := range s.order.evidence.reporters {
+		if vm != c.Self && now.Sub(v.heard) < limit {
+			recent[vm] = true
+		}
+	}
+	if len(recent) == 0 || rank >= deciders || now.Sub(s.order.seen) < silentAfter {
+		return rank
+	}
+	n := 0
+	for _, vm := range c.ranking(s)[:rank] {
+		if recent[vm] {
+			n++
+		}
+	}
+	return n
+}
+
+// mayIssue reports whether a VM that waits for others asks for the write of the status that
+// is due, at this revision of the order.
+func (d *decision) mayIssue(others int, revision zlrevision.Revision, now time.Time) bool {
+	if !d.lead && now.Sub(d.since) < time.Duration(others)*takeOverAfter {
 		return false
 	}
 	return d.issued != d.want || d.revision != revision || now.Sub(d.issuedAt) >= writeRetry
@@ -140,6 +169,24 @@
 	return []Action{c.verdict(to, o.key, o.outcome, o.stored)}
 }
 
+// sendLead returns the message that this VM decides in the place of others, if it is to be
+// sent now.
+func (c *Controller) sendLead(o *order, now time.Time) []Action {
+	d := &o.decision
+	if d.leads == 0 || now.Sub(d.leadAt) < verdictInterval {
+		return nil
+	}
+	d.leads--
+	d.leadAt = now
+	return []Action{&SendReport{
+		Report: Report{
+			VM:    c.Self,
+			Start: c.start,
+			Leads: []OrderKey{o.key},
+		},
+	}}
+}
+
 // verdict returns the action that sends an outcome.
 func (c *Controller) verdict(to []zlunit.VM, key OrderKey, state State, stored bool) *SendReport {
 	return &SendReport{
@@ -208,7 +255,9 @@
 		return o.wanted(StateRunning, 1)
 	case o.hasTarget():
 		return o.wanted(StateRunning, smallShare)
-	case now.Sub(o.seen) >= o.times.noTarget:
+	case now.Sub(o.seen) >= o.times.noTarget || o.latest.Status.State != "":
+		// The status of an earlier order of the object is replaced at once: it would count
+		// again if the object's target were changed back.
 		return o.wanted(StateRunning, 0)
 	}
 	return Status{}
--- a/core/version/zlrollout/order.go
+++ b/core/version/zlrollout/order.go
@@ -1,6 +1,7 @@
 package zlrollout
 
 import (
+	"slices"
 	"time"
 
 	"zinnialock/core/process/zlunit"
@@ -40,6 +41,10 @@
 	changes   uint64
 	badTarget uint64
 	sent      sentEvidence
+	// standbyAt is when the standbys last got the evidence.
+	standbyAt time.Time
+	// leaders are the VMs that decide in the place of the first ones, the latest last.
+	leaders []zlunit.VM
 
 	evidence evidence
 	decision decision
@@ -68,9 +73,11 @@
 	revision zlrevision.Revision
 	issuedAt time.Time
 	// verdicts is how often the outcome is still to be sent to all VMs, and verdictAt when
-	// it was sent last.
+	// it was sent last; leads is how often it is still to be said that this VM leads.
 	verdicts  int
 	verdictAt time.Time
+	leads     int
+	leadAt    time.Time
 	// behind holds the VMs that sent evidence after the outcome was known here.
 	behind map[zlunit.VM]bool
 }
@@ -108,6 +115,16 @@
 	}
 }
 
+// addLeader notes that a VM decides on the order, so that it gets all evidence.
+func (o *order) addLeader(vm zlunit.VM) {
+	if slices.Contains(o.leaders, vm) {
+		return
+	}
+	o.leaders = append(o.leaders, vm)
+	o.leaders = o.leaders[max(len(o.leaders)-maxLeaders, 0):]
+	o.sent = sentEvidence{}
+}
+
 // noteTarget notes whether the target has replicas.
 func (o *order) noteTarget(present bool, now time.Time) {
 	switch {
--- a/core/version/zlrollout/report.go
+++ b/core/version/zlrollout/report.go
@@ -32,6 +32,9 @@
 	Start    int64      `cbor:"2,keyasint"`
 	Evidence []Evidence `cbor:"3,keyasint,omitempty"`
 	Verdicts []Verdict  `cbor:"4,keyasint,omitempty"`
+	// Leads lists the orders that the VM decides in the place of VMs that rank before it,
+	// so that it needs the evidence.
+	Leads []OrderKey `cbor:"5,keyasint,omitempty"`
 }
 
 // Evidence is what a VM has seen of an order since it learned of it.
--- a/core/version/zlrollout/send.go
+++ b/core/version/zlrollout/send.go
@@ -11,9 +11,16 @@
 	// reportInterval is the least time between two reports on an order, except that bad
 	// responses of the target are reported at the next step.
 	reportInterval = 250 * time.Millisecond
-	// reportBytes is what one order's evidence takes about, to two VMs, and
-	// reportByteRate what reports may take: half of what all control traffic may.
-	reportBytes    = 160
+	// standbys is how many further VMs get the evidence at every standbyRatio-th report, and
+	// not more often than each standbyInterval, so that a verdict falls in time if the
+	// first ones are dead.
+	standbys        = 2
+	standbyRatio    = 2
+	standbyInterval = 2 * time.Second
+	// reportBytes is what one order's evidence takes about, to two VMs and half as often to
+	// the standbys, and reportByteRate what reports may take: half of what all control
+	// traffic may.
+	reportBytes    = 240
 	reportByteRate = 3000
 	// refreshInterval is how long evidence is not repeated that has not changed, and
 	// lastRefreshInterval the same in the last stage, whose end waits for all reports.
@@ -22,6 +29,8 @@
 	// maxUrgent is how many bad responses of the target are reported at the next step; a
 	// verdict needs far fewer from each VM.
 	maxUrgent = 30
+	// maxLeaders limits the VMs beyond the first of the ranking that get evidence.
+	maxLeaders = 2
 	// maxReportBytes limits the estimated size of a report. Datagrams between VMs hold
 	// 1,200 bytes, of which the transport needs some.
 	maxReportBytes = 1000
@@ -68,16 +77,25 @@
 	return since >= max(refreshInterval, interval)
 }
 
-// receivers returns who gets the evidence: the first VMs of the ranking and, if a status
-// is overdue, those that may act in their place.
-func (c *Controller) receivers(s *service, now time.Time) []zlunit.VM {
+// receivers returns who gets the evidence: the first VMs of the ranking, at times the
+// standbys and, if a status is overdue, those that may act in their place.
+func (c *Controller) receivers(s *service, interval time.Duration, now time.Time) []zlunit.VM {
 	o := s.order
 	n := deciders
+	if now.Sub(o.standbyAt) >= max(standbyRatio*interval, standbyInterval) {
+		o.standbyAt = now
+		n += standbys
+	}
 	if d := &o.decision; d.want != (Status{}) {
 		n += int(now.Sub(d.since) / takeOverAfter)
 	}
 	ranking := c.ranking(s)
 	list := slices.Clone(ranking[:min(n, len(ranking))])
+	for _, vm := range o.leaders {
+		if !slices.Contains(list, vm) {
+			list = append(list, vm)
+		}
+	}
 	return slices.DeleteFunc(list, func(vm zlunit.VM) bool {
 		return vm == c.Self
 	})
@@ -111,7 +129,7 @@
 			percent:   e.Percent,
 			busy:      e.Busy,
 		}
-		if to := c.receivers(s, now); len(to) > 0 {
+		if to := c.receivers(s, interval, now); len(to) > 0 {
 			batches = c.batch(batches, to, &e)
 		}
 	}
