Orders of roll-outs as a fourth topic; reports between VMs

Cause: roll-outs need the orders of the store on each VM, and evidence of all VMs at the ones that decide. Change: zlwatcher has TopicRollouts, followed only if OnOrders is set; a VM that does not follow it makes no call for it and ignores it in messages and in what it must hold to be up to date. The array of revisions in messages keeps its three entries; the revision of the orders is a new optional field. A VM that follows the orders does not take the heartbeat of one that does not as a confirmation. zlbroadcast carries reports, to single VMs (not forwarded) and to those of all data centres. Measured: tests of zlwatcher, zlpoller and zlbroadcast pass with -race, among them TestMessagesOfEarlierBuilds unchanged.

--- a/core/version/zlpoller/groups.go
+++ b/core/version/zlpoller/groups.go
@@ -66,6 +66,25 @@
 	return out
 }
 
+// MemberOf returns another VM of any data centre; ok is false if it is not known.
+func (p *Policy) MemberOf(vm zlunit.VM) (m Member, ok bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, m := range p.members {
+		if m.VM == vm {
+			return m, true
+		}
+	}
+	for _, list := range p.remoteMembers {
+		for _, m := range list {
+			if m.VM == vm {
+				return m, true
+			}
+		}
+	}
+	return Member{}, false
+}
+
 // ForwardTargets returns the members to which this VM forwards the message of a turn that it
 // received from its sender.
 func (p *Policy) ForwardTargets(sender zlunit.VM, turn uint32) []Member {
--- a/core/version/zlpoller/zlpoller.go
+++ b/core/version/zlpoller/zlpoller.go
@@ -87,6 +87,8 @@
 	FirstSystemStart bool
 	// Revisions returns the revisions that this VM holds, by topic; 0 means none.
 	Revisions func() [zlwatcher.NumTopics]zlrevision.Revision
+	// FollowsRollouts is true if this VM follows zlwatcher.TopicRollouts.
+	FollowsRollouts bool
 
 	mu sync.Mutex
 	// members are the other VMs of the data centre, in the order of their score.
@@ -168,15 +170,20 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	lacksUpdate, outdated := false, false
-	for i, r := range b.Revisions {
+	revisions := p.followed(b.Revisions[:])
+	for i, r := range revisions {
 		lacksUpdate = lacksUpdate || held[i].Before(r)
 		// What the store confirmed in an earlier era says nothing of the present one.
 		outdated = outdated || r.Era < held[i].Era || r.Era < p.confirmedRevisions[i].Era
 	}
+	if p.FollowsRollouts && b.Revisions[zlwatcher.TopicRollouts] == (zlrevision.Revision{}) {
+		// A build or settings without roll-outs: the store did not confirm those.
+		outdated = true
+	}
 	if b.Age < 0 || outdated {
 		return lacksUpdate
 	}
-	for i, r := range b.Revisions {
+	for i, r := range revisions {
 		p.confirmedRevisions[i] = zlrevision.Later(p.confirmedRevisions[i], r)
 	}
 	if at := now.Add(-b.Age); at.After(p.confirmedAt) {
@@ -188,6 +195,14 @@
 	return lacksUpdate
 }
 
+// followed returns the revisions of the topics that this VM follows.
+func (p *Policy) followed(revisions []zlrevision.Revision) []zlrevision.Revision {
+	if p.FollowsRollouts {
+		return revisions
+	}
+	return revisions[:zlwatcher.NumCommonTopics]
+}
+
 // PeersConfirmedAt implements zlwatcher.PollPolicy.
 func (p *Policy) PeersConfirmedAt() time.Time {
 	p.mu.Lock()
@@ -229,7 +244,7 @@
 // upToDate reports whether this VM holds the confirmed revisions, or has been behind
 // for no longer than maxBehind. The caller holds mu.
 func (p *Policy) upToDate(now time.Time, held [zlwatcher.NumTopics]zlrevision.Revision) bool {
-	for i, r := range p.confirmedRevisions {
+	for i, r := range p.followed(p.confirmedRevisions[:]) {
 		if held[i] == (zlrevision.Revision{}) {
 			return false
 		}
@@ -278,7 +293,7 @@
 	case p.regained:
 		share := regainDelayShare + regainRankShare*float64(min(p.rank-1, regainMaxRank))
 		return time.Duration(share * float64(p.UpdateBound))
-	case p.confirmedAt.IsZero() && !slices.Contains(held[:], zlrevision.Revision{}):
+	case p.confirmedAt.IsZero() && !slices.Contains(p.followed(held[:]), zlrevision.Revision{}):
 		return time.Duration(startDelayShare * float64(p.UpdateBound))
 	default:
 		return rankDelay * time.Duration(min(p.rank, maxRank))
--- a/core/version/zlwatcher/delta.go
+++ b/core/version/zlwatcher/delta.go
@@ -124,6 +124,8 @@
 		return string(i.ID), i.Replica == nil
 	case *OutOfServiceItem:
 		return string(i.DataCentre), i.Removed
+	case *RolloutItem:
+		return i.Name, i.Order == nil
 	default:
 		return "", true
 	}
@@ -261,8 +263,12 @@
 }
 
 // ApplyPeerDelta applies a delta from a peer if it joins what this VM holds, and reports
-// whether this VM now has everything up to the delta's end.
+// whether this VM now has everything up to the delta's end. Topics that this VM doesn't
+// follow are ignored.
 func (w *Watcher) ApplyPeerDelta(t Topic, d *Delta) bool {
+	if !w.Follows(t) {
+		return true
+	}
 	return w.applyDelta(t, d, w.Timer.Now(), false)
 }
 
--- a/core/version/zlwatcher/watch.go
+++ b/core/version/zlwatcher/watch.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"time"
 
 	"zinnialock/core/process/zlunit"
 	"zinnialock/core/version/zlregistry"
+	"zinnialock/core/version/zlrollout"
 )
 
 // list reads a whole topic and replaces the entries held for it. A pause other than 0
@@ -86,6 +89,8 @@
 		w.Registry.Confirm(at, time.Time{}, time.Time{})
 	case TopicOutOfService:
 		w.Registry.Confirm(time.Time{}, time.Time{}, at)
+	case TopicRollouts:
+		// The registry holds no orders.
 	}
 }
 
@@ -106,9 +111,22 @@
 		}
 	case TopicOutOfService:
 		w.setOut(items, at)
+	case TopicRollouts:
+		w.OnOrders(ordersOf(items), at)
 	}
 }
 
+// ordersOf returns the orders among items, by name.
+func ordersOf(items map[string]Item) []zlrollout.Order {
+	orders := make([]zlrollout.Order, 0, len(items))
+	for _, name := range slices.Sorted(maps.Keys(items)) {
+		if r, ok := items[name].(*RolloutItem); ok {
+			orders = append(orders, *r.Order)
+		}
+	}
+	return orders
+}
+
 func replicasOf(items map[string]Item) []zlregistry.Replica {
 	all := make([]zlregistry.Replica, 0, len(items))
 	for _, i := range items {
--- a/core/version/zlwatcher/zlwatcher.go
+++ b/core/version/zlwatcher/zlwatcher.go
@@ -18,6 +18,7 @@
 	"zinnialock/core/process/zlunit"
 	"zinnialock/core/version/zlregistry"
 	"zinnialock/core/version/zlrevision"
+	"zinnialock/core/version/zlrollout"
 	"zinnialock/core/version/zltable"
 )
 
@@ -37,6 +38,9 @@
 	tableWatchInterval   = 800 * time.Millisecond
 	replicaWatchInterval = 800 * time.Millisecond
 	outWatchInterval     = 1500 * time.Millisecond
+	// rolloutWatchInterval is less than that of the others: a status that the first VM
+	// wrote reaches the others by it, and a short roll-out lasts 12 s.
+	rolloutWatchInterval = 400 * time.Millisecond
 	// applyMargin is subtracted from the time in which a table must be in force. It
 	// covers a heartbeat between VMs and late timers on a busy VM.
 	applyMargin = 300 * time.Millisecond
@@ -69,10 +73,16 @@
 	TopicTable Topic = iota
 	TopicReplicas
 	TopicOutOfService
+	// TopicRollouts is followed only if Watcher.OnOrders is set.
+	TopicRollouts
 )
 
-// NumTopics is the number of topics.
-const NumTopics = 3
+// NumTopics is the number of topics, and NumCommonTopics of those that each VM follows,
+// which are the first ones.
+const (
+	NumTopics       = 4
+	NumCommonTopics = 3
+)
 
 // String implements fmt.Stringer.
 func (t Topic) String() string {
@@ -83,13 +93,15 @@
 		return "replicas"
 	case TopicOutOfService:
 		return "outOfService"
+	case TopicRollouts:
+		return "rollouts"
 	default:
 		return "unknown"
 	}
 }
 
-// Item is one record of a topic: a *TableItem, *ReplicaItem or
-// *OutOfServiceItem.
+// Item is one record of a topic: a *TableItem, *ReplicaItem, *OutOfServiceItem or
+// *RolloutItem.
 type Item interface {
 	item()
 }
@@ -113,9 +125,18 @@
 	Removed bool
 }
 
+// RolloutItem is the order of a roll-out. Order is nil if it was withdrawn or cannot be
+// read.
+type RolloutItem struct {
+	// Name is that of the record.
+	Name  string
+	Order *zlrollout.Order
+}
+
 func (*TableItem) item()        {}
 func (*ReplicaItem) item()      {}
 func (*OutOfServiceItem) item() {}
+func (*RolloutItem) item()      {}
 
 // Page is one page of a list, or the changes that a watch returned.
 type Page struct {
@@ -181,6 +202,9 @@
 	// OnUpdate is called with each update that came from the store, to be sent to
 	// peers; may be nil.
 	OnUpdate func(t Topic, d *Delta)
+	// OnOrders is called with all orders of roll-outs whenever they change, and must not
+	// call the watcher. If it is nil, TopicRollouts is not followed.
+	OnOrders func(orders []zlrollout.Order, at time.Time)
 
 	topics [NumTopics]topicState
 	mu     sync.Mutex
@@ -209,10 +233,12 @@
 	w.storeCtx, w.cancelCalls = context.WithCancel(ctx)
 	w.mu.Unlock()
 	var group sync.WaitGroup
-	for _, t := range []Topic{TopicTable, TopicReplicas, TopicOutOfService} {
-		group.Go(func() {
-			w.follow(t)
-		})
+	for t := range Topic(NumTopics) {
+		if w.Follows(t) {
+			group.Go(func() {
+				w.follow(t)
+			})
+		}
 	}
 	group.Go(func() {
 		w.probeLoop(ctx)
@@ -222,6 +248,11 @@
 	group.Wait()
 }
 
+// Follows reports whether this VM follows a topic.
+func (w *Watcher) Follows(t Topic) bool {
+	return t < NumCommonTopics || t == TopicRollouts && w.OnOrders != nil
+}
+
 func (w *Watcher) isDone() bool {
 	select {
 	case <-w.Done:
@@ -298,10 +329,11 @@
 }
 
 // ConfirmedAt returns the latest time at which the store confirmed to this VM all that
-// it holds; zero while it does not watch all topics or the store does not answer.
+// it holds; zero while it does not watch all topics that it follows or the store does not
+// answer.
 func (w *Watcher) ConfirmedAt() time.Time {
 	for i := range w.topics {
-		if !w.topics[i].isWatched() {
+		if w.Follows(Topic(i)) && !w.topics[i].isWatched() {
 			return time.Time{}
 		}
 	}
@@ -376,6 +408,8 @@
 		return replicaWatchInterval
 	case TopicOutOfService:
 		return outWatchInterval
+	case TopicRollouts:
+		return rolloutWatchInterval
 	default:
 		return tableWatchInterval
 	}
--- a/io/version/zlbroadcast/fetch.go
+++ b/io/version/zlbroadcast/fetch.go
@@ -34,8 +34,11 @@
 // fetch fetches all topics from the VM at an address.
 func (b *Broadcaster) fetch(peerAddress string) error {
 	have := b.Watcher.Revisions()
-	for t := range zlwatcher.NumTopics {
-		if err := b.fetchTopic(peerAddress, zlwatcher.Topic(t), have[t]); err != nil {
+	for t := range zlwatcher.Topic(zlwatcher.NumTopics) {
+		if !b.Watcher.Follows(t) {
+			continue
+		}
+		if err := b.fetchTopic(peerAddress, t, have[t]); err != nil {
 			return &Error{
 				Op:   peerAddress,
 				Kind: KindFetch,
@@ -73,6 +76,9 @@
 		return err
 	case resp.StatusCode == http.StatusNoContent:
 		return nil
+	case resp.StatusCode == http.StatusBadRequest && t >= zlwatcher.NumCommonTopics:
+		// A build without the topic.
+		return nil
 	case resp.StatusCode != http.StatusOK:
 		return eris.Errorf("unexpected status %d", resp.StatusCode)
 	}
--- a/io/version/zlbroadcast/message.go
+++ b/io/version/zlbroadcast/message.go
@@ -9,6 +9,7 @@
 	"zinnialock/core/version/zlpoller"
 	"zinnialock/core/version/zlregistry"
 	"zinnialock/core/version/zlrevision"
+	"zinnialock/core/version/zlrollout"
 	"zinnialock/core/version/zltable"
 	"zinnialock/core/version/zlwatcher"
 
@@ -22,10 +23,12 @@
 	// AgeMicros is the age of the store's last confirmation to the sender; -1
 	// means that the message confirms nothing.
 	AgeMicros int64 `cbor:"2,keyasint"`
-	// Revisions and Eras are the two parts of the sender's revisions, by topic. A build
-	// that knows no eras sends none.
-	Revisions [zlwatcher.NumTopics]zlrevision.Number `cbor:"3,keyasint"`
-	Eras      []zlrevision.Era                       `cbor:"8,keyasint,omitempty"`
+	// Revisions and Eras are the two parts of the sender's revisions, by topic, of those
+	// that each VM follows. A build that knows no eras sends none. RolloutRevision is that
+	// of the orders of roll-outs, if the sender follows them.
+	Revisions       [zlwatcher.NumCommonTopics]zlrevision.Number `cbor:"3,keyasint"`
+	Eras            []zlrevision.Era                             `cbor:"8,keyasint,omitempty"`
+	RolloutRevision *revision                                    `cbor:"12,keyasint,omitempty"`
 	// Topic is what Update belongs to; it means nothing without one.
 	Topic         zlwatcher.Topic           `cbor:"4,keyasint,omitempty"`
 	Update        *delta                    `cbor:"5,keyasint,omitempty"`
@@ -38,6 +41,16 @@
 	Crash *zlquarantine.Report `cbor:"9,keyasint,omitempty"`
 	Ask   bool                 `cbor:"10,keyasint,omitempty"`
 	Reply bool                 `cbor:"11,keyasint,omitempty"`
+	// Rollout is evidence on new versions, or verdicts. Direct is set if the message is not
+	// to be forwarded; a build that does not know it may forward it, which is harmless.
+	Rollout *zlrollout.Report `cbor:"13,keyasint,omitempty"`
+	Direct  bool              `cbor:"14,keyasint,omitempty"`
+}
+
+// revision is the encoded form of a zlrevision.Revision.
+type revision struct {
+	Number zlrevision.Number `cbor:"1,keyasint"`
+	Era    zlrevision.Era    `cbor:"2,keyasint,omitempty"`
 }
 
 // delta is the encoded form of a zlwatcher.Delta.
@@ -50,6 +63,7 @@
 	OutOfService []outOfServiceItem `cbor:"6,keyasint,omitempty"`
 	FromEra      zlrevision.Era     `cbor:"7,keyasint,omitempty"`
 	ToEra        zlrevision.Era     `cbor:"8,keyasint,omitempty"`
+	Rollouts     []rolloutItem      `cbor:"9,keyasint,omitempty"`
 }
 
 type tableItem struct {
@@ -69,6 +83,11 @@
 	Removed    bool              `cbor:"2,keyasint,omitempty"`
 }
 
+type rolloutItem struct {
+	Name  string           `cbor:"1,keyasint"`
+	Order *zlrollout.Order `cbor:"2,keyasint,omitempty"`
+}
+
 const (
 	// maxItems bounds the lists of one message, in entries; it leaves room for
 	// all replicas and routes of the largest supported deployment.
@@ -113,6 +132,11 @@
 				DataCentre: i.DataCentre,
 				Removed:    i.Removed,
 			})
+		case *zlwatcher.RolloutItem:
+			out.Rollouts = append(out.Rollouts, rolloutItem{
+				Name:  i.Name,
+				Order: i.Order,
+			})
 		}
 	}
 	return out
@@ -162,20 +186,32 @@
 			Removed:    m.Removed,
 		})
 	}
+	for _, r := range d.Rollouts {
+		out.Items = append(out.Items, &zlwatcher.RolloutItem{
+			Name:  r.Name,
+			Order: r.Order,
+		})
+	}
 	return out
 }
 
 // setRevisions sets the sender's revisions.
 func (m *message) setRevisions(revisions [zlwatcher.NumTopics]zlrevision.Revision) {
-	for i, r := range revisions {
+	for i, r := range revisions[:zlwatcher.NumCommonTopics] {
 		m.Revisions[i] = r.Number
 		if r.Era > 0 && m.Eras == nil {
-			m.Eras = make([]zlrevision.Era, zlwatcher.NumTopics)
+			m.Eras = make([]zlrevision.Era, zlwatcher.NumCommonTopics)
 		}
 		if m.Eras != nil {
 			m.Eras[i] = r.Era
 		}
 	}
+	if r := revisions[zlwatcher.TopicRollouts]; r != (zlrevision.Revision{}) {
+		m.RolloutRevision = &revision{
+			Number: r.Number,
+			Era:    r.Era,
+		}
+	}
 }
 
 func (m *message) heartbeat() *zlpoller.Heartbeat {
@@ -189,5 +225,11 @@
 			b.Revisions[i].Era = m.Eras[i]
 		}
 	}
+	if r := m.RolloutRevision; r != nil {
+		b.Revisions[zlwatcher.TopicRollouts] = zlrevision.Revision{
+			Number: r.Number,
+			Era:    r.Era,
+		}
+	}
 	return b
 }
--- a/io/version/zlbroadcast/zlbroadcast.go
+++ b/io/version/zlbroadcast/zlbroadcast.go
@@ -1,6 +1,6 @@
 // Package zlbroadcast exchanges updates of the platform's store and health reports
 // between the relay's VMs of a data centre, and reports of requests that crash replicas
-// between all its VMs; its counterpart in zinnialock serve is
+// and of roll-outs between all its VMs; its counterpart in zinnialock serve is
 // zlgossip. Heartbeats and small updates travel as UDP datagrams, which avoid
 // connections between all VMs: a heartbeat is outdated within seconds, and the next
 // one replaces a lost one. An update that is too large or was lost is fetched over
@@ -21,6 +21,7 @@
 	"zinnialock/core/process/zltimer"
 	"zinnialock/core/process/zlunit"
 	"zinnialock/core/version/zlpoller"
+	"zinnialock/core/version/zlrollout"
 	"zinnialock/core/version/zlwatcher"
 
 	"github.com/fxamacker/cbor/v2"
@@ -105,6 +106,8 @@
 	// Quarantine holds what the VMs tell each other of requests that crash replicas; nil
 	// if they don't.
 	Quarantine *zlquarantine.Ledger
+	// OnRolloutReport is called with each report on roll-outs of another VM; may be nil.
+	OnRolloutReport func(report *zlrollout.Report)
 	// Handlers serve further requests of other VMs, by path.
 	Handlers map[string]http.Handler
 	// Done ends Run when it is closed.
@@ -340,7 +343,7 @@
 			b.recordFailure(eris.Wrapf(err, "decode datagram from %v", from))
 			continue
 		}
-		if !m.Ask && !m.Reply {
+		if !m.Ask && !m.Reply && !m.Direct {
 			for _, member := range b.PollPolicy.ForwardTargets(m.VM, m.Sequence) {
 				b.sendTo(member, buffer[:n])
 			}
@@ -350,7 +353,7 @@
 }
 
 func (b *Broadcaster) handle(m *message, from *net.UDPAddr) {
-	if b.Quarantine != nil && b.handleCrash(m, from) {
+	if b.handleRollout(m) || b.Quarantine != nil && b.handleCrash(m, from) {
 		return
 	}
 	if m.Update != nil && m.Topic >= 0 && int(m.Topic) < zlwatcher.NumTopics {
