Placement and evidence by version

Cause: a roll-out divides the requests of a service between two versions by request, and needs the outcome of each send. Change: zlbalancer gives each send a group and places it at its replicas; what finds no place at the new version goes to the old one. Capacity and availability count the new version only if all sends go there (zlrollout.Split.OnlyTarget, which unlike Choose uses up none of the share). zlrelay passes on outcome, route, build and time of each send of a divided service. There, a send that a second one has overtaken is cancelled only once it is slow for certain (3.5 times the usual latency, at most 0.5 s), since second sends would hide each slow response of the new version. Without roll-outs nothing changes.

--- a/core/process/zlbalancer/place.go
+++ b/core/process/zlbalancer/place.go
@@ -40,6 +40,8 @@
 	Overdue bool
 	// InFlight is how many requests this process had in flight there before.
 	InFlight int
+	// Split: the service's requests are divided between two versions.
+	Split bool
 }
 
 // PlacementRequest describes the request that Place places.
@@ -92,13 +94,20 @@
 // Place chooses the cheapest replica of the service in v and counts the
 // request as in flight there. The Placement is nil unless the Result is Placed.
 func (p *Placer) Place(v *zlregistry.View, now time.Time, w *PlacementRequest) (*Placement, Result) {
-	service := v.Table.Services[w.Service]
-	share := p.ConnectionShare(service)
+	if split := p.splitOf(w.Service); split != nil {
+		return p.placeSplit(v, now, w, split)
+	}
+	return p.placeIn(v, now, w, selection{})
+}
+
+// placeIn is Place among the selected replicas.
+func (p *Placer) placeIn(v *zlregistry.View, now time.Time, w *PlacementRequest, sel selection) (*Placement, Result) {
+	share := p.ConnectionShare(v.Table.Services[w.Service])
 	var list [16]candidate
 	candidates := list[:0]
 	result := NoReplica
 	for _, e := range v.Replicas[w.Service] {
-		if v.OutOfService[e.DataCentre] || slices.Contains(w.Skip, e.ID) {
+		if v.OutOfService[e.DataCentre] || slices.Contains(w.Skip, e.ID) || !sel.allows(e) {
 			continue
 		}
 		c := candidate{
@@ -177,8 +186,9 @@
 		return false
 	}
 	isFirst := q.before(w.Waiter) == 0
+	eligible := p.eligibilityOf(w.Service)
 	for _, e := range v.Replicas[w.Service] {
-		if !v.OutOfService[e.DataCentre] && p.hasRoom(v, e, now, w, isFirst) {
+		if !v.OutOfService[e.DataCentre] && eligible.allows(e) && p.hasRoom(v, e, now, w, isFirst) {
 			return true
 		}
 	}
--- a/core/process/zlbalancer/ratelimit.go
+++ b/core/process/zlbalancer/ratelimit.go
@@ -191,7 +191,11 @@
 	}
 	vms := p.VMCount()
 	needed, rate := float64(1+p.queueFor(s).before(w)), 0.0
+	eligible := p.eligibilityOf(s)
 	for _, e := range v.Replicas[s] {
+		if !eligible.allows(e) {
+			continue
+		}
 		r := p.recordFor(e)
 		until, never := r.restriction.blockedUntil(now, p.Settings.LeavingGrace)
 		if v.OutOfService[e.DataCentre] || never || !until.IsZero() || r.snapshot(now).moved {
--- a/core/process/zlbalancer/record.go
+++ b/core/process/zlbalancer/record.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"zinnialock/core/process/zlunit"
+	"zinnialock/core/version/zlrollout"
 )
 
 const (
@@ -101,6 +102,9 @@
 	vms  int
 	// rateCounted is set if the request is counted in the replica's rate limit.
 	rateCounted bool
+	// split counts the request in its group until it ends; nil if the service is not split.
+	split *zlrollout.Split
+	group zlrollout.Group
 }
 
 // Outcome is how a request to a replica ended.
@@ -177,6 +181,13 @@
 	f.sentAt = now
 }
 
+// SentAt returns when the first byte of the request went out; zero if it did not.
+func (f *Flight) SentAt() time.Time {
+	f.record.mu.Lock()
+	defer f.record.mu.Unlock()
+	return f.sentAt
+}
+
 // MarkOverdue notes that the request waits longer than it should. The first
 // overdue request at a replica marks the replica as paused and calls Notify of
 // the other requests there; further ones do nothing.
@@ -253,6 +264,9 @@
 	if f.rateCounted && f.sentAt.IsZero() {
 		r.restriction.returnRate()
 	}
+	if f.split != nil {
+		f.split.Ended(f.group)
+	}
 	f.waiters.wakeFirst()
 }
 
--- a/core/process/zlbalancer/restriction.go
+++ b/core/process/zlbalancer/restriction.go
@@ -204,8 +204,9 @@
 // the replicas are.
 func (p *Placer) Available(v *zlregistry.View, now time.Time, s zlunit.Service) Availability {
 	var a Availability
+	eligible := p.eligibilityOf(s)
 	for _, e := range v.Replicas[s] {
-		if v.OutOfService[e.DataCentre] {
+		if v.OutOfService[e.DataCentre] || !eligible.allows(e) {
 			continue
 		}
 		if !p.restricted.Load() {
--- a/core/process/zlbalancer/zlbalancer.go
+++ b/core/process/zlbalancer/zlbalancer.go
@@ -17,7 +17,9 @@
 //     requests for a time: they get none (see restriction);
 //   - replicas that limit their request rate: each VM uses a share of the limit, and
 //     what exceeds it goes elsewhere or is refused (see rateLimit);
-//   - cold replicas: each gets a limited request rate, divided among the VMs.
+//   - cold replicas: each gets a limited request rate, divided among the VMs;
+//   - versions of a service that is rolled out: each send goes to replicas of the version
+//     that its draw chose (see Placer.Splits).
 package zlbalancer
 
 import (
@@ -27,6 +29,7 @@
 
 	"zinnialock/core/process/zlunit"
 	"zinnialock/core/version/zlregistry"
+	"zinnialock/core/version/zlrollout"
 	"zinnialock/core/version/zltable"
 )
 
@@ -54,6 +57,9 @@
 	Settings Settings
 	// Random returns a number in [0, 1); nil means math/rand/v2.
 	Random func() float64
+	// Splits returns how the requests to a service are divided between two versions of its
+	// replicas, or nil if they are not; may be nil.
+	Splits func(s zlunit.Service) *zlrollout.Split
 
 	vmCount atomic.Int64
 	// restricted is set once any replica asked for a restriction.
--- a/core/request/zlrelay/answer.go
+++ b/core/request/zlrelay/answer.go
@@ -74,8 +74,9 @@
 
 // cancelAttempts cancels all sends of the part and leaves the queue for capacity.
 func (p *part) cancelAttempts() {
+	now := p.run.relay.Timer.Now()
 	for _, a := range p.inFlight {
-		a.cancel()
+		a.cancelSuperseded(now)
 	}
 	p.leaveQueue()
 }
--- a/core/request/zlrelay/attempt.go
+++ b/core/request/zlrelay/attempt.go
@@ -178,6 +178,7 @@
 	a.recordNotice(now, notice)
 	a.recordRateLimit(now, notice, genuine)
 	a.recordUplink(ctx, reply)
+	a.recordEvidence(ctx, now, reply)
 	if ctx.Err() != nil && outcome != zlbalancer.OutcomeServed {
 		outcome = zlbalancer.OutcomeGivenUp
 		if started && a.isPastOverdueTime(now) {
--- a/core/request/zlrelay/crash_watch.go
+++ b/core/request/zlrelay/crash_watch.go
@@ -33,12 +33,17 @@
 // endWatched ends the run. The sends that may still end replicas are cancelled later.
 func (x *run) endWatched() {
 	isWatched := x.relay.Quarantine != nil && x.crash.suspected && !x.crash.answered
+	now := x.relay.Timer.Now()
 	for i := range x.parts {
 		p := &x.parts[i]
 		for _, a := range p.inFlight {
-			if isWatched && !a.abandon() {
+			switch {
+			case isWatched && !a.abandon():
 				x.relay.Timer.AfterFunc(crashWatchTime, a.cancel)
-			} else {
+			case x.ctx.Err() == nil:
+				a.cancelSuperseded(now)
+			default:
+				// The caller left, which ends every send.
 				a.cancel()
 			}
 		}
--- /dev/null
+++ b/core/request/zlrelay/rollout_test.go
@@ -0,0 +1,69 @@
+package zlrelay
+
+import (
+	"context"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"zinnialock/core/process/zlunit"
+	"zinnialock/core/version/zlregistry"
+	"zinnialock/core/version/zlrollout"
+	"zinnialock/core/version/zltable"
+)
+
+// Guards against a slow version whose responses are never counted, since second sends to
+// the other one are answered first, and against outcomes of sends that did not run.
+func TestOutcomesOfDividedService(t *testing.T) {
+	const slow = zlrollout.Outcome(-1)
+	for name, c := range map[string]struct {
+		script []behaviour
+		want   []zlrollout.Outcome
+	}{
+		"good":        {[]behaviour{answers}, []zlrollout.Outcome{zlrollout.OutcomeGood}},
+		"failed":      {[]behaviour{fails, answers}, []zlrollout.Outcome{zlrollout.OutcomeFailed, zlrollout.OutcomeGood}},
+		"did not run": {[]behaviour{cannotBeReached, answers}, []zlrollout.Outcome{zlrollout.OutcomeGood}},
+		"overtaken":   {[]behaviour{hangs, answers}, []zlrollout.Outcome{zlrollout.OutcomeGood, slow}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				route := singleRoute(true, 2)
+				// A second send is made after 80 ms and answered after 85; a send is slow for
+				// certain after 87.5 ms.
+				route.Objective = 200 * time.Millisecond
+				r := newTestRelay(newScripted(c.script), route)
+				r.Registry.Apply([]zlregistry.Change{{
+					ID: "s0-0",
+					Replica: &zlregistry.Replica{
+						ID:      "s0-0",
+						Service: "s0",
+						Build:   "v2",
+					},
+				}}, time.Now())
+				controller := &zlrollout.Controller{
+					Timer: r.Timer,
+					Settings: zlrollout.Settings{
+						Enabled: true,
+					},
+				}
+				controller.SetReplicas(r.Registry.View())
+				r.Placer.Splits = controller.Split
+				var got []zlrollout.Outcome
+				r.OnOutcome = func(_ zlunit.Service, _ zltable.RouteName, _ zlunit.Build, o zlrollout.Outcome, took time.Duration) {
+					if o == zlrollout.OutcomeGood && took > 3*25*time.Millisecond {
+						o = slow
+					}
+					got = append(got, o)
+				}
+				if _, ok := r.Serve(context.Background(), request("/one/x")).(*Served); !ok {
+					t.Error("the request was not served")
+				}
+				r.Wait()
+				if !slices.Equal(got, c.want) {
+					t.Errorf("got outcomes %v, want %v", got, c.want)
+				}
+			})
+		})
+	}
+}
--- a/core/request/zlrelay/zlrelay.go
+++ b/core/request/zlrelay/zlrelay.go
@@ -24,6 +24,7 @@
 	"zinnialock/core/process/zlunit"
 	"zinnialock/core/process/zluplink"
 	"zinnialock/core/version/zlregistry"
+	"zinnialock/core/version/zlrollout"
 	"zinnialock/core/version/zltable"
 )
 
@@ -70,6 +71,9 @@
 	// Connector opens the connections by which Probe finds out that this VM reaches
 	// replicas again.
 	Connector Connector
+	// OnOutcome is called with the outcome of each send to a service whose requests are
+	// divided between two versions (see zlrollout.Controller.Record); may be nil.
+	OnOutcome func(s zlunit.Service, route zltable.RouteName, b zlunit.Build, o zlrollout.Outcome, took time.Duration)
 	// Settings holds the limits of the deployment.
 	Settings Settings
 	// Start is when this process started.
