--- a/core/version/zlrollout/topic.go
+++ b/core/version/zlrollout/topic.go
@@ -78,14 +78,14 @@
 		s.begin(newOrder(latest, at), now)
 		c.note(s, what, string(latest.ID.Target)+" in "+latest.Duration.String())
 		if state := latest.status().State; state != "" {
-			c.note(s, string(state), string(latest.ID.Target))
+			c.note(s, string(state), latest.status().name())
 		}
 	} else {
 		if s.order.latest.Duration != latest.Duration {
 			s.order.times = newSchedule(latest.ID, latest.Duration)
 		}
 		if s.update(latest, now) {
-			c.note(s, string(latest.status().State), string(latest.ID.Target))
+			c.note(s, string(latest.status().State), latest.status().name())
 		}
 	}
 	c.settleOutcome(s, now)
--- a/core/version/zlrollout/zlrollout.go
+++ b/core/version/zlrollout/zlrollout.go
@@ -57,6 +57,11 @@
 	Share float64
 }
 
+// name names the status in events.
+func (s Status) name() string {
+	return fmt.Sprintf("%s, share %.2f", s.Target, s.Share)
+}
+
 // Group is one of the two groups of a service's replicas.
 type Group int
 
