Requests of a process that starts wait for the orders of roll-outs

Cause: a VM that starts in a roll-out with more new replicas than old ones takes the new version for the old one until it knows the orders. Change: requests in the first 100 ms wait for them as they do for the first table.

--- a/core/request/zlrelay/start.go
+++ b/core/request/zlrelay/start.go
@@ -18,8 +18,8 @@
 	maxStartupWaitShare = 0.1
 )
 
-// awaitStart waits, while this process starts, for the first table and replicas and for what
-// the other VMs have in quarantine, and reports false if the caller disconnected. If all VMs
+// awaitStart waits, while this process starts, for the first table and replicas, for what
+// the other VMs have in quarantine and for the orders of roll-outs, and reports false if the caller disconnected. If all VMs
 // restart at the same time, a caller that is refused instead is served only after its
 // objective.
 func (r *Relay) awaitStart(ctx context.Context, req *Request) bool {
@@ -40,6 +40,9 @@
 	if r.Quarantine != nil {
 		awaited = append(awaited, r.Quarantine.Known())
 	}
+	if r.OrdersKnown != nil {
+		awaited = append(awaited, r.OrdersKnown)
+	}
 	for _, known := range awaited {
 		select {
 		case <-known:
@@ -54,5 +57,17 @@
 
 // isStarting reports whether what awaitStart waits for is not known yet.
 func (r *Relay) isStarting(view *zlregistry.View) bool {
-	return !view.Ready() || r.Quarantine != nil && !r.Quarantine.IsKnown()
+	return !view.Ready() || r.Quarantine != nil && !r.Quarantine.IsKnown() || !r.areOrdersKnown()
+}
+
+func (r *Relay) areOrdersKnown() bool {
+	if r.OrdersKnown == nil {
+		return true
+	}
+	select {
+	case <-r.OrdersKnown:
+		return true
+	default:
+		return false
+	}
 }
--- a/core/request/zlrelay/zlrelay.go
+++ b/core/request/zlrelay/zlrelay.go
@@ -74,6 +74,9 @@
 	// OnOutcome is called with the outcome of each send to a service whose requests are
 	// divided between two versions (see zlrollout.Controller.Record); may be nil.
 	OnOutcome func(s zlunit.Service, route zltable.RouteName, b zlunit.Build, o zlrollout.Outcome, took time.Duration)
+	// OrdersKnown is closed once the orders of roll-outs are known: before that, requests could
+	// go to a version that is only to get a small share. Nil if there are none.
+	OrdersKnown <-chan struct{}
 	// Settings holds the limits of the deployment.
 	Settings Settings
 	// Start is when this process started.
