Roll-outs: faults found by random sequences

Cause and change: one VM's bad responses no longer count for little because others had good ones at another time; a VM that decides nothing stops its own sends on its own evidence; VMs that have not learned of a share are told by the deciders, and completion waits for them; a least time at share 1.

--- a/core/version/zlrollout/compare.go
+++ b/core/version/zlrollout/compare.go
@@ -101,11 +101,9 @@
 // compare tests by one criterion whether the target has more bad responses than the
 // baseline explains, on one route or, if it is nil, on all together.
 func (e *evidence) compare(criterion int, route *zltable.RouteName, limit float64) *finding {
-	sum, total, worst := e.sum(criterion, route)
-	bad := total.bad
-	if total.n-worst.n >= minOthers {
-		bad = min(bad, 2*(total.bad-worst.bad))
-	}
+	sum, worst := e.sum(criterion, route)
+	total := between(&sum.target, 0, windows-1)
+	bad := min(total.bad, sum.confirmed(worst))
 	if bad < minBad {
 		return nil
 	}
@@ -126,11 +124,12 @@
 	return f
 }
 
-// sum returns the counts of all VMs without those of VMs that fail themselves, the
-// target's total, and that of the VM with most bad responses of the target.
-func (e *evidence) sum(criterion int, route *zltable.RouteName) (all *series, total, worst group) {
-	all = &series{}
+// sum returns the counts of all VMs without those of VMs that fail themselves, and those
+// of the VM with most bad responses of the target.
+func (e *evidence) sum(criterion int, route *zltable.RouteName) (all, worst *series) {
+	all, worst = &series{}, &series{}
 	var failing []*series
+	most := 0.0
 	for _, v := range e.reporters {
 		var baseline, target group
 		v.each(route, func(s *sample) {
@@ -138,17 +137,19 @@
 			baseline.add(&s.baseline, criterion)
 			target.add(&s.target, criterion)
 		})
-		total.n += target.n
-		total.bad += target.bad
+		if baseline.bad < minFailing && target.bad <= most {
+			continue
+		}
+		own := &series{}
+		v.each(route, func(s *sample) {
+			own.add(s, criterion)
+		})
 		if baseline.bad >= minFailing {
-			own := &series{}
-			v.each(route, func(s *sample) {
-				own.add(s, criterion)
-			})
 			failing = append(failing, own)
 		}
-		if target.bad > worst.bad {
-			worst = target
+		if target.bad > most {
+			most = target.bad
+			worst = own
 		}
 	}
 	fleet := all.baseline
@@ -159,10 +160,29 @@
 			}
 			all.baseline[w].subtract(own.baseline[w])
 			all.target[w].subtract(own.target[w])
-			total.subtract(own.target[w])
+			own.target[w] = group{}
 		}
 	}
-	return all, total, worst
+	return all, worst
+}
+
+// confirmed returns how many of the target's bad responses count. Those of the VM that has
+// most count no more than those of all others if these had responses at the same times:
+// its path to the target may be cut.
+func (s *series) confirmed(worst *series) float64 {
+	var own, others group
+	bad := 0.0
+	for w := range windows {
+		bad += s.target[w].bad - worst.target[w].bad
+		if worst.target[w].bad > 0 {
+			own.bad += worst.target[w].bad
+			others.n += s.target[w].n - worst.target[w].n
+		}
+	}
+	if others.n >= minOthers {
+		return bad + min(own.bad, bad)
+	}
+	return bad + own.bad
 }
 
 // each calls f with the VM's samples of a route, or of all if it is nil.
--- a/core/version/zlrollout/controller.go
+++ b/core/version/zlrollout/controller.go
@@ -232,7 +232,9 @@
 		}
 		if s.running() {
 			s.order.evidence.take(r.VM, r.Start, e, now)
-			continue
+			if !s.order.isBehind(e.Percent, now) {
+				continue
+			}
 		}
 		s.order.decision.replyTo(r.VM)
 	}
@@ -252,10 +254,17 @@
 // handleVerdict takes an outcome that another VM knows. The caller holds mu.
 func (c *Controller) handleVerdict(v *Verdict, now time.Time) {
 	s := c.find(v.Order)
-	if s == nil || !v.State.Final() {
+	if s == nil {
 		return
 	}
 	o := s.order
+	if v.State == StateRunning && v.Stored && s.running() {
+		o.told = max(o.told, float64(v.Percent)/100)
+		c.updateSplit(s, now)
+	}
+	if !v.State.Final() {
+		return
+	}
 	if o.stored || o.outcome == v.State || (!v.Stored && (o.outcome.Final() || v.State != StateRolledBack)) {
 		return
 	}
--- a/core/version/zlrollout/decide.go
+++ b/core/version/zlrollout/decide.go
@@ -43,8 +43,8 @@
 	o := s.order
 	d := &o.decision
 	rank := c.rank(s)
-	if !o.outcome.Final() && (rank < deciders || d.lead || len(o.evidence.reporters) > 1) {
-		c.judge(s, now)
+	if !o.outcome.Final() {
+		c.judge(s, rank < deciders || d.lead || len(o.evidence.reporters) > 1, now)
 	}
 	actions := append(c.sendVerdict(o, now), c.sendLead(o, now)...)
 	want := c.due(s, now)
@@ -68,8 +68,9 @@
 		d.leads = verdictRepeats
 		c.note(s, "takeover", string(want.State))
 	}
-	if d.issued != want && o.stored && d.verdictAt.IsZero() {
+	if o.stored && d.restored != o.latest.Revision {
 		// The store has lost the outcome, so VMs that have started since do not know it.
+		d.restored = o.latest.Revision
 		d.verdicts = verdictRepeats
 		c.note(s, "restored", string(o.outcome))
 	}
@@ -130,10 +131,11 @@
 	return false
 }
 
-// judge ends the order if its target is bad.
-func (c *Controller) judge(s *service, now time.Time) {
+// judge ends the order if its target is bad. A VM that decides nothing, and so has only its
+// own evidence, which its links may explain, just stops its own sends to the target.
+func (c *Controller) judge(s *service, decides bool, now time.Time) {
 	o := s.order
-	if !o.evidence.dirty || o.already {
+	if !o.evidence.dirty || o.already || (o.held && !decides) {
 		return
 	}
 	o.evidence.dirty = false
@@ -141,10 +143,17 @@
 	if f == nil {
 		return
 	}
-	c.note(s, "bad", fmt.Sprintf("%s: %.0f of %.0f bad, %.1f expected, route %q",
+	what := "bad"
+	if decides {
+		s.end(StateRolledBack, false, now)
+		o.decision.verdicts = verdictRepeats
+	} else {
+		what = "held"
+		o.held = true
+		o.evidence.dirty = true
+	}
+	c.note(s, what, fmt.Sprintf("%s: %.0f of %.0f bad, %.1f expected, route %q",
 		o.id.Target, f.bad, f.of, f.expected, f.route))
-	s.end(StateRolledBack, false, now)
-	o.decision.verdicts = verdictRepeats
 	c.updateSplit(s, now)
 }
 
@@ -152,7 +161,7 @@
 // to be sent now.
 func (c *Controller) sendVerdict(o *order, now time.Time) []Action {
 	d := &o.decision
-	if !o.outcome.Final() || now.Sub(d.verdictAt) < verdictInterval {
+	if now.Sub(d.verdictAt) < verdictInterval {
 		return nil
 	}
 	var to []zlunit.VM
@@ -166,7 +175,7 @@
 	}
 	d.behind = nil
 	d.verdictAt = now
-	return []Action{c.verdict(to, o.key, o.outcome, o.stored)}
+	return []Action{c.verdict(to, o)}
 }
 
 // sendLead returns the message that this VM decides in the place of others, if it is to be
@@ -187,24 +196,35 @@
 	}}
 }
 
-// verdict returns the action that sends an outcome.
-func (c *Controller) verdict(to []zlunit.VM, key OrderKey, state State, stored bool) *SendReport {
+// verdict returns the action that sends an outcome, or the share of a running order.
+func (c *Controller) verdict(to []zlunit.VM, o *order) *SendReport {
+	v := Verdict{
+		Order:  o.key,
+		State:  o.outcome,
+		Stored: o.stored,
+	}
+	if !o.outcome.Final() {
+		v.State = StateRunning
+		v.Stored = true
+		v.Percent = percent(o.latest.status().Share)
+	}
 	return &SendReport{
 		To: to,
 		Report: Report{
-			VM:    c.Self,
-			Start: c.start,
-			Verdicts: []Verdict{
-				{
-					Order:  key,
-					State:  state,
-					Stored: stored,
-				},
-			},
+			VM:       c.Self,
+			Start:    c.start,
+			Verdicts: []Verdict{v},
 		},
 	}
 }
 
+// isBehind reports whether a VM with the given share has not learned of the status,
+// although that usually takes less time.
+func (o *order) isBehind(percentThere int, now time.Time) bool {
+	status := o.latest.status()
+	return status.State == StateRunning && percentThere < percent(status.Share) && now.Sub(o.shareAt) > orderLag
+}
+
 // due returns the status that the order should have now, or the zero value if the one
 // that it has is right or none is due yet.
 func (c *Controller) due(s *service, now time.Time) Status {
@@ -293,24 +313,38 @@
 // settled reports whether an order at share 1 may be completed: all VMs have reported
 // that they send nothing to old replicas, or those that are heard from have and the others
 // have had the time in which a status reaches all VMs in contact, or it is the latest time.
+// VMs that say that they do not know of share 1 yet are waited for also then.
 func (c *Controller) settled(o *order, now time.Time) bool {
-	elapsed := now.Sub(o.seen)
-	waited := now.Sub(o.shareAt)
-	if elapsed >= o.times.force && waited >= heardWithin {
-		return true
+	elapsed, waited := now.Sub(o.seen), now.Sub(o.shareAt)
+	silent, busy, below := c.reported(o, now)
+	switch {
+	case waited < o.times.minFull:
+		return false
+	case below:
+		return elapsed >= o.times.force && waited >= c.configApply()
+	case busy:
+		return elapsed >= o.times.force && waited >= heardWithin
+	case silent:
+		return waited >= heardWithin && (waited >= c.configApply() || elapsed >= o.times.latest)
 	}
-	silent := false
+	return true
+}
+
+// reported returns whether there are VMs that are not heard from, that have requests in
+// flight at old replicas, and that are below share 1.
+func (c *Controller) reported(o *order, now time.Time) (silent, busy, below bool) {
 	for _, vm := range c.members {
 		v := o.evidence.reporters[vm]
 		switch {
-		case v == nil || now.Sub(v.heard) > heardWithin:
+		case v == nil:
 			silent = true
-		case v.percent < 100 || v.busy:
-			return false
+		case v.percent < 100 && now.Sub(v.heard) <= silentAfter:
+			below = true
+		case v.percent < 100 || now.Sub(v.heard) > heardWithin:
+			silent = true
+		case v.busy:
+			busy = true
 		}
 	}
-	if !silent {
-		return true
-	}
-	return waited >= heardWithin && (waited >= c.configApply() || elapsed >= o.times.latest)
+	return silent, busy, below
 }
--- a/core/version/zlrollout/fleet_test.go
+++ b/core/version/zlrollout/fleet_test.go
@@ -112,7 +112,7 @@
 
 // order gives the first order and begins to count requests.
 func (f *fleet) order(target zlunit.Build) {
-	f.put(target, 1)
+	f.put(target)
 	f.total, f.target, f.bad = 0, 0, 0
 }
 
@@ -194,7 +194,7 @@
 }
 
 // put gives an order.
-func (f *fleet) put(target zlunit.Build, created uint64) {
+func (f *fleet) put(target zlunit.Build) {
 	f.start = time.Now()
 	f.revision.Number++
 	if f.object == nil {
@@ -206,7 +206,7 @@
 		Target:  target,
 		Created: zlrevision.Revision{
 			Era:    f.revision.Era,
-			Number: zlrevision.Number(created),
+			Number: 1,
 		},
 	}
 	next.Duration = f.duration
--- a/core/version/zlrollout/order.go
+++ b/core/version/zlrollout/order.go
@@ -30,6 +30,10 @@
 	hadNoTarget bool
 	// already: the target is the baseline, so that there is nothing to find out.
 	already bool
+	// told is a share that the store holds by what another VM says.
+	told float64
+	// held: this VM's own evidence made it stop its sends to the target.
+	held bool
 	// outcome is the final state if it is known, outcomeAt since when, and stored whether
 	// the store holds or held it.
 	outcome   State
@@ -72,17 +76,19 @@
 	issued   Status
 	revision zlrevision.Revision
 	issuedAt time.Time
+	// restored is the revision at which the store was found to have lost the outcome.
+	restored zlrevision.Revision
 	// verdicts is how often the outcome is still to be sent to all VMs, and verdictAt when
 	// it was sent last; leads is how often it is still to be said that this VM leads.
 	verdicts  int
 	verdictAt time.Time
 	leads     int
 	leadAt    time.Time
-	// behind holds the VMs that sent evidence after the outcome was known here.
+	// behind holds the VMs whose evidence shows that they do not know the status.
 	behind map[zlunit.VM]bool
 }
 
-// replyTo notes that a VM does not know the outcome.
+// replyTo notes that a VM does not know the status.
 func (d *decision) replyTo(vm zlunit.VM) {
 	if d.behind == nil {
 		d.behind = map[zlunit.VM]bool{}
@@ -146,10 +152,10 @@
 	switch {
 	case o.already || o.outcome == StateCompleted:
 		return 1
-	case o.outcome == StateRolledBack || status.State != StateRunning:
+	case o.held || o.outcome == StateRolledBack || status.State != StateRunning:
 		return 0
 	}
-	return min(max(status.Share, 0), 1)
+	return min(max(status.Share, o.told, 0), 1)
 }
 
 // end notes an outcome.
@@ -210,6 +216,7 @@
 		o.decision.lead = false
 	}
 	o.shareAt = now
+	o.told = 0
 	if status.State == StateRunning && status.Share <= 0 {
 		o.hadNoTarget = true
 	}
--- a/core/version/zlrollout/report.go
+++ b/core/version/zlrollout/report.go
@@ -63,12 +63,14 @@
 	Slow   uint32
 }
 
-// Verdict is the outcome of an order.
+// Verdict is the outcome of an order, or a share that the store holds.
 type Verdict struct {
 	Order OrderKey `cbor:"1,keyasint"`
 	State State    `cbor:"2,keyasint"`
 	// Stored: the store held the outcome. Until then only a roll-back is obeyed.
 	Stored bool `cbor:"3,keyasint,omitempty"`
+	// Percent is the share of an order that is running.
+	Percent int `cbor:"4,keyasint,omitempty"`
 }
 
 // Action is one of *WriteStatus and *SendReport.
--- a/core/version/zlrollout/schedule.go
+++ b/core/version/zlrollout/schedule.go
@@ -52,6 +52,9 @@
 	force    time.Duration
 	noTarget time.Duration
 	minSmall time.Duration
+	// minFull is the least time at share 1 before completion, in which VMs learn of it and
+	// a build that fails only under its whole load shows that.
+	minFull time.Duration
 }
 
 // newSchedule returns the times for an order of the given duration. They allow for an
@@ -72,6 +75,7 @@
 		force:    force,
 		noTarget: part(d, noTargetPart),
 		minSmall: part(d, minSmallPart),
+		minFull:  lag,
 	}
 }
 
--- a/core/version/zlrollout/zlrollout_test.go
+++ b/core/version/zlrollout/zlrollout_test.go
@@ -276,9 +276,9 @@
 			name: "the order is changed and changed back",
 			run: func(_ *testing.T, f *fleet) {
 				f.run(5*time.Second, true)
-				f.put("v3", 1)
+				f.put("v3")
 				f.run(3*time.Second, true)
-				f.put(newOne, 1)
+				f.put(newOne)
 				f.run(f.duration, true)
 			},
 			want: []State{StateCompleted},
@@ -288,11 +288,11 @@
 			bad:  true,
 			run: func(_ *testing.T, f *fleet) {
 				f.run(f.duration, true)
-				f.put("v3", 1)
+				f.put("v3")
 				f.run(3*time.Second, true)
 				f.respond, f.isBad = good, false
 				f.addReplicas(newOne, 20)
-				f.put(newOne, 1)
+				f.put(newOne)
 				f.run(f.duration, true)
 			},
 			want: []State{StateRolledBack, StateCompleted},
@@ -324,7 +324,7 @@
 		{
 			name: "all traffic is at the target already",
 			run: func(_ *testing.T, f *fleet) {
-				f.put(oldOne, 1)
+				f.put(oldOne)
 				f.run(f.duration, true)
 			},
 			want: []State{StateCompleted},
@@ -400,7 +400,10 @@
 	case "kill":
 		v.dead = healthy > 0
 	case "boot":
-		f.boot(v)
+		// Without the store a VM that starts knows of no order.
+		if !f.away {
+			f.boot(v)
+		}
 	case "cut":
 		v.cut = healthy > 0
 	case "heal":
