Admission counts the new version's places if the next send is within its share

Cause: counted only once all sends go there, in an ordinary replacement the places of the last old replica would have limited admission although most sends go to the new ones. Change: Split.NextIsTarget in the place of OnlyTarget. Measured: tests of zlbalancer, zlrollout and TestFleetRollsOut (-race) pass; no run shows the fault itself.

--- a/core/process/zlbalancer/split.go
+++ b/core/process/zlbalancer/split.go
@@ -56,9 +56,9 @@
 	return placement, Placed
 }
 
-// eligibility is which replicas of a service a send can count on; the zero value has all, as
-// if the service were not split. While the new version gets a part of the sends only, its
-// replicas are no place for the others.
+// eligibility is which replicas of a service the next send can count on; the zero value has
+// all, as if the service were not split. Those of the new version are no place for a send
+// that is not within its share.
 type eligibility struct {
 	split *zlrollout.Split
 	// target: those of the new version are eligible as well as the old ones.
@@ -73,7 +73,7 @@
 	}
 	return eligibility{
 		split:  split,
-		target: split.OnlyTarget(),
+		target: split.NextIsTarget(),
 	}
 }
 
--- a/core/version/zlrollout/capacity.go
+++ b/core/version/zlrollout/capacity.go
@@ -1,8 +1,18 @@
 package zlrollout
 
-// OnlyTarget reports whether Choose returns GroupTarget for each send now. Unlike Choose it
-// uses up nothing of the target's share, so it may be called for requests that are not sent.
-func (s *Split) OnlyTarget() bool {
+// NextIsTarget reports whether Choose returns GroupTarget for the next send. Unlike Choose it
+// uses up nothing of the target's share, so it may be called for requests that may not be sent.
+func (s *Split) NextIsTarget() bool {
 	p := s.plan.Load()
-	return p.hasTarget && (!p.hasBaseline || p.share >= 1)
+	switch {
+	case !p.hasTarget:
+		return false
+	case !p.hasBaseline || p.share >= 1:
+		return true
+	case p.share <= 0:
+		return false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.nextQuota(p) > s.next
 }
