--- a/core/request/zlrelay/zlrelay.go
+++ b/core/request/zlrelay/zlrelay.go
@@ -25,6 +25,7 @@
 	"zinnialock/core/process/zlunit"
 	"zinnialock/core/process/zluplink"
 	"zinnialock/core/version/zlregistry"
+	"zinnialock/core/version/zlrollout"
 	"zinnialock/core/version/zltable"
 )
 
@@ -83,6 +84,12 @@
 	// TableConfirmedAt returns the latest time as of which the newest table is known, as the
 	// store or peers confirmed it; nil if that is not tracked beyond the view.
 	TableConfirmedAt func() time.Time
+	// OnOutcome is called with the outcome of each send to a service whose requests are
+	// divided between two versions (see zlrollout.Controller.Record); may be nil.
+	OnOutcome func(s zlunit.Service, route zltable.RouteName, b zlunit.Build, o zlrollout.Outcome, took time.Duration)
+	// OrdersKnown is closed once the orders of roll-outs are known: before that, requests could
+	// go to a version that is only to get a small share. Nil if there are none.
+	OrdersKnown <-chan struct{}
 	// Settings holds the limits of the deployment.
 	Settings Settings
 	// Start is when this process started.
--- a/core/version/zlwatcher/delta.go
+++ b/core/version/zlwatcher/delta.go
@@ -126,6 +126,8 @@
 		return string(i.ID), i.Replica == nil
 	case *OutOfServiceItem:
 		return string(i.DataCentre), i.Removed
+	case *RolloutItem:
+		return i.Name, i.Order == nil
 	default:
 		return "", true
 	}
@@ -278,13 +280,17 @@
 }
 
 // ApplyPeerDelta applies a delta from a peer if it joins what this VM holds, and reports
-// whether this VM now has everything up to the delta's end.
+// whether this VM now has everything up to the delta's end. Topics that this VM doesn't
+// follow are ignored.
 //
 // A table without organisations is not taken from a peer while this VM's table has some: a
 // peer of a build that knows no organisations drops the field, and all callers would be let
 // in. This VM then lacks the peer's revision, so that its PollPolicy lets it ask the store
 // itself, which tells whether operators removed the organisations.
 func (w *Watcher) ApplyPeerDelta(t Topic, d *Delta) bool {
+	if !w.Follows(t) {
+		return true
+	}
 	return w.applyDelta(t, d, w.Timer.Now(), false)
 }
 
