Roll-outs: reports are due by time alone; routes merged with many orders; tests without orders

Cause: bad responses were reported sooner than others. Change: the time between reports follows from their size alone, and with more than 6 orders the routes are counted together.

--- a/core/version/zlrollout/controller.go
+++ b/core/version/zlrollout/controller.go
@@ -49,6 +49,8 @@
 	// unreadable holds the orders that were noted as unreadable.
 	unreadable map[OrderID]Kind
 	splitsAt   time.Time
+	// interval is the time between two reports on an order.
+	interval time.Duration
 }
 
 // init prepares the maps and returns the time. The caller holds mu.
--- a/core/version/zlrollout/decide.go
+++ b/core/version/zlrollout/decide.go
@@ -21,18 +21,28 @@
 	writeRetry = 2 * time.Second
 	// failedWriteRetry is the same after a failed call, each of which has its price.
 	failedWriteRetry = time.Second
-	// heardWithin is how recent a report must be for its VM to count as heard from; three
-	// reports in a row are then lost or not sent.
-	heardWithin = 3 * lastRefreshInterval
-	// silentAfter is how long a VM that ranks before this one has not reported when it is
-	// not waited for; two reports in a row are then lost or not sent.
-	silentAfter = 2*refreshInterval + reportInterval
+	// heardReports is how many reports in a row of a VM are lost or not sent in the last
+	// stage when it does not count as heard from any more, and silentReports the same
+	// before it.
+	heardReports  = 3
+	silentReports = 2
 	// verdictRepeats is how often a verdict is sent to all VMs. A VM that misses them gets
 	// it in reply to its evidence.
 	verdictRepeats  = 2
 	verdictInterval = 300 * time.Millisecond
 )
 
+// heardWithin returns how recent a VM's report must be in the last stage for it to count
+// as heard from.
+func (c *Controller) heardWithin() time.Duration {
+	return heardReports * max(lastRefreshInterval, c.interval)
+}
+
+// silentAfter returns how long a VM has not reported when it counts as silent.
+func (c *Controller) silentAfter() time.Duration {
+	return silentReports*max(refreshInterval, c.interval) + reportInterval
+}
+
 // rank returns how many VMs decide on the service before this one.
 func (c *Controller) rank(s *service) int {
 	return slices.Index(c.ranking(s), c.Self)
@@ -86,9 +96,9 @@
 // before returns how many VMs a VM of the given rank waits for: those that rank before it,
 // except those that are silent while others report to it.
 func (c *Controller) before(s *service, rank int, now time.Time) int {
-	limit := silentAfter
+	limit := c.silentAfter()
 	if s.order.latest.status().Share >= 1 {
-		limit = heardWithin
+		limit = c.heardWithin()
 	}
 	recent := map[zlunit.VM]bool{}
 	for vm, v := range s.order.evidence.reporters {
@@ -96,7 +106,7 @@
 			recent[vm] = true
 		}
 	}
-	if len(recent) == 0 || rank >= deciders || now.Sub(s.order.seen) < silentAfter {
+	if len(recent) == 0 || rank >= deciders || now.Sub(s.order.seen) < c.silentAfter() {
 		return rank
 	}
 	n := 0
@@ -323,9 +333,9 @@
 	case below:
 		return elapsed >= o.times.force && waited >= c.configApply()
 	case busy:
-		return elapsed >= o.times.force && waited >= heardWithin
+		return elapsed >= o.times.force && waited >= orderLag
 	case silent:
-		return waited >= heardWithin && (waited >= c.configApply() || elapsed >= o.times.latest)
+		return waited >= orderLag && (waited >= c.configApply() || elapsed >= o.times.latest)
 	}
 	return true
 }
@@ -338,9 +348,9 @@
 		switch {
 		case v == nil:
 			silent = true
-		case v.percent < 100 && now.Sub(v.heard) <= silentAfter:
+		case v.percent < 100 && now.Sub(v.heard) <= c.silentAfter():
 			below = true
-		case v.percent < 100 || now.Sub(v.heard) > heardWithin:
+		case v.percent < 100 || now.Sub(v.heard) > c.heardWithin():
 			silent = true
 		case v.busy:
 			busy = true
--- a/core/version/zlrollout/fleet_test.go
+++ b/core/version/zlrollout/fleet_test.go
@@ -111,8 +111,8 @@
 }
 
 // order gives the first order and begins to count requests.
-func (f *fleet) order(target zlunit.Build) {
-	f.put(target)
+func (f *fleet) order() {
+	f.put(newOne)
 	f.total, f.target, f.bad = 0, 0, 0
 }
 
--- a/core/version/zlrollout/order.go
+++ b/core/version/zlrollout/order.go
@@ -40,11 +40,14 @@
 	outcomeAt time.Time
 	stored    bool
 
-	// tallies counts this VM's own responses. changes and badTarget count their changes.
-	tallies   map[zltable.RouteName]*Tally
-	changes   uint64
-	badTarget uint64
-	sent      sentEvidence
+	// tallies counts this VM's own responses and changes all of them.
+	tallies map[zltable.RouteName]*Tally
+	changes uint64
+	// merged: the routes are not told apart in reports. Decided once, when begun is set:
+	// the counts in reports must only grow.
+	begun  bool
+	merged bool
+	sent   sentEvidence
 	// standbyAt is when the standbys last got the evidence.
 	standbyAt time.Time
 	// leaders are the VMs that decide in the place of the first ones, the latest last.
@@ -56,11 +59,10 @@
 
 // sentEvidence is what this VM last sent of its evidence.
 type sentEvidence struct {
-	at        time.Time
-	changes   uint64
-	badTarget uint64
-	percent   int
-	busy      bool
+	at      time.Time
+	changes uint64
+	percent int
+	busy    bool
 }
 
 // decision is what this VM would write, and what it has done for it.
--- a/core/version/zlrollout/send.go
+++ b/core/version/zlrollout/send.go
@@ -8,8 +8,9 @@
 )
 
 const (
-	// reportInterval is the least time between two reports on an order, except that bad
-	// responses of the target are reported at the next step.
+	// reportInterval is the least time between two reports on an order. It does not depend
+	// on what they say: with bad responses reported sooner than others, and those 4 s
+	// apart, good builds were found bad.
 	reportInterval = 250 * time.Millisecond
 	// standbys is how many further VMs get the evidence at every standbyRatio-th report, and
 	// not more often than each standbyInterval, so that a verdict falls in time if the
@@ -17,18 +18,16 @@
 	standbys        = 2
 	standbyRatio    = 2
 	standbyInterval = 2 * time.Second
-	// reportBytes is what one order's evidence takes about, to two VMs and half as often to
-	// the standbys, and reportByteRate what reports may take: half of what all control
+	// reportByteRate is what reports may take, in bytes a second: half of what all control
 	// traffic may.
-	reportBytes    = 240
 	reportByteRate = 3000
+	// maxRouteOrders is how many orders may run at once for routes to be told apart in
+	// reports: with 36 orders of 4 routes reports would be 6 s apart.
+	maxRouteOrders = 6
 	// refreshInterval is how long evidence is not repeated that has not changed, and
 	// lastRefreshInterval the same in the last stage, whose end waits for all reports.
 	refreshInterval     = time.Second
 	lastRefreshInterval = 500 * time.Millisecond
-	// maxUrgent is how many bad responses of the target are reported at the next step; a
-	// verdict needs far fewer from each VM.
-	maxUrgent = 30
 	// maxLeaders limits the VMs beyond the first of the ranking that get evidence.
 	maxLeaders = 2
 	// maxReportBytes limits the estimated size of a report. Datagrams between VMs hold
@@ -48,12 +47,28 @@
 	}
 	e.Percent = percent(o.appliedShare())
 	e.Busy = s.split != nil && s.split.baselineInFlight()
+	if o.merged {
+		sum := Tally{}
+		for _, t := range o.tallies {
+			sum.Target.add(&t.Target)
+			sum.Baseline.add(&t.Baseline)
+		}
+		e.Tallies = []Tally{sum}
+		return e
+	}
 	for _, t := range o.tallies {
 		e.Tallies = append(e.Tallies, *t)
 	}
 	return e
 }
 
+// add adds other counts.
+func (c *Counts) add(other *Counts) {
+	c.Good += other.Good
+	c.Failed += other.Failed
+	c.Slow += other.Slow
+}
+
 // percent returns a share in percent.
 func percent(share float64) int {
 	return int(share*100 + 0.5)
@@ -63,8 +78,6 @@
 func (o *order) needsReport(e *Evidence, interval time.Duration, now time.Time) bool {
 	since := now.Sub(o.sent.at)
 	switch {
-	case o.badTarget > o.sent.badTarget && o.badTarget <= maxUrgent:
-		return true
 	case since < reportInterval:
 		return false
 	case e.Percent != o.sent.percent || (e.Percent >= 100 && e.Busy != o.sent.busy):
@@ -104,33 +117,40 @@
 // reports returns the evidence to be sent now. Evidence for the same VMs goes into one
 // report.
 func (c *Controller) reports(now time.Time) []Action {
-	running := 0
+	var running []*service
 	for _, s := range c.ordered {
 		if s.running() {
-			running++
+			running = append(running, s)
 		}
 	}
-	interval := max(reportInterval, time.Duration(running)*time.Second*reportBytes/reportByteRate)
-	var batches []*SendReport
-	for _, s := range c.ordered {
-		if !s.running() {
-			continue
+	list := make([]Evidence, len(running))
+	bytes := 0
+	for i, s := range running {
+		if o := s.order; !o.begun {
+			o.begun = true
+			o.merged = len(running) > maxRouteOrders
 		}
-		o := s.order
-		e := s.report()
-		o.evidence.take(c.Self, c.start, &e, now)
-		if !o.needsReport(&e, interval, now) {
+		list[i] = s.report()
+		bytes += list[i].size()
+	}
+	bytes = bytes*deciders + bytes*standbys/standbyRatio
+	interval := max(reportInterval, time.Duration(bytes)*time.Second/reportByteRate)
+	c.interval = interval
+	var batches []*SendReport
+	for i, s := range running {
+		o, e := s.order, &list[i]
+		o.evidence.take(c.Self, c.start, e, now)
+		if !o.needsReport(e, interval, now) {
 			continue
 		}
 		o.sent = sentEvidence{
-			at:        now,
-			changes:   o.changes,
-			badTarget: o.badTarget,
-			percent:   e.Percent,
-			busy:      e.Busy,
+			at:      now,
+			changes: o.changes,
+			percent: e.Percent,
+			busy:    e.Busy,
 		}
 		if to := c.receivers(s, interval, now); len(to) > 0 {
-			batches = c.batch(batches, to, &e)
+			batches = c.batch(batches, to, e)
 		}
 	}
 	actions := make([]Action, 0, len(batches))
--- a/core/version/zlrollout/tally.go
+++ b/core/version/zlrollout/tally.go
@@ -98,9 +98,6 @@
 	counts := &t.Baseline
 	if b == o.id.Target {
 		counts = &t.Target
-		if slow || out == OutcomeFailed {
-			o.badTarget++
-		}
 	}
 	switch {
 	case out == OutcomeFailed:
