--- a/core/version/zlrollout/compare.go
+++ b/core/version/zlrollout/compare.go
@@ -59,20 +59,15 @@
 			routes[r] = true
 		}
 	}
-	tests := numCriteria
-	if len(routes) > 1 {
-		tests *= 1 + len(routes)
-	}
-	limit := math.Log(float64(tests) / significance)
 	for c := range numCriteria {
-		if f := e.compare(c, nil, limit); f != nil {
+		if f := e.compare(c, nil, significance/numCriteria); f != nil {
 			return f
 		}
 		if len(routes) < 2 {
 			continue
 		}
 		for r := range routes {
-			if f := e.compare(c, &r, limit); f != nil {
+			if f := e.compare(c, &r, significance/numCriteria/float64(len(routes))); f != nil {
 				return f
 			}
 		}
@@ -80,6 +75,19 @@
 	return nil
 }
 
+// tail returns the chance that a Poisson variable of this mean reaches n, which is above
+// it. It is an upper bound for sums of independent events with this mean.
+func tail(n, mean float64) float64 {
+	logGamma, _ := math.Lgamma(n + 1)
+	term := math.Exp(n*math.Log(mean) - mean - logGamma)
+	sum := 0.0
+	for k := n + 1; term > sum/1e6; k++ {
+		sum += term
+		term *= mean / k
+	}
+	return sum
+}
+
 // group sums one group in one window.
 type group struct {
 	n   float64
@@ -109,7 +117,7 @@
 
 // compare tests by one criterion whether the target has more bad responses than the
 // baseline explains, on one route or, if it is nil, on all together.
-func (e *evidence) compare(criterion int, route *zltable.RouteName, limit float64) *finding {
+func (e *evidence) compare(criterion int, route *zltable.RouteName, level float64) *finding {
 	sum, worst := e.sum(criterion, route)
 	total := between(&sum.target, 0, windows-1)
 	bad := min(total.bad, sum.confirmed(worst))
@@ -117,9 +125,7 @@
 		return nil
 	}
 	expected := sum.expected()
-	// The Chernoff bound of the chance that a sum of independent events with this mean
-	// reaches bad.
-	if expected <= 0 || bad <= expected || bad*math.Log(bad/expected)-bad+expected < limit {
+	if expected <= 0 || bad <= expected || tail(bad, expected) > level {
 		return nil
 	}
 	f := &finding{
@@ -254,7 +260,7 @@
 		usual = (total.bad - near.bad) / rest
 	}
 	base := s.baseline[w]
-	if near.bad >= minRaised && near.bad > raisedFactor*usual*near.n {
+	if near.n >= minBaseline && near.bad >= minRaised && near.bad > raisedFactor*usual*near.n {
 		if base.n < minBaseline {
 			return near
 		}
--- a/core/version/zlrollout/controller.go
+++ b/core/version/zlrollout/controller.go
@@ -297,8 +297,9 @@
 		return
 	}
 	c.setOrder(s, latest, now, now)
-	if d := &s.order.decision; s.order.stored && d.issued == latest.status() {
-		// Told at once, since the platform acts on the outcome before VMs read it.
+	if d := &s.order.decision; d.issued == latest.status() {
+		// Told at once: the platform acts on an outcome before VMs read it, and the time at
+		// a share is short if VMs begin it orderLag apart.
 		d.verdicts = 1
 	}
 	c.updateSplit(s, now)
--- a/core/version/zlrollout/decide.go
+++ b/core/version/zlrollout/decide.go
@@ -341,7 +341,7 @@
 	elapsed, waited := now.Sub(o.seen), now.Sub(o.shareAt)
 	silent, busy, below := c.reported(o, now)
 	switch {
-	case waited < o.times.minFull:
+	case waited < o.times.minFull || (elapsed < o.times.soak && !o.already):
 		return false
 	case below:
 		return elapsed >= o.times.force && waited >= c.configApply()
--- a/core/version/zlrollout/schedule.go
+++ b/core/version/zlrollout/schedule.go
@@ -38,6 +38,10 @@
 	// extraPart is how much of the duration before the last moment completion is written
 	// unless VMs that are heard from still use old replicas.
 	extraPart = 0.04
+	// soakPart is how much of the duration before the last moment completion may be written
+	// first. Until then a build that fails only under its whole load can show that; the
+	// rest is for another write or another VM if the first fails.
+	soakPart = 0.08
 	// noTargetPart is after which part of the duration an order without replicas of its
 	// target gets a status.
 	noTargetPart = 0.25
@@ -52,9 +56,10 @@
 	force    time.Duration
 	noTarget time.Duration
 	minSmall time.Duration
-	// minFull is the least time at share 1 before completion, in which VMs learn of it and
-	// a build that fails only under its whole load shows that.
+	// minFull is the least time at share 1 before completion, in which VMs learn of it.
 	minFull time.Duration
+	// soak is when completion may be written first.
+	soak time.Duration
 }
 
 // newSchedule returns the times for an order of the given duration. They allow for an
@@ -76,6 +81,7 @@
 		noTarget: part(d, noTargetPart),
 		minSmall: part(d, minSmallPart),
 		minFull:  lag,
+		soak:     force - part(d, soakPart),
 	}
 }
 
