Roll-outs: more of the earlier baseline at share 1

Cause: at 30 requests a second one of 200 builds that fail 30 of 100 was completed: at share 1 its responses were compared with only 4 times as many of the baseline. Change: 10 times as many.

--- a/core/version/zlrollout/compare.go
+++ b/core/version/zlrollout/compare.go
@@ -29,7 +29,7 @@
 	// minBaseline and baselineRatio are how many responses of the baseline, and how many
 	// times those of the target, are gathered from earlier windows.
 	minBaseline   = 20
-	baselineRatio = 4
+	baselineRatio = 10
 	// raisedFactor is how much more of the baseline's responses than usual must be bad
 	// for a window to be compared only with itself; minRaised is how many at least.
 	raisedFactor = 2
