--- a/core/version/zlrollout/compare.go
+++ b/core/version/zlrollout/compare.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"time"
 
 	"zinnialock/core/version/zltable"
 )
@@ -11,6 +12,9 @@
 	significance = 0.001
 	// minBad is how many bad responses a verdict needs.
 	minBad = 5
+	// testTime is the time between tests for each VM that reports, so that tests take less
+	// than 3% of a core: one takes up to 22 us for each VM.
+	testTime = time.Millisecond
 	// minOthers is how many responses the other VMs must have before one VM's bad
 	// responses count at most as much as those of all others.
 	minOthers = 3
@@ -25,7 +29,7 @@
 	// minBaseline and baselineRatio are how many responses of the baseline, and how many
 	// times those of the target, are gathered from earlier windows.
 	minBaseline   = 20
-	baselineRatio = 4
+	baselineRatio = 10
 	// raisedFactor is how much more of the baseline's responses than usual must be bad
 	// for a window to be compared only with itself; minRaised is how many at least.
 	raisedFactor = 2
@@ -41,6 +45,11 @@
 	expected float64
 }
 
+// needsTest reports whether a test may find more than the last one.
+func (e *evidence) needsTest(now time.Time) bool {
+	return e.dirty && e.bad >= minBad && now.Sub(e.testedAt) >= time.Duration(len(e.reporters))*testTime
+}
+
 // test returns why the target is bad, or nil if nothing significant speaks against it. It
 // tests all routes together and each of them.
 func (e *evidence) test() *finding {
@@ -50,20 +59,15 @@
 			routes[r] = true
 		}
 	}
-	tests := numCriteria
-	if len(routes) > 1 {
-		tests *= 1 + len(routes)
-	}
-	limit := math.Log(float64(tests) / significance)
 	for c := range numCriteria {
-		if f := e.compare(c, nil, limit); f != nil {
+		if f := e.compare(c, nil, significance/numCriteria); f != nil {
 			return f
 		}
 		if len(routes) < 2 {
 			continue
 		}
 		for r := range routes {
-			if f := e.compare(c, &r, limit); f != nil {
+			if f := e.compare(c, &r, significance/numCriteria/float64(len(routes))); f != nil {
 				return f
 			}
 		}
@@ -71,6 +75,19 @@
 	return nil
 }
 
+// tail returns the chance that a Poisson variable of this mean reaches n, which is above
+// it. It is an upper bound for sums of independent events with this mean.
+func tail(n, mean float64) float64 {
+	logGamma, _ := math.Lgamma(n + 1)
+	term := math.Exp(n*math.Log(mean) - mean - logGamma)
+	sum := 0.0
+	for k := n + 1; term > sum/1e6; k++ {
+		sum += term
+		term *= mean / k
+	}
+	return sum
+}
+
 // group sums one group in one window.
 type group struct {
 	n   float64
@@ -78,8 +95,8 @@
 }
 
 func (g *group) add(t *tested, criterion int) {
-	g.n += t.n
-	g.bad += t.bad[criterion]
+	g.n += float64(t.n)
+	g.bad += float64(t.bad[criterion])
 }
 
 func (g *group) subtract(other group) {
@@ -100,7 +117,7 @@
 
 // compare tests by one criterion whether the target has more bad responses than the
 // baseline explains, on one route or, if it is nil, on all together.
-func (e *evidence) compare(criterion int, route *zltable.RouteName, limit float64) *finding {
+func (e *evidence) compare(criterion int, route *zltable.RouteName, level float64) *finding {
 	sum, worst := e.sum(criterion, route)
 	total := between(&sum.target, 0, windows-1)
 	bad := min(total.bad, sum.confirmed(worst))
@@ -108,9 +125,7 @@
 		return nil
 	}
 	expected := sum.expected()
-	// The Chernoff bound of the chance that a sum of independent events with this mean
-	// reaches bad.
-	if expected <= 0 || bad <= expected || bad*math.Log(bad/expected)-bad+expected < limit {
+	if expected <= 0 || bad <= expected || tail(bad, expected) > level {
 		return nil
 	}
 	f := &finding{
@@ -245,7 +260,7 @@
 		usual = (total.bad - near.bad) / rest
 	}
 	base := s.baseline[w]
-	if near.bad >= minRaised && near.bad > raisedFactor*usual*near.n {
+	if near.n >= minBaseline && near.bad >= minRaised && near.bad > raisedFactor*usual*near.n {
 		if base.n < minBaseline {
 			return near
 		}
