Share of requests that leaves the data centre, by what each VM sees

Cause: a replica in another data centre costs 0.7 more, always. Among 20 VMs at one replica, chance overlaps leave the data centre in calm hours, and the cost knows neither the link nor the work nor how busy the others are.

Change: zlspillover decides a share for each service and remote data centre, from recent times to a reply, refusals, waiting requests, the round trip and the size of responses. Place draws the data centre of a first send from it and otherwise stays while a local replica can serve. Only with Settings.Spillover; without it the sequence of placements is that of (TestFixedPlacementIsUnchanged). The requests and response bytes of other data centres are counted in both modes.

--- a/core/process/zlbalancer/place.go
+++ b/core/process/zlbalancer/place.go
@@ -124,6 +124,7 @@
 		c.cost = p.cost(&c, now)
 		candidates = append(candidates, c)
 	}
+	p.preferDataCentre(candidates, now, w)
 	for len(candidates) > 0 {
 		i := cheapest(candidates)
 		c := candidates[i]
@@ -273,6 +274,16 @@
 		leavingGrace: p.Settings.LeavingGrace,
 		random:       p.random,
 		restricted:   &p.restricted,
+		dataCentre:   c.entry.DataCentre,
+	}
+	if c.entry.DataCentre != p.Settings.Home {
+		f.remote = p
+	}
+	if p.Settings.Spillover != nil {
+		f.spillover = &spillover{
+			controller: p.Settings.Spillover,
+			service:    w.Service,
+		}
 	}
 	c.record.mu.Lock()
 	if c.record.inFlight == nil {
--- a/core/process/zlbalancer/record.go
+++ b/core/process/zlbalancer/record.go
@@ -101,6 +101,12 @@
 	vms  int
 	// rateCounted is set if the request is counted in the replica's rate limit.
 	rateCounted bool
+	// dataCentre is that of the replica; remote is set if it is not the one of this VM.
+	dataCentre zlunit.DataCentre
+	remote     *Placer
+	// spillover is nil while traffic between data centres has a fixed cost.
+	spillover     *spillover
+	responseBytes int
 }
 
 // Outcome is how a request to a replica ended.
@@ -175,6 +181,9 @@
 	f.record.mu.Lock()
 	defer f.record.mu.Unlock()
 	f.sentAt = now
+	if f.remote != nil {
+		f.remote.remoteRequests.Add(1)
+	}
 }
 
 // MarkOverdue notes that the request waits longer than it should. The first
@@ -250,6 +259,7 @@
 		}
 	}
 	r.mu.Unlock()
+	f.spillover.observe(now, f, outcome)
 	if f.rateCounted && f.sentAt.IsZero() {
 		r.restriction.returnRate()
 	}
--- a/core/process/zlbalancer/zlbalancer.go
+++ b/core/process/zlbalancer/zlbalancer.go
@@ -17,7 +17,9 @@
 //     requests for a time: they get none (see restriction);
 //   - replicas that limit their request rate: each VM uses a share of the limit, and
 //     what exceeds it goes elsewhere or is refused (see rateLimit);
-//   - cold replicas: each gets a limited request rate, divided among the VMs.
+//   - cold replicas: each gets a limited request rate, divided among the VMs;
+//   - too few replicas in the data centre: a share of the requests goes to other data
+//     centres (see zlspillover), if that is switched on.
 package zlbalancer
 
 import (
@@ -25,6 +27,7 @@
 	"sync/atomic"
 	"time"
 
+	"zinnialock/core/process/zlspillover"
 	"zinnialock/core/process/zlunit"
 	"zinnialock/core/version/zlregistry"
 	"zinnialock/core/version/zltable"
@@ -42,6 +45,9 @@
 	// LeavingGrace is how long a replica that says in its answers that it is leaving may
 	// still serve what no other replica can; 0 means not at all.
 	LeavingGrace time.Duration
+	// Spillover decides which share of the requests leaves the data centre; nil means
+	// that a replica in another data centre has a fixed cost.
+	Spillover *zlspillover.Controller
 }
 
 // coldRateShare is the part of the cold bound that is used. A request may be
@@ -58,6 +64,9 @@
 	vmCount atomic.Int64
 	// restricted is set once any replica asked for a restriction.
 	restricted atomic.Bool
+	// remoteRequests and remoteBytes are those of RemoteTraffic.
+	remoteRequests atomic.Int64
+	remoteBytes    atomic.Int64
 
 	mu           sync.Mutex
 	records      map[recordKey]*Record
@@ -167,4 +176,9 @@
 		r.mu.Unlock()
 	}
 	p.forgetRestrictions(now, keepRestrictions)
+	if c := p.Settings.Spillover; c != nil {
+		c.Forget(func(s zlunit.Service) bool {
+			return len(v.Replicas[s]) > 0
+		})
+	}
 }
