Setting, flag, log lines and metrics of traffic between data centres

Cause: the share of zlspillover needs a switch, and operators need to see what leaves a data centre.

Change: crossDataCentre in the table [zinnialock] of the settings file, or -cross-data-centre of relay, which goes before the file: fixed (default) or adaptive, others are an error. A belief line when a service begins or ceases to leave or its share changed by 0.25, at most one each 2 s for a service. Gauges remoteRequests and remoteBytes in both modes, remoteShare for at most 24 services and the largest of the rest. New connections measure the round trip.

--- a/cmd/cmd_test.go
+++ b/cmd/cmd_test.go
@@ -84,6 +84,7 @@
 		"events -admin here":             `flag -admin: found "here"`,
 		"experiment -rate 0":             "flag -rate: found 0",
 		"experiment -straggle 3":         "flag -straggle: found 3, allowed is 0 to 1",
+		"relay -cross-data-centre near":  `flag -cross-data-centre: found "near", allowed is fixed or adaptive`,
 		"capacity":                       "capacity",
 		"demo -user nobody":              `flag -user: found "nobody", allowed is guild or vaxjo`,
 		"demo -rate 0":                   "flag -rate: found 0",
--- a/cmd/relay.go
+++ b/cmd/relay.go
@@ -1,14 +1,27 @@
 package cmd
 
-import "zinnialock/platform"
+import (
+	"fmt"
+
+	"zinnialock/platform"
+)
 
 // runRelay runs a daemon on the platform.
 func runRelay(e *env, args []string) int {
 	fs := newFlags(e, "relay", "Run a daemon on the platform. The environment names its settings file.")
+	cross := fs.String("cross-data-centre", "", "`MODE` of the traffic between data centres: fixed or adaptive; goes before the settings file")
 	if code, ok := parse(e, fs, args); !ok {
 		return code
 	}
-	if err := platform.Run(e.stdout); err != nil {
+	var options platform.Options
+	if *cross != "" {
+		mode, err := platform.ParseCrossDataCentre(*cross)
+		if err != nil {
+			return e.fail(exitUsage, fmt.Errorf("flag -cross-data-centre: found %q, allowed is fixed or adaptive", *cross))
+		}
+		options.CrossDataCentre = mode
+	}
+	if err := platform.Run(e.stdout, options); err != nil {
 		return e.fail(exitFailed, err)
 	}
 	return exitOK
--- a/core/process/zldecision/zldecision.go
+++ b/core/process/zldecision/zldecision.go
@@ -219,6 +219,8 @@
 	Version uint64
 	// RateLimit is what a replica takes from all VMs together, in requests a second.
 	RateLimit float64
+	// Share is the share of the service's requests that leaves the data centre.
+	Share float64
 }
 
 // Dependency is the event of a dependency that was lost or regained.
--- a/core/request/zlrelay/attempt.go
+++ b/core/request/zlrelay/attempt.go
@@ -155,6 +155,7 @@
 	case *Response:
 		notice = rep.Notice
 		genuine = true
+		a.placement.Flight.SetResponseBytes(len(rep.Body))
 		if rep.Status >= http.StatusInternalServerError {
 			outcome = zlbalancer.OutcomeFailed
 		} else {
--- a/io/process/zljournal/write.go
+++ b/io/process/zljournal/write.go
@@ -57,9 +57,8 @@
 		line.Str("event", "belief").Str("topic", e.Topic).Str("name", e.Name).Str("what", e.What)
 		addNonEmpty(line, "service", string(e.Service))
 		line.Uint64("version", e.Version)
-		if e.RateLimit > 0 {
-			line.Float64("rateLimit", e.RateLimit)
-		}
+		addPositive(line, "rateLimit", e.RateLimit)
+		addPositive(line, "share", e.Share)
 	case *zldecision.Dependency:
 		line.Str("event", "dependency").Str("name", e.Name).Str("state", e.State).Str("why", e.Why).
 			Int64("outMs", e.Out.Milliseconds())
@@ -88,6 +87,13 @@
 	}
 }
 
+// addPositive adds a field if its value is above 0.
+func addPositive(line *log.Entry, key string, value float64) {
+	if value > 0 {
+		line.Float64(key, value)
+	}
+}
+
 // addAbsent adds the services whose parts are missing, if there are any.
 func addAbsent(line *log.Entry, absent []zlunit.Service) {
 	if len(absent) == 0 {
--- a/io/request/zlexchange/zlexchange.go
+++ b/io/request/zlexchange/zlexchange.go
@@ -67,6 +67,9 @@
 	// OnConnect is called after each new connection to a replica that could be used; may be
 	// nil.
 	OnConnect func()
+	// OnDialled is called with the time that a new connection to a replica took, which is
+	// about one round trip to its data centre; may be nil.
+	OnDialled func(dc zlunit.DataCentre, took time.Duration)
 	// Done ends Run.
 	Done <-chan struct{}
 
@@ -214,7 +217,7 @@
 	p.idle = append(p.idle, c)
 }
 
-func (x *Exchange) dial(ctx context.Context, address string) (*conn, error) {
+func (x *Exchange) dial(ctx context.Context, e *zlregistry.Entry) (*conn, error) {
 	dialer := &net.Dialer{
 		Timeout: dialTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{
@@ -222,10 +225,14 @@
 		},
 		KeepAlive: -1,
 	}
-	raw, err := dialer.DialContext(ctx, "tcp", address)
+	start := time.Now()
+	raw, err := dialer.DialContext(ctx, "tcp", e.Address)
 	if err != nil {
 		return nil, err
 	}
+	if x.OnDialled != nil {
+		x.OnDialled(e.DataCentre, time.Since(start))
+	}
 	x.mu.Lock()
 	x.opened++
 	x.mu.Unlock()
@@ -246,7 +253,7 @@
 func (x *Exchange) Connect(ctx context.Context, e *zlregistry.Entry) bool {
 	p := x.enterPool(e)
 	defer x.leavePool(p)
-	c, err := x.dial(ctx, e.Address)
+	c, err := x.dial(ctx, e)
 	if err != nil {
 		return false
 	}
@@ -290,7 +297,7 @@
 	defer x.leavePool(p)
 	conn := p.acquire(time.Now())
 	if conn == nil {
-		dialed, err := x.dial(ctx, e.Address)
+		dialed, err := x.dial(ctx, e)
 		if err != nil {
 			return &zlrelay.NotRun{
 				Reason: zldecision.ReasonUnreached,
