--- a/core/process/zlbalancer/record.go
+++ b/core/process/zlbalancer/record.go
@@ -105,6 +105,12 @@
 	// split counts the request in its group until it ends; nil if the service is not split.
 	split *zlrollout.Split
 	group zlrollout.Group
+	// dataCentre is that of the replica; remote is set if it is not the one of this VM.
+	dataCentre zlunit.DataCentre
+	remote     *Placer
+	// spillover is nil while traffic between data centres has a fixed cost.
+	spillover     *spillover
+	responseBytes int
 }
 
 // Outcome is how a request to a replica ended.
@@ -179,6 +185,9 @@
 	f.record.mu.Lock()
 	defer f.record.mu.Unlock()
 	f.sentAt = now
+	if f.remote != nil {
+		f.remote.remoteRequests.Add(1)
+	}
 }
 
 // SentAt returns when the first byte of the request went out; zero if it did not.
@@ -261,6 +270,7 @@
 		}
 	}
 	r.mu.Unlock()
+	f.spillover.observe(now, f, outcome)
 	if f.rateCounted && f.sentAt.IsZero() {
 		r.restriction.returnRate()
 	}
--- a/core/process/zlbalancer/zlbalancer.go
+++ b/core/process/zlbalancer/zlbalancer.go
@@ -19,7 +19,9 @@
 //     what exceeds it goes elsewhere or is refused (see rateLimit);
 //   - cold replicas: each gets a limited request rate, divided among the VMs;
 //   - versions of a service that is rolled out: each send goes to replicas of the version
-//     that its draw chose (see Placer.Splits).
+//     that its draw chose (see Placer.Splits);
+//   - too few replicas in the data centre: a share of the requests goes to other data
+//     centres (see zlspillover), if that is switched on.
 package zlbalancer
 
 import (
@@ -27,6 +29,7 @@
 	"sync/atomic"
 	"time"
 
+	"zinnialock/core/process/zlspillover"
 	"zinnialock/core/process/zlunit"
 	"zinnialock/core/version/zlregistry"
 	"zinnialock/core/version/zlrollout"
@@ -45,6 +48,9 @@
 	// LeavingGrace is how long a replica that says in its answers that it is leaving may
 	// still serve what no other replica can; 0 means not at all.
 	LeavingGrace time.Duration
+	// Spillover decides which share of the requests leaves the data centre; nil means
+	// that a replica in another data centre has a fixed cost.
+	Spillover *zlspillover.Controller
 }
 
 // coldRateShare is the part of the cold bound that is used. A request may be
@@ -64,6 +70,9 @@
 	vmCount atomic.Int64
 	// restricted is set once any replica asked for a restriction.
 	restricted atomic.Bool
+	// remoteRequests and remoteBytes are those of RemoteTraffic.
+	remoteRequests atomic.Int64
+	remoteBytes    atomic.Int64
 
 	mu           sync.Mutex
 	records      map[recordKey]*Record
@@ -173,4 +182,9 @@
 		r.mu.Unlock()
 	}
 	p.forgetRestrictions(now, keepRestrictions)
+	if c := p.Settings.Spillover; c != nil {
+		c.Forget(func(s zlunit.Service) bool {
+			return len(v.Replicas[s]) > 0
+		})
+	}
 }
--- a/core/process/zldecision/zldecision.go
+++ b/core/process/zldecision/zldecision.go
@@ -226,6 +226,8 @@
 	Version uint64
 	// RateLimit is what a replica takes from all VMs together, in requests a second.
 	RateLimit float64
+	// Share is the share of the service's requests that leaves the data centre.
+	Share float64
 }
 
 // Organisations is the event of a change of the keys that callers may use. It holds counts
--- a/io/process/zljournal/write.go
+++ b/io/process/zljournal/write.go
@@ -66,9 +66,8 @@
 		line.Str("event", "belief").Str("topic", e.Topic).Str("name", e.Name).Str("what", e.What)
 		addNonEmpty(line, "service", string(e.Service))
 		line.Uint64("version", e.Version)
-		if e.RateLimit > 0 {
-			line.Float64("rateLimit", e.RateLimit)
-		}
+		addPositive(line, "rateLimit", e.RateLimit)
+		addPositive(line, "share", e.Share)
 	case *zldecision.Organisations:
 		line.Str("event", "organisations").Uint64("version", e.Version).Int("organisations", e.Organisations).
 			Int("keys", e.Keys).Int("added", e.Added).Int("removed", e.Removed).Int("unusable", e.Unusable).
@@ -101,6 +100,13 @@
 	}
 }
 
+// addPositive adds a field if its value is above 0.
+func addPositive(line *log.Entry, key string, value float64) {
+	if value > 0 {
+		line.Float64(key, value)
+	}
+}
+
 // addAbsent adds the services whose parts are missing, if there are any.
 func addAbsent(line *log.Entry, absent []zlunit.Service) {
 	if len(absent) == 0 {
