Capacity by fair share of organisations in a shortage

Cause: waiting requests were ordered by arrival, so that an organisation at 7.5 times its usual rate took as much as it asked for. Change: zlfairshare measures each organisation's recent use against its usual share; requests over it go after others, use fewer places while others wait, are refused at once when they cannot be placed (overShare), and have their share of a short budget of second sends.

--- a/core/process/zlbalancer/place.go
+++ b/core/process/zlbalancer/place.go
@@ -55,6 +55,8 @@
 	// Draw, in [0, 1), is the same for all parts of a caller's request. It decides where
 	// the share of a rate limit is a fraction of a request (see rateLimit).
 	Draw float64
+	// Turn is that of the request; nil if it is that of no organisation.
+	Turn *Turn
 	// Waiter is the request's place in the queue of the service, nil if it has none. What
 	// a rate limit allows goes to the first of the queue.
 	Waiter *Waiter
@@ -94,6 +96,7 @@
 func (p *Placer) Place(v *zlregistry.View, now time.Time, w *PlacementRequest) (*Placement, Result) {
 	service := v.Table.Services[w.Service]
 	share := p.ConnectionShare(service)
+	over := p.queueFor(w.Service).overShare(now, w.Turn)
 	var list [16]candidate
 	candidates := list[:0]
 	result := NoReplica
@@ -117,7 +120,7 @@
 			}
 			continue
 		}
-		if c.state.inFlight >= c.state.maxInFlight(share) || (w.HealthyOnly && !c.isHealthy()) {
+		if c.state.inFlight >= c.state.placesFor(share, over) || (w.HealthyOnly && !c.isHealthy()) {
 			result = AtLimit
 			continue
 		}
@@ -169,16 +172,17 @@
 	return placement, Placed
 }
 
-// HasCapacity reports whether a request of the given rank would find a place at a
-// service now, without passing over a waiter of a lower rank.
-func (p *Placer) HasCapacity(v *zlregistry.View, now time.Time, w *PlacementRequest, rank int) bool {
+// HasCapacity reports whether a request would find a place at a
+// service now, without passing over a waiter whose turn comes before.
+func (p *Placer) HasCapacity(v *zlregistry.View, now time.Time, w *PlacementRequest) bool {
 	q := p.queueFor(w.Service)
-	if q.hasBefore(rank) {
+	if q.hasBefore(w.Turn) {
 		return false
 	}
 	isFirst := q.before(w.Waiter) == 0
+	over := q.overShare(now, w.Turn)
 	for _, e := range v.Replicas[w.Service] {
-		if !v.OutOfService[e.DataCentre] && p.hasRoom(v, e, now, w, isFirst) {
+		if !v.OutOfService[e.DataCentre] && p.hasRoom(v, e, now, w, isFirst, over) {
 			return true
 		}
 	}
@@ -187,7 +191,7 @@
 
 // hasRoom reports whether one more request may go to a replica now; isFirst is set if
 // none waits before it.
-func (p *Placer) hasRoom(v *zlregistry.View, e *zlregistry.Entry, now time.Time, w *PlacementRequest, isFirst bool) bool {
+func (p *Placer) hasRoom(v *zlregistry.View, e *zlregistry.Entry, now time.Time, w *PlacementRequest, isFirst bool, over int) bool {
 	r := p.recordFor(e)
 	x := r.restriction
 	if until, never := x.blockedUntil(now, p.Settings.LeavingGrace); never || !until.IsZero() {
@@ -200,7 +204,7 @@
 		}
 	}
 	state := r.snapshot(now)
-	return !state.moved && state.inFlight < state.maxInFlight(p.ConnectionShare(v.Table.Services[w.Service]))
+	return !state.moved && state.inFlight < state.placesFor(p.ConnectionShare(v.Table.Services[w.Service]), over)
 }
 
 // maxInFlight is how many requests may be in flight from this process, at most
@@ -212,6 +216,13 @@
 	return n
 }
 
+// placesFor is maxInFlight for a request of an organisation that is so far over its fair share
+// while others wait. Each level takes the same part of the places that are left: what arrives
+// later finds one, and the queue at the replica is short.
+func (s *replicaState) placesFor(n, over int) int {
+	return int(float64(s.maxInFlight(n)) * shareOfPlaces(over))
+}
+
 func (c *candidate) isHealthy() bool {
 	return !c.state.overdue && !c.state.failed && !c.state.away && !c.cold && !c.state.leaving
 }
--- a/core/process/zlbalancer/record.go
+++ b/core/process/zlbalancer/record.go
@@ -253,7 +253,7 @@
 	if f.rateCounted && f.sentAt.IsZero() {
 		r.restriction.returnRate()
 	}
-	f.waiters.wakeFirst()
+	f.waiters.placeFreed(now)
 }
 
 // ratio is the time taken over the time expected, or 0 if either is not known.
--- a/core/process/zlbalancer/wait.go
+++ b/core/process/zlbalancer/wait.go
@@ -3,31 +3,104 @@
 import (
 	"cmp"
 	"maps"
+	"math"
 	"slices"
 	"sync"
 	"time"
 
+	"zinnialock/core/process/zlfairshare"
 	"zinnialock/core/process/zlunit"
 )
 
+// Turn is what orders the requests for places at a service: by Priority, then by how far the
+// organisation is over its fair share, then returning callers before others.
+//
+// Load pattern: one organisation sends many times its usual rate, and the callers that it
+// makes the VM refuse return at once. They must not go before the first attempts of others.
+type Turn struct {
+	// Priority is that of the organisation or route; the lowest is served first.
+	Priority int
+	// Account is that of the organisation, nil in a deployment without organisations.
+	Account *zlfairshare.Account
+	// Returning is set if the caller was probably refused before.
+	Returning bool
+}
+
+// compareRank compares by what does not change while a request waits.
+func (t *Turn) compareRank(u *Turn) int {
+	if c := cmp.Compare(t.Priority, u.Priority); c != 0 || t.Returning == u.Returning {
+		return c
+	}
+	if t.Returning {
+		return -1
+	}
+	return 1
+}
+
+// compareShare compares by priority and by how far the organisations are over their shares.
+func (t *Turn) compareShare(u *Turn) int {
+	return cmp.Or(cmp.Compare(t.Priority, u.Priority), cmp.Compare(t.Account.Level(), u.Account.Level()))
+}
+
+// goesBefore reports whether a request is served before another one that is not due earlier.
+func (t *Turn) goesBefore(u *Turn) bool {
+	return cmp.Or(t.compareShare(u), t.compareRank(u)) < 0
+}
+
 // Waiter is a request that waits for a free place at a service. Its fields
 // must be set before Wait.
 type Waiter struct {
 	Service zlunit.Service
-	// Rank orders the waiters; the lowest is served first.
-	Rank int
+	// Turn orders the waiters.
+	Turn Turn
 	// Due is the time after which the answer loses value; of waiters of one
-	// rank, the earliest is served first.
+	// turn, the earliest is served first.
 	Due time.Time
 	// Notify is called when there may be a free place; it must not block.
 	Notify func()
 }
 
-// waitQueue holds those who wait for a place at one service, the next to be
-// served first.
+// waitQueue holds those who wait for a place at one service, by priority, returning callers
+// and due time. Levels of organisations change while requests wait, so they are compared when
+// a place is free.
 type waitQueue struct {
 	mu      sync.Mutex
 	waiters []*Waiter
+	freed   freedPlaces
+	// waitedAt is when a request of an organisation within its fair share waited last.
+	waitedAt time.Time
+}
+
+const (
+	// shortageMemory is how long after a wait a service still counts as short of places. At
+	// a VM with 30 requests a second, a request waits each 100 ms or so in a shortage.
+	shortageMemory = time.Second
+	// levelPlaces is the share of the places that remains from one level to the next: an
+	// organisation that uses twice its tolerated share gets half of the places.
+	levelPlaces = 0.7
+)
+
+// shareOfPlaces returns the share of the places that an organisation may use which is so far
+// over its fair share.
+func shareOfPlaces(over int) float64 {
+	return math.Pow(levelPlaces, float64(over))
+}
+
+// overShare returns by how much the request's organisation is over its fair share; 0 while
+// the service is not short of places.
+//
+// Load pattern: a hot organisation's requests come so often that a place which became free is
+// taken by the next of them before another organisation's arrives.
+func (q *waitQueue) overShare(now time.Time, t *Turn) int {
+	if t == nil || t.Account.Level() == 0 {
+		return 0
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if q.waitedAt.IsZero() || now.Sub(q.waitedAt) > shortageMemory {
+		return 0
+	}
+	return t.Account.Level()
 }
 
 func (p *Placer) queueFor(s zlunit.Service) *waitQueue {
@@ -44,16 +117,16 @@
 	return q
 }
 
-// Wait adds a waiter, ordered by Rank and then by Due. It stays until Leave.
-func (p *Placer) Wait(w *Waiter) {
+// Wait adds a waiter. It stays until Leave.
+func (p *Placer) Wait(now time.Time, w *Waiter) {
 	q := p.queueFor(w.Service)
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	if w.Turn.Account.Level() == 0 {
+		q.waitedAt = now
+	}
 	i, _ := slices.BinarySearchFunc(q.waiters, w, func(a, b *Waiter) int {
-		if a.Rank != b.Rank {
-			return cmp.Compare(a.Rank, b.Rank)
-		}
-		return a.Due.Compare(b.Due)
+		return cmp.Or(a.Turn.compareRank(&b.Turn), a.Due.Compare(b.Due))
 	})
 	q.waiters = slices.Insert(q.waiters, i, w)
 }
@@ -90,12 +163,31 @@
 	return n
 }
 
-// wakeFirst notifies the first waiter, which stays in the queue until it leaves.
-func (q *waitQueue) wakeFirst() {
+// first returns the waiter that is served first, or nil. The caller holds mu.
+func (q *waitQueue) first() *Waiter {
+	if len(q.waiters) == 0 {
+		return nil
+	}
+	best := q.waiters[0]
+	for _, w := range q.waiters[1:] {
+		if w.Turn.Priority > best.Turn.Priority || best.Turn.Account.Level() == 0 {
+			break
+		}
+		if w.Turn.compareShare(&best.Turn) < 0 {
+			best = w
+		}
+	}
+	return best
+}
+
+// placeFreed counts a place that is free again and notifies the first waiter, which stays in
+// the queue until it leaves.
+func (q *waitQueue) placeFreed(now time.Time) {
 	q.mu.Lock()
+	q.freed.add(now)
 	var notify func()
-	if len(q.waiters) > 0 {
-		notify = q.waiters[0].Notify
+	if w := q.first(); w != nil {
+		notify = w.Notify
 	}
 	q.mu.Unlock()
 	if notify != nil {
@@ -107,16 +199,85 @@
 func (q *waitQueue) before(w *Waiter) int {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if i := slices.Index(q.waiters, w); i >= 0 {
-		return i
+	return q.countBefore(w)
+}
+
+// countBefore is before; the caller holds mu.
+func (q *waitQueue) countBefore(w *Waiter) int {
+	i := slices.Index(q.waiters, w)
+	if i < 0 {
+		return len(q.waiters)
 	}
-	return len(q.waiters)
+	n := 0
+	for j, v := range q.waiters {
+		if c := v.Turn.compareShare(&w.Turn); c < 0 || c == 0 && j < i {
+			n++
+		}
+	}
+	return n
 }
 
-// hasBefore reports whether someone of a lower rank waits, who is served
-// first.
-func (q *waitQueue) hasBefore(rank int) bool {
+// hasBefore reports whether someone waits who is served first by the turn alone.
+func (q *waitQueue) hasBefore(t *Turn) bool {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	return len(q.waiters) > 0 && q.waiters[0].Rank < rank
+	w := q.first()
+	return w != nil && w.Turn.goesBefore(t)
+}
+
+// MustWait reports whether someone waits at a service who is served before a request that
+// arrives.
+func (p *Placer) MustWait(s zlunit.Service, t *Turn) bool {
+	return p.queueFor(s).hasBefore(t)
+}
+
+// IsHopeless reports whether a waiter whose organisation is over its fair share will get no
+// place before a time: as many go first as places that it may use become free until then.
+//
+// Load pattern: a hot organisation's callers are refused at the end of their wait, too late
+// for a second attempt.
+func (p *Placer) IsHopeless(now time.Time, w *Waiter, until time.Time) bool {
+	q := p.queueFor(w.Service)
+	over := q.overShare(now, &w.Turn)
+	if over == 0 {
+		return false
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	places, ok := q.freed.within(now, until.Sub(now))
+	return ok && float64(q.countBefore(w)) >= places*shareOfPlaces(over)
+}
+
+const (
+	// freedTime is the time constant of the rate at which places become free: ten times
+	// what a request waits at most with an objective of 200 ms.
+	freedTime = 500 * time.Millisecond
+	// minFreed is how many recent places the rate must come from. With fewer, one place
+	// more or less would decide on refusals.
+	minFreed = 3
+)
+
+// freedPlaces counts the places that became free, with a weight that decays with their age.
+type freedPlaces struct {
+	n  float64
+	at time.Time
+}
+
+func (f *freedPlaces) decay(now time.Time) {
+	if age := now.Sub(f.at); age > 0 {
+		f.n *= math.Exp(-float64(age) / float64(freedTime))
+		f.at = now
+	}
+}
+
+func (f *freedPlaces) add(now time.Time) {
+	f.decay(now)
+	f.n++
+}
+
+// within returns how many places become free in a time at the recent rate, and whether that
+// is known.
+func (f *freedPlaces) within(now time.Time, d time.Duration) (float64, bool) {
+	f.decay(now)
+	return f.n * float64(d) / float64(freedTime), f.n >= minFreed
 }
--- a/core/process/zlbalancer/zlbalancer_test.go
+++ b/core/process/zlbalancer/zlbalancer_test.go
@@ -282,11 +282,13 @@
 	wait := func(name string, rank int, due time.Duration) *Waiter {
 		w := &Waiter{
 			Service: "finder",
-			Rank:    rank,
-			Due:     r.now.Add(due),
-			Notify:  func() { order = append(order, name) },
+			Turn: Turn{
+				Priority: rank,
+			},
+			Due:    r.now.Add(due),
+			Notify: func() { order = append(order, name) },
 		}
-		r.Wait(w)
+		r.Wait(r.now, w)
 		return w
 	}
 	late := wait("late", 1, time.Second)
--- a/core/process/zldecision/zldecision.go
+++ b/core/process/zldecision/zldecision.go
@@ -40,6 +40,9 @@
 	ReasonKeysUnconfirmed Reason = "keysUnconfirmed"
 	// ReasonNoRoom: all replicas that may serve are at their limit for this VM.
 	ReasonNoRoom Reason = "noRoom"
+	// ReasonOverShare: the organisation is over its fair share, and others that wait take the
+	// places which become free in time.
+	ReasonOverShare Reason = "overShare"
 	// ReasonBackoff: all replicas that may serve asked for no requests for a time.
 	ReasonBackoff Reason = "backoff"
 	// ReasonRateLimited: all replicas that may serve limit their request rate, and this
@@ -147,6 +150,8 @@
 	// wait there.
 	Service zlunit.Service
 	Waiting int
+	// Organisation is that of a request refused with ReasonOverShare.
+	Organisation zlunit.Organisation
 }
 
 // Failed is the event of a request that failed, timed out or whose caller
--- a/core/process/zlsendbudget/zlsendbudget.go
+++ b/core/process/zlsendbudget/zlsendbudget.go
@@ -11,6 +11,8 @@
 import (
 	"sync"
 	"time"
+
+	"zinnialock/core/process/zlunit"
 )
 
 // slices is the number of parts of a window. The ring keeps one more, so that
@@ -42,14 +44,24 @@
 	current int64
 	ring    [slices + 1]counts
 	sum     counts
+	// byOrganisation is how many second sends of the window each organisation used. It has
+	// at most as many entries as the window has second sends.
+	byOrganisation map[zlunit.Organisation]int
 }
 
 type counts struct {
 	requests int
 	// secondSends were spent and not refunded.
 	secondSends int
+	// byOrganisation is the part of them that organisations used.
+	byOrganisation map[zlunit.Organisation]int
 }
 
+// shortShare is the share of the budget from which on it is short: what is left is then for
+// each organisation's own share. Below, an organisation may use what others do not; half is
+// kept for those that need theirs later in the window.
+const shortShare = 0.5
+
 // Request counts an ordinary request.
 func (w *Window) Request(now time.Time) {
 	w.mu.Lock()
@@ -68,6 +80,16 @@
 // the reserve would be left. The reserve is a share, from 0 to 1, of what is
 // allowed beyond reserveThreshold.
 func (w *Window) Spend(now time.Time, reserve float64) bool {
+	return w.SpendOf(now, reserve, "", 1)
+}
+
+// SpendOf is Spend for a request of an organisation. While the budget is short, it also returns
+// false if the organisation used its share of the budget, from 0 to 1. With a share of 1 or
+// more it is Spend.
+//
+// Load pattern: the requests of a hot organisation are slow or meet a failing replica, and
+// their hedges and retries would use up the budget that others need for theirs.
+func (w *Window) SpendOf(now time.Time, reserve float64, o zlunit.Organisation, share float64) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.advance(now)
@@ -75,13 +97,45 @@
 	if float64(w.sum.secondSends+1) > allowed-reserve*max(allowed-reserveThreshold, 0) {
 		return false
 	}
-	w.ring[w.current%(slices+1)].secondSends++
+	isShort := float64(w.sum.secondSends) >= shortShare*allowed
+	if share < 1 && isShort && float64(w.byOrganisation[o]+1) > max(share*allowed, 1) {
+		return false
+	}
+	c := &w.ring[w.current%(slices+1)]
+	c.secondSends++
 	w.sum.secondSends++
+	if share < 1 {
+		w.countOf(c, o, 1)
+	}
 	return true
 }
 
+// countOf changes what an organisation used. The caller holds mu.
+func (w *Window) countOf(c *counts, o zlunit.Organisation, n int) {
+	if c.byOrganisation == nil {
+		c.byOrganisation = map[zlunit.Organisation]int{}
+	}
+	if w.byOrganisation == nil {
+		w.byOrganisation = map[zlunit.Organisation]int{}
+	}
+	c.byOrganisation[o] += n
+	w.dropOf(o, -n)
+}
+
+// dropOf takes back what an organisation used. The caller holds mu.
+func (w *Window) dropOf(o zlunit.Organisation, n int) {
+	if w.byOrganisation[o] -= n; w.byOrganisation[o] <= 0 {
+		delete(w.byOrganisation, o)
+	}
+}
+
 // Refund takes back a second send that did not reach a replica.
 func (w *Window) Refund(now time.Time) {
+	w.RefundOf(now, "")
+}
+
+// RefundOf is Refund for what SpendOf counted.
+func (w *Window) RefundOf(now time.Time, o zlunit.Organisation) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.advance(now)
@@ -89,6 +143,9 @@
 	if c.secondSends > 0 {
 		c.secondSends--
 		w.sum.secondSends--
+		if c.byOrganisation[o] > 0 {
+			w.countOf(c, o, -1)
+		}
 	}
 }
 
@@ -144,6 +201,9 @@
 		c := &w.ring[w.current%(slices+1)]
 		w.sum.requests -= c.requests
 		w.sum.secondSends -= c.secondSends
+		for o, n := range c.byOrganisation {
+			w.dropOf(o, n)
+		}
 		*c = counts{}
 	}
 }
--- a/core/request/zlrelay/answer.go
+++ b/core/request/zlrelay/answer.go
@@ -51,7 +51,7 @@
 		if !rep.Arrived {
 			p.arrivals--
 			if a.charged {
-				p.window.Refund(x.relay.Timer.Now())
+				p.window.RefundOf(x.relay.Timer.Now(), x.account.Name())
 			}
 		}
 		p.sendReason = rep.Reason
@@ -322,6 +322,9 @@
 		RetryAfter: retryAfter,
 		Service:    s,
 	}
+	if reason == zldecision.ReasonOverShare {
+		e.Organisation = req.Organisation
+	}
 	if s != "" {
 		e.Waiting = r.Placer.Waiting(s)
 	}
--- a/core/request/zlrelay/attempt.go
+++ b/core/request/zlrelay/attempt.go
@@ -56,6 +56,7 @@
 	}
 	x.noteLaunch(a)
 	x.count(now)
+	x.account.Use(now, 1)
 	if uplink := x.relay.Uplink; uplink != nil {
 		uplink.Sent(placement.Entry.ID)
 	}
@@ -136,7 +137,7 @@
 	p.mayHaveRun--
 	p.arrivals--
 	if a.charged {
-		p.window.Refund(p.run.relay.Timer.Now())
+		p.window.RefundOf(p.run.relay.Timer.Now(), p.run.account.Name())
 	}
 }
 
--- /dev/null
+++ b/core/request/zlrelay/fair_test.go
@@ -0,0 +1,150 @@
+package zlrelay
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"zinnialock/core/process/zlunit"
+	"zinnialock/core/version/zltable"
+)
+
+// shortage is a replay of 75 organisations of different sizes. After a calm time the replicas
+// become slower, and the hot organisations send many times as much.
+type shortage struct {
+	name string
+	// hot is the first of the organisations by size; rise is how many times its usual rate
+	// it sends, and kind the index of the only kind of its requests then, or -1.
+	hot  int
+	rise float64
+	kind int
+	// allRise is the same of all organisations.
+	allRise float64
+	// retryShare is the share of the hot organisation's callers that repeat at once, and
+	// vms the VMs that they reach.
+	retryShare float64
+	vms        []int
+	// minWorst is how often the worst tenth of organisations must be served, as a share of
+	// how often all are.
+	minWorst float64
+}
+
+const (
+	shortageOrganisations = 75
+	shortageRate          = 190.0
+	shortageSlowdown      = 3
+	calmTime              = 20 * time.Second
+	shortageTime          = 40 * time.Second
+)
+
+var shortages = []shortage{
+	{name: "large hot organisation", rise: 7.5, kind: -1, allRise: 1, vms: allVMs, minWorst: 0.9},
+	{name: "middling hot organisation", hot: 10, rise: 7.5, kind: -1, allRise: 1, vms: allVMs, minWorst: 0.9},
+	{name: "hot organisation with one kind of request", rise: 7.5, kind: 0, allRise: 1, vms: allVMs, minWorst: 0.9},
+	{name: "hot organisation whose callers repeat at once", rise: 7.5, kind: -1, allRise: 1, retryShare: 1, vms: allVMs, minWorst: 0.9},
+	{name: "hot organisation at two VMs", rise: 7.5, kind: -1, allRise: 1, vms: []int{0, 3}, minWorst: 0.9},
+	// None is hot: the worst tenth is that of chance, and must be no worse than by arrival alone.
+	{name: "all organisations", rise: 1, kind: -1, allRise: 2, vms: allVMs, minWorst: 0.72},
+}
+
+// run replays the shortage and returns the statistics of each organisation in it.
+func (p *shortage) run(t *testing.T) []scenarioStats {
+	t.Helper()
+	stats := make([]scenarioStats, shortageOrganisations)
+	synctest.Test(t, func(*testing.T) {
+		const seed = 7
+		w := newSimulation(seed, false)
+		var names []zlunit.Organisation
+		var weights []float64
+		var callers []*scenario
+		sum := 0.0
+		for i := range shortageOrganisations {
+			names = append(names, zlunit.Organisation(fmt.Sprintf("o%02d", i)))
+			weights = append(weights, 1/math.Pow(float64(i+1), 0.6))
+			sum += weights[i]
+			key := zltable.DigestKey(string(names[i]))
+			callers = append(callers, &scenario{
+				vms: allVMs,
+				key: &key,
+			})
+		}
+		callers[p.hot].vms = p.vms
+		w.view.Table = w.view.Table.WithOrganisations(organisationsOf(names...))
+		w.startVMs()
+		var group sync.WaitGroup
+		for i, c := range callers {
+			group.Go(func() {
+				random := rand.New(rand.NewPCG(seed, uint64(i)))
+				for n := 0; time.Since(w.started) < calmTime+shortageTime; n++ {
+					isHot := i == p.hot && time.Since(w.started) > calmTime
+					rate, kind, into := shortageRate*weights[i]/sum, -1, &scenarioStats{}
+					if time.Since(w.started) > calmTime {
+						rate, into = rate*p.allRise, &stats[i]
+					}
+					if isHot {
+						rate, kind = rate*p.rise, p.kind
+					}
+					time.Sleep(time.Duration(random.ExpFloat64() / rate * float64(time.Second)))
+					if kind < 0 && random.Float64() > queryKinds[0].share {
+						kind = 1
+					}
+					kind = max(kind, 0)
+					work := byte(float64(queryKinds[kind].work/(200*time.Microsecond)) * (0.6 + 0.8*random.Float64()))
+					atOnce := isHot && random.Float64() < p.retryShare
+					callerRandom := rand.New(rand.NewPCG(uint64(i), uint64(n)))
+					group.Go(func() {
+						w.runCaller(into, c, kind, c.vms[callerRandom.IntN(len(c.vms))], fmt.Sprintf("%s-%d", names[i], n), work, atOnce, callerRandom)
+					})
+				}
+			})
+		}
+		time.Sleep(calmTime)
+		w.each(func(_ int, r *simReplica) {
+			r.slowdown = shortageSlowdown
+		})
+		group.Wait()
+		for _, r := range w.relays {
+			r.Wait()
+		}
+		synctest.Wait()
+	})
+	return stats
+}
+
+// TestShortageIsShared guards against a hot organisation that takes the capacity of the
+// others: the worst tenth of organisations must be served 0.9 as often as all, and none less
+// than a quarter as often.
+func TestShortageIsShared(t *testing.T) {
+	for _, p := range shortages {
+		t.Run(p.name, func(t *testing.T) {
+			stats := p.run(t)
+			var shares []float64
+			served, requests := 0, 0
+			for i := range stats {
+				s := &stats[i]
+				shares = append(shares, shareOf(s.inTime, s.requests))
+				served += s.inTime
+				requests += s.requests
+			}
+			whole, hot := shareOf(served, requests), shares[p.hot]
+			small := 0.0
+			for _, s := range shares[len(shares)-25:] {
+				small += s / 25
+			}
+			slices.Sort(shares)
+			worst := 0.0
+			for _, s := range shares[:len(shares)/10+1] {
+				worst += s / float64(len(shares)/10+1)
+			}
+			t.Logf("served %.3f of %d, worst tenth %.3f (%.2f of the whole), worst %.3f, hot %.3f, small %.3f", whole, requests, worst, worst/whole, shares[0], hot, small)
+			if worst < p.minWorst*whole || shares[0] < 0.25*whole {
+				t.Errorf("got the worst tenth served %.3f and the worst %.3f, want at least %.2f and 0.25 of %.3f", worst, shares[0], p.minWorst, whole)
+			}
+		})
+	}
+}
--- a/core/request/zlrelay/forward_result.go
+++ b/core/request/zlrelay/forward_result.go
@@ -30,7 +30,7 @@
 }
 
 func outcomeOfDecline(reason zldecision.Reason) zlpeerbalancer.Outcome {
-	if reason == zldecision.ReasonBusy || reason == zldecision.ReasonNoRoom {
+	if reason == zldecision.ReasonBusy || reason == zldecision.ReasonNoRoom || reason == zldecision.ReasonOverShare {
 		return zlpeerbalancer.OutcomeBusy
 	}
 	return zlpeerbalancer.OutcomeUnable
@@ -40,7 +40,7 @@
 func (x *run) handleRelayed(now time.Time, a *forwardAttempt, answer Answer) {
 	switch w := answer.(type) {
 	case *Refused:
-		if w.Reason == zldecision.ReasonNoRoom {
+		if w.Reason == zldecision.ReasonNoRoom || w.Reason == zldecision.ReasonOverShare {
 			x.endForward(now, a, zlpeerbalancer.OutcomeBusy, w.Reason, 0)
 			return
 		}
--- a/core/request/zlrelay/forward_serve.go
+++ b/core/request/zlrelay/forward_serve.go
@@ -46,7 +46,7 @@
 		}
 	}
 	x := r.newRun(ctx, view, route, f.Request)
-	x.organisation = r.identify(view, f.Request, f.Request.Organisation)
+	x.setOrganisation(r.identify(view, f.Request, f.Request.Organisation))
 	x.forwarded = f
 	x.forward.trying = isTry
 	x.counted = f.Counted
--- a/core/request/zlrelay/key_test.go
+++ b/core/request/zlrelay/key_test.go
@@ -110,22 +110,22 @@
 func TestOrganisationOfAForward(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		r := newKeyRelay("a", "ranked")
-		check := func(path string, name zlunit.Organisation, wantDeclined bool, wantRank int) {
+		check := func(path string, name zlunit.Organisation, wantDeclined bool, wantPriority int) {
 			req := request(path)
 			req.Organisation = name
 			parts := []ForwardPart{{Service: "s0"}}
 			_, declined := r.ServeForward(context.Background(), &Forward{Request: req, Parts: parts, MinParts: 1}).(*Declined)
 			table := r.Registry.View().Table
 			x := &run{route: &table.Routes[0], organisation: table.Organisation(name)}
-			if declined != wantDeclined || req.Organisation != name || x.rank() != wantRank {
-				t.Errorf("%s, %q: got declined %v, organisation %q, rank %d", path, name, declined, req.Organisation, x.rank())
+			if turn := x.turn(); declined != wantDeclined || req.Organisation != name || turn.Priority != wantPriority || turn.Returning {
+				t.Errorf("%s, %q: got declined %v, organisation %q, turn %+v", path, name, declined, req.Organisation, turn)
 			}
 		}
-		check("/one/x", "ranked", false, 2*7+1)
-		check("/one/x", "a", false, 1)
-		check("/one/x", "newer than this VM's table", false, 1)
-		check("/one/x", "", true, 1)
-		check("/open/x", "", false, 1)
+		check("/one/x", "ranked", false, 7)
+		check("/one/x", "a", false, 0)
+		check("/one/x", "newer than this VM's table", false, 0)
+		check("/one/x", "", true, 0)
+		check("/open/x", "", false, 0)
 	})
 }
 
--- a/core/request/zlrelay/part.go
+++ b/core/request/zlrelay/part.go
@@ -136,6 +136,9 @@
 		p.markLost(zldecision.ReasonConnectionBroken)
 		return
 	}
+	if p.waitsForOthers(now) {
+		return
+	}
 	from := zlunit.Upstream("")
 	if len(p.tried) > 0 {
 		from = p.tried[len(p.tried)-1]
@@ -152,7 +155,7 @@
 		return
 	}
 	charged := p.arrivals > 0 || hedge
-	if charged && !p.window.Spend(now, x.budgetReserve(hedge)) {
+	if charged && !p.spendBudget(now, hedge) {
 		p.holdForBudget(now, reason, from, hedge)
 		return
 	}
@@ -162,6 +165,7 @@
 		HealthyOnly: hedge,
 		Target:      x.replyTarget,
 		Draw:        x.draw,
+		Turn:        p.placementTurn(),
 		Waiter:      p.waiter,
 		Notify:      x.wake,
 	})
@@ -183,7 +187,7 @@
 		return
 	}
 	if charged {
-		p.window.Refund(now)
+		p.window.RefundOf(now, x.account.Name())
 	}
 	switch {
 	case hedge:
@@ -236,11 +240,11 @@
 	}
 	p.waiter = &zlbalancer.Waiter{
 		Service: p.service,
-		Rank:    x.rank(),
+		Turn:    *x.turn(),
 		Due:     x.partialAnswerAt,
 		Notify:  x.wake,
 	}
-	x.relay.Placer.Wait(p.waiter)
+	x.relay.Placer.Wait(now, p.waiter)
 }
 
 // rateComesTooLate reports whether the replicas' rate limits allow the part only when an
--- a/core/request/zlrelay/replay_test.go
+++ b/core/request/zlrelay/replay_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"zinnialock/core/process/zlunit"
+	"zinnialock/core/version/zltable"
 )
 
 // scenario is a load pattern together with faults of replicas or VMs.
@@ -19,8 +20,9 @@
 	rate func(t time.Duration) float64
 	// onlyRequestKind is the index of the only kind of requests; -1 means all kinds.
 	onlyRequestKind int
-	// vms holds the VMs that callers can reach.
+	// vms holds the VMs that callers can reach; key is that of their organisation.
 	vms []int
+	key *zltable.KeyDigest
 	// setup changes the simulation before the run; during runs alongside it.
 	setup  func(w *simulation)
 	during func(w *simulation)
@@ -232,7 +234,7 @@
 	outcome := &stats.failed
 	for attemptNo := range 2 {
 		start := time.Now()
-		a := w.send(kind, vm, fmt.Sprintf("%s-%d", id, attemptNo), work, deadline)
+		a := w.send(kind, vm, fmt.Sprintf("%s-%d", id, attemptNo), work, deadline, p.key)
 		took := time.Since(start) + callerTransit
 		if m, ok := a.(*Merged); ok {
 			share = float64(len(m.Signatures)) / simShards
@@ -265,9 +267,10 @@
 	*outcome++
 }
 
-func (w *simulation) send(kind, vm int, id string, work byte, deadline time.Time) Answer {
+func (w *simulation) send(kind, vm int, id string, work byte, deadline time.Time, key *zltable.KeyDigest) Answer {
 	req := &Request{
-		ID: zlunit.RequestID(id),
+		ID:  zlunit.RequestID(id),
+		Key: key,
 		Message: &Message{
 			Method: "GET",
 			Host:   "h",
--- a/core/request/zlrelay/run.go
+++ b/core/request/zlrelay/run.go
@@ -6,6 +6,7 @@
 
 	"zinnialock/core/process/zlbalancer"
 	"zinnialock/core/process/zldecision"
+	"zinnialock/core/process/zlfairshare"
 	"zinnialock/core/process/zlquantile"
 	"zinnialock/core/process/zlquarantine"
 	"zinnialock/core/process/zlunit"
@@ -55,11 +56,13 @@
 	req   *Request
 	// organisation is the caller's organisation, nil if the request has none.
 	organisation *zltable.Organisation
-	ctx          context.Context
-	profile      *zlquantile.Tracker
-	parts        []part
-	results      chan result
-	wakeups      chan struct{}
+	// account is what the organisation used; nil in a deployment without organisations.
+	account *zlfairshare.Account
+	ctx     context.Context
+	profile *zlquantile.Tracker
+	parts   []part
+	results chan result
+	wakeups chan struct{}
 	// partialAnswerAt is when an answer is sent even if parts are missing;
 	// placementDeadline is when a request that was not sent is refused;
 	// deadline is when the request ends, for the reason deadlineReason.
@@ -182,6 +185,9 @@
 	now := x.relay.Timer.Now()
 	x.enter()
 	defer x.leave()
+	if !x.likelyRetry {
+		x.account.Ask(now, len(x.parts))
+	}
 	if !x.startsForwarded() {
 		x.count(now)
 	}
@@ -287,6 +293,8 @@
 		reason = zldecision.ReasonRateLimited
 	case x.relay.ended.Load():
 		reason = zldecision.ReasonStopping
+	case x.awaited != nil && x.awaited.isHopeless(now):
+		reason = zldecision.ReasonOverShare
 	case now.Before(x.placementDeadline):
 		return nil
 	}
@@ -321,6 +329,7 @@
 		x.admitted = true
 		return "", true
 	}
+	turn := x.turn()
 	available := 0
 	var blocked *part
 	for i := range x.parts {
@@ -328,9 +337,10 @@
 		w := &zlbalancer.PlacementRequest{
 			Service: p.service,
 			Draw:    x.draw,
+			Turn:    turn,
 			Waiter:  p.waiter,
 		}
-		if x.relay.Placer.HasCapacity(x.view, now, w, x.rank()) {
+		if x.relay.Placer.HasCapacity(x.view, now, w) {
 			available++
 		} else if x.relay.Placer.Available(x.view, now, p.service).Replicas > 0 {
 			blocked = p
@@ -362,21 +372,6 @@
 	return n >= x.minParts()
 }
 
-// rank returns the request's rank in the queue for capacity at a replica; the lowest
-// goes first. It orders by the priority of the organisation, or of the route if that has
-// none, then puts retries of callers that were refused before first attempts, so that no
-// caller is refused twice while others are admitted at once.
-func (x *run) rank() int {
-	priority := x.route.Priority
-	if x.organisation != nil && x.organisation.HasPriority {
-		priority = x.organisation.Priority
-	}
-	if x.likelyRetry {
-		return 2 * priority
-	}
-	return 2*priority + 1
-}
-
 // nextWakeup returns when step must be called at the latest.
 func (x *run) nextWakeup() time.Time {
 	next := x.deadline
--- a/core/request/zlrelay/zlrelay.go
+++ b/core/request/zlrelay/zlrelay.go
@@ -17,6 +17,7 @@
 
 	"zinnialock/core/process/zlbalancer"
 	"zinnialock/core/process/zldecision"
+	"zinnialock/core/process/zlfairshare"
 	"zinnialock/core/process/zlpeerbalancer"
 	"zinnialock/core/process/zlquantile"
 	"zinnialock/core/process/zlquarantine"
@@ -102,6 +103,7 @@
 	targetPickers map[zltable.RouteName]*weightedPicker
 	usualWaits    map[profileKey]time.Duration
 	helpPauses    map[zlunit.Service]helpPause
+	shares        zlfairshare.Ledger
 	runs          map[*run]struct{}
 	running       atomic.Int64
 	// ended is set once this process has no more time for requests.
@@ -135,6 +137,12 @@
 	return smallest
 }
 
+// OrganisationsOverShare returns how many organisations are over their fair share of what this
+// VM sends.
+func (r *Relay) OrganisationsOverShare() int {
+	return r.shares.OverShare(r.Timer.Now())
+}
+
 // Wait blocks until no send is under way.
 func (r *Relay) Wait() {
 	r.sends.Wait()
@@ -173,7 +181,7 @@
 		return r.refuseKey(view, req, route, reason)
 	}
 	x := r.start(ctx, view, route, req)
-	x.organisation = organisation
+	x.setOrganisation(organisation)
 	return x.serve()
 }
 
--- a/io/process/zljournal/write.go
+++ b/io/process/zljournal/write.go
@@ -27,6 +27,7 @@
 		addSubject(line.Str("event", "refused"), &e.Subject)
 		line.Str("reason", string(e.Reason)).Int64("retryAfterMs", e.RetryAfter.Milliseconds()).Int("waiting", e.Waiting)
 		addNonEmpty(line, "service", string(e.Service))
+		addNonEmpty(line, "organisation", string(e.Organisation))
 	case *zldecision.Failed:
 		addSubject(line.Str("event", "failed"), &e.Subject)
 		line.Str("reason", string(e.Reason)).Int("status", e.Status).Int("sends", e.Sends).Int("parts", e.Parts).
--- a/io/process/zljournal/zljournal.go
+++ b/io/process/zljournal/zljournal.go
@@ -113,8 +113,9 @@
 	case *zldecision.Sent, *zldecision.Held:
 		return true
 	case *zldecision.Refused:
-		// A caller that tries keys must not displace the lines of others.
-		return e.Reason == zldecision.ReasonNoKey || e.Reason == zldecision.ReasonUnknownKey
+		// A caller that tries keys, or a hot organisation, must not displace the lines of
+		// others.
+		return e.Reason == zldecision.ReasonNoKey || e.Reason == zldecision.ReasonUnknownKey || e.Reason == zldecision.ReasonOverShare
 	default:
 		return false
 	}
