VMs tell each other which services are short of places

Cause: with 66 VMs of few requests each no VM has requests that wait, so that an organisation over its share was never held back. An organisation that is served 0.3 as often as the others is not over its share.

--- a/core/process/zlbalancer/place.go
+++ b/core/process/zlbalancer/place.go
@@ -55,8 +55,10 @@
 	// Draw, in [0, 1), is the same for all parts of a caller's request. It decides where
 	// the share of a rate limit is a fraction of a request (see rateLimit).
 	Draw float64
-	// Turn is that of the request; nil if it is that of no organisation.
-	Turn *Turn
+	// Turn is that of the request. Started is set if it may use all places whatever its turn,
+	// since parts of it were sent.
+	Turn    *Turn
+	Started bool
 	// Waiter is the request's place in the queue of the service, nil if it has none. What
 	// a rate limit allows goes to the first of the queue.
 	Waiter *Waiter
@@ -96,7 +98,10 @@
 func (p *Placer) Place(v *zlregistry.View, now time.Time, w *PlacementRequest) (*Placement, Result) {
 	service := v.Table.Services[w.Service]
 	share := p.ConnectionShare(service)
-	over := p.queueFor(w.Service).overShare(now, w.Turn)
+	over := 0
+	if !w.Started {
+		over = p.queueFor(w.Service).overShare(now, w.Turn)
+	}
 	var list [16]candidate
 	candidates := list[:0]
 	result := NoReplica
@@ -280,6 +285,7 @@
 		site:    p.siteFor(c.entry.DataCentre),
 		target:  w.Target,
 		vms:     p.VMCount(),
+		isFair:  w.Turn != nil && w.Turn.Account != nil,
 
 		leavingGrace: p.Settings.LeavingGrace,
 		random:       p.random,
--- a/core/process/zlbalancer/record.go
+++ b/core/process/zlbalancer/record.go
@@ -90,6 +90,8 @@
 	site    *siteHealth
 	// target is the time within which the answer is useful; 0 means any time.
 	target time.Duration
+	// isFair is set in a deployment with organisations.
+	isFair bool
 	// leavingGrace is that of Settings; random and restricted are those of Placer.
 	leavingGrace time.Duration
 	random       func() float64
@@ -253,6 +255,9 @@
 	if f.rateCounted && f.sentAt.IsZero() {
 		r.restriction.returnRate()
 	}
+	if f.isFair && outcome == OutcomeRefused {
+		f.waiters.markShort(now)
+	}
 	f.waiters.placeFreed(now)
 }
 
--- a/core/process/zlbalancer/wait.go
+++ b/core/process/zlbalancer/wait.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"maps"
-	"math"
 	"slices"
 	"sync"
 	"time"
@@ -67,40 +66,11 @@
 	mu      sync.Mutex
 	waiters []*Waiter
 	freed   freedPlaces
-	// waitedAt is when a request of an organisation within its fair share waited last.
-	waitedAt time.Time
-}
-
-const (
-	// shortageMemory is how long after a wait a service still counts as short of places. At
-	// a VM with 30 requests a second, a request waits each 100 ms or so in a shortage.
-	shortageMemory = time.Second
-	// levelPlaces is the share of the places that remains from one level to the next: an
-	// organisation that uses twice its tolerated share gets half of the places.
-	levelPlaces = 0.7
-)
-
-// shareOfPlaces returns the share of the places that an organisation may use which is so far
-// over its fair share.
-func shareOfPlaces(over int) float64 {
-	return math.Pow(levelPlaces, float64(over))
-}
-
-// overShare returns by how much the request's organisation is over its fair share; 0 while
-// the service is not short of places.
-//
-// Load pattern: a hot organisation's requests come so often that a place which became free is
-// taken by the next of them before another organisation's arrives.
-func (q *waitQueue) overShare(now time.Time, t *Turn) int {
-	if t == nil || t.Account.Level() == 0 {
-		return 0
-	}
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	if q.waitedAt.IsZero() || now.Sub(q.waitedAt) > shortageMemory {
-		return 0
-	}
-	return t.Account.Level()
+	// shortAt is when this process last found the service short of places, reportedAt when
+	// another VM last said so, and toldAt when it said so soon after the report before.
+	shortAt    time.Time
+	reportedAt time.Time
+	toldAt     time.Time
 }
 
 func (p *Placer) queueFor(s zlunit.Service) *waitQueue {
@@ -122,8 +92,8 @@
 	q := p.queueFor(w.Service)
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if w.Turn.Account.Level() == 0 {
-		q.waitedAt = now
+	if w.Turn.Account != nil && w.Turn.Account.Level() == 0 {
+		q.shortAt = now
 	}
 	i, _ := slices.BinarySearchFunc(q.waiters, w, func(a, b *Waiter) int {
 		return cmp.Or(a.Turn.compareRank(&b.Turn), a.Due.Compare(b.Due))
@@ -230,54 +200,3 @@
 func (p *Placer) MustWait(s zlunit.Service, t *Turn) bool {
 	return p.queueFor(s).hasBefore(t)
 }
-
-// IsHopeless reports whether a waiter whose organisation is over its fair share will get no
-// place before a time: as many go first as places that it may use become free until then.
-//
-// Load pattern: a hot organisation's callers are refused at the end of their wait, too late
-// for a second attempt.
-func (p *Placer) IsHopeless(now time.Time, w *Waiter, until time.Time) bool {
-	q := p.queueFor(w.Service)
-	over := q.overShare(now, &w.Turn)
-	if over == 0 {
-		return false
-	}
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	places, ok := q.freed.within(now, until.Sub(now))
-	return ok && float64(q.countBefore(w)) >= places*shareOfPlaces(over)
-}
-
-const (
-	// freedTime is the time constant of the rate at which places become free: ten times
-	// what a request waits at most with an objective of 200 ms.
-	freedTime = 500 * time.Millisecond
-	// minFreed is how many recent places the rate must come from. With fewer, one place
-	// more or less would decide on refusals.
-	minFreed = 3
-)
-
-// freedPlaces counts the places that became free, with a weight that decays with their age.
-type freedPlaces struct {
-	n  float64
-	at time.Time
-}
-
-func (f *freedPlaces) decay(now time.Time) {
-	if age := now.Sub(f.at); age > 0 {
-		f.n *= math.Exp(-float64(age) / float64(freedTime))
-		f.at = now
-	}
-}
-
-func (f *freedPlaces) add(now time.Time) {
-	f.decay(now)
-	f.n++
-}
-
-// within returns how many places become free in a time at the recent rate, and whether that
-// is known.
-func (f *freedPlaces) within(now time.Time, d time.Duration) (float64, bool) {
-	f.decay(now)
-	return f.n * float64(d) / float64(freedTime), f.n >= minFreed
-}
--- a/core/process/zlfairshare/zlfairshare.go
+++ b/core/process/zlfairshare/zlfairshare.go
@@ -5,14 +5,15 @@
 // Load pattern: one organisation sends 5 to 7.5 times its usual rate beside many others, and
 // the replicas have too few places. What it sends beyond its usual share is served with what
 // the others leave. If all organisations send more at once, their shares stay as they were and
-// the order does too. An organisation's fair share is the largest of
+// the order does too. An organisation's fair share is the larger of
 //
 //   - its usual share, learned over a minute, since a large organisation at its usual rate
 //     is no cause of the shortage;
 //   - an equal share among the organisations that were active recently, since a small one has
 //     too few requests for its usual share to be known;
-//   - a third of what it asks for, so that no organisation is served less than a quarter as
-//     often as all.
+
+// An organisation is not over its share either while it is served 0.3 as often as the others,
+// so that none is served less than a quarter as often as all.
 package zlfairshare
 
 import (
@@ -35,9 +36,9 @@
 	// unknownTime is for how long at the current rate all organisations are taken to have
 	// had equal shares before this process started, since a burst may be under way.
 	unknownTime = 20 * time.Second
-	// minServedShare is the share of what an organisation asks for that it may always use,
-	// relative to the others: a quarter is required, and the rest is for late measurement.
-	minServedShare = 1.0 / 3
+	// minServedShare is how often each organisation is served, relative to the others: a quarter
+	// is required, and the rest is for late measurement.
+	minServedShare = 0.3
 	// tolerance is how far recent use may exceed the fair share: limits of organisations
 	// are 1.6 times their usual use, so up to that an organisation is not hot.
 	tolerance = 1.6
@@ -223,9 +224,6 @@
 	if known := l.total.usual + unknown; known > 0 {
 		share = max(share, (a.use.usual+unknown*equal)/known)
 	}
-	if l.total.asked > 0 {
-		share = max(share, minServedShare*a.use.asked/l.total.asked)
-	}
 	return min(share, 1)
 }
 
@@ -235,6 +233,10 @@
 		return 0
 	}
 	ratio := a.use.recent / l.total.recent / (tolerance * l.fairShare(a))
+	others := (l.total.recent - a.use.recent) / max(l.total.asked-a.use.asked, minUse)
+	if most := minServedShare * min(others, 1) * a.use.asked; most > 0 {
+		ratio = min(ratio, a.use.recent/most)
+	}
 	if ratio <= 1 {
 		return 0
 	}
--- a/core/request/zlrelay/fair.go
+++ b/core/request/zlrelay/fair.go
@@ -56,16 +56,6 @@
 	return p.waiter != nil && p.run.relay.Placer.IsHopeless(now, p.waiter, p.run.placementDeadline)
 }
 
-// placementTurn returns the turn by which a part is placed; nil if it may use all places. A
-// request of which some parts were sent is served like any other, since their work would be
-// lost.
-func (p *part) placementTurn() *zlbalancer.Turn {
-	if x := p.run; x.account != nil && !x.route.IsSharded() && p.sends == 0 {
-		return x.turn()
-	}
-	return nil
-}
-
 // spendBudget charges a second send to the budget of the service; it is limited to the
 // organisation's fair share while the budget is short.
 func (p *part) spendBudget(now time.Time, hedge bool) bool {
--- a/core/request/zlrelay/fair_test.go
+++ b/core/request/zlrelay/fair_test.go
@@ -15,20 +15,22 @@
 )
 
 // shortage is a replay of 75 organisations of different sizes. After a calm time the replicas
-// become slower, and the hot organisations send many times as much.
+// become slower, and one or all organisations send more.
 type shortage struct {
 	name string
-	// hot is the first of the organisations by size; rise is how many times its usual rate
-	// it sends, and kind the index of the only kind of its requests then, or -1.
+	// hot is the place by size of the hot organisation, rise how many times its usual rate it
+	// sends, and kind the index of the only kind of its requests then, or -1.
 	hot  int
 	rise float64
 	kind int
-	// allRise is the same of all organisations.
-	allRise float64
-	// retryShare is the share of the hot organisation's callers that repeat at once, and
-	// vms the VMs that they reach.
+	// allRise is how many times their usual rates all send, and slowdown that of the replicas.
+	allRise  float64
+	slowdown float64
+	// retryShare is the share of the hot organisation's callers that repeat at once, hotVMs is
+	// how many of the VMs they reach.
 	retryShare float64
-	vms        []int
+	vms        int
+	hotVMs     int
 	// minWorst is how often the worst tenth of organisations must be served, as a share of
 	// how often all are.
 	minWorst float64
@@ -37,19 +39,39 @@
 const (
 	shortageOrganisations = 75
 	shortageRate          = 190.0
-	shortageSlowdown      = 3
 	calmTime              = 20 * time.Second
 	shortageTime          = 40 * time.Second
+	// manyVMs is as many as a deployment with so many requests has.
+	manyVMs = 66
 )
 
 var shortages = []shortage{
-	{name: "large hot organisation", rise: 7.5, kind: -1, allRise: 1, vms: allVMs, minWorst: 0.9},
-	{name: "middling hot organisation", hot: 10, rise: 7.5, kind: -1, allRise: 1, vms: allVMs, minWorst: 0.9},
-	{name: "hot organisation with one kind of request", rise: 7.5, kind: 0, allRise: 1, vms: allVMs, minWorst: 0.9},
-	{name: "hot organisation whose callers repeat at once", rise: 7.5, kind: -1, allRise: 1, retryShare: 1, vms: allVMs, minWorst: 0.9},
-	{name: "hot organisation at two VMs", rise: 7.5, kind: -1, allRise: 1, vms: []int{0, 3}, minWorst: 0.9},
-	// None is hot: the worst tenth is that of chance, and must be no worse than by arrival alone.
-	{name: "all organisations", rise: 1, kind: -1, allRise: 2, vms: allVMs, minWorst: 0.72},
+	{name: "large hot organisation", rise: 7.5, kind: -1, allRise: 1, slowdown: 3, vms: simVMs, hotVMs: simVMs, minWorst: 0.9},
+	{name: "middling hot organisation", hot: 10, rise: 7.5, kind: -1, allRise: 1, slowdown: 3, vms: simVMs, hotVMs: simVMs, minWorst: 0.9},
+	{name: "one kind of request", rise: 7.5, kind: 0, allRise: 1, slowdown: 3, vms: simVMs, hotVMs: simVMs, minWorst: 0.9},
+	{name: "callers that repeat at once", rise: 7.5, kind: -1, allRise: 1, slowdown: 3, retryShare: 1, vms: simVMs, hotVMs: simVMs, minWorst: 0.9},
+	{name: "many VMs", rise: 7.5, kind: -1, allRise: 1, slowdown: 2.4, vms: manyVMs, hotVMs: manyVMs, minWorst: 0.9},
+	{name: "many VMs, hot at four", rise: 7.5, kind: -1, allRise: 1, slowdown: 2.4, vms: manyVMs, hotVMs: 4, minWorst: 0.9},
+	// None is hot: the worst tenth is that of chance, and no worse than by arrival alone.
+	{name: "all organisations", rise: 1, kind: -1, allRise: 2, slowdown: 3, vms: simVMs, hotVMs: simVMs, minWorst: 0.72},
+}
+
+// tellShortages passes the VMs' reports of short services on as zlbroadcast does.
+func (w *simulation) tellShortages(group *sync.WaitGroup) {
+	const period = 500 * time.Millisecond
+	for i, r := range w.relays {
+		group.Go(func() {
+			time.Sleep(period * time.Duration(i) / time.Duration(len(w.relays)))
+			for ; time.Since(w.started) < calmTime+shortageTime; time.Sleep(period) {
+				list := r.Placer.ShortServices(time.Now())
+				for _, other := range w.relays {
+					if other != r {
+						other.Placer.AddShortages(list, time.Now())
+					}
+				}
+			}
+		})
+	}
 }
 
 // run replays the shortage and returns the statistics of each organisation in it.
@@ -68,13 +90,20 @@
 			weights = append(weights, 1/math.Pow(float64(i+1), 0.6))
 			sum += weights[i]
 			key := zltable.DigestKey(string(names[i]))
-			callers = append(callers, &scenario{
-				vms: allVMs,
+			reached := p.vms
+			if i == p.hot {
+				reached = p.hotVMs
+			}
+			c := &scenario{
 				key: &key,
-			})
+			}
+			for vm := range reached {
+				c.vms = append(c.vms, vm)
+			}
+			callers = append(callers, c)
 		}
-		callers[p.hot].vms = p.vms
 		w.view.Table = w.view.Table.WithOrganisations(organisationsOf(names...))
+		w.vms = p.vms
 		w.startVMs()
 		var group sync.WaitGroup
 		for i, c := range callers {
@@ -103,9 +132,10 @@
 				}
 			})
 		}
+		group.Go(func() { w.tellShortages(&group) })
 		time.Sleep(calmTime)
 		w.each(func(_ int, r *simReplica) {
-			r.slowdown = shortageSlowdown
+			r.slowdown = p.slowdown
 		})
 		group.Wait()
 		for _, r := range w.relays {
--- a/core/request/zlrelay/part.go
+++ b/core/request/zlrelay/part.go
@@ -165,7 +165,8 @@
 		HealthyOnly: hedge,
 		Target:      x.replyTarget,
 		Draw:        x.draw,
-		Turn:        p.placementTurn(),
+		Turn:        x.turn(),
+		Started:     x.route.IsSharded() || p.sends > 0,
 		Waiter:      p.waiter,
 		Notify:      x.wake,
 	})
--- a/core/request/zlrelay/simulation_test.go
+++ b/core/request/zlrelay/simulation_test.go
@@ -157,6 +157,7 @@
 	// all arrivals beyond the first.
 	arrivals    map[string]int
 	secondSends int
+	vms         int
 	relays      []*Relay
 	baseline    bool
 }
@@ -178,6 +179,7 @@
 		replicas: map[zlunit.Upstream]*simReplica{},
 		arrivals: map[string]int{},
 		baseline: baseline,
+		vms:      simVMs,
 	}
 	var shards []zlunit.Service
 	var services []zltable.Service
@@ -239,7 +241,7 @@
 // startVMs starts or restarts all VMs, without any state of earlier ones.
 func (w *simulation) startVMs() {
 	w.relays = nil
-	for i := range simVMs {
+	for i := range w.vms {
 		timer := &zltimer.Service{}
 		registry := &zlregistry.Registry{
 			Timer: timer,
@@ -259,7 +261,7 @@
 			},
 			Random: draw,
 		}
-		placer.SetVMCount(simVMs)
+		placer.SetVMCount(w.vms)
 		w.relays = append(w.relays, &Relay{
 			Timer:    timer,
 			Registry: registry,
--- a/io/version/zlbroadcast/message.go
+++ b/io/version/zlbroadcast/message.go
@@ -40,6 +40,9 @@
 	Reply bool                 `cbor:"11,keyasint,omitempty"`
 	// Organisations is set if the table of the sender's revision has organisations.
 	Organisations bool `cbor:"12,keyasint,omitempty"`
+	// Short are services that the sender found short of places. It is missing in messages of
+	// deployments without organisations and of a build that reports none.
+	Short []zlunit.Service `cbor:"13,keyasint,omitempty"`
 }
 
 // delta is the encoded form of a zlwatcher.Delta.
--- a/io/version/zlbroadcast/zlbroadcast.go
+++ b/io/version/zlbroadcast/zlbroadcast.go
@@ -102,6 +102,10 @@
 	HealthReports func() []zlbalancer.HealthReport
 	// OnHealthReports is called with the health reports of another VM.
 	OnHealthReports func(vm zlunit.VM, list []zlbalancer.HealthReport)
+	// ShortServices returns the services to report to the other VMs as short of places, and
+	// OnShortServices is called with those that another VM reports; both may be nil.
+	ShortServices   func() []zlunit.Service
+	OnShortServices func(list []zlunit.Service)
 	// Quarantine holds what the VMs tell each other of requests that crash replicas; nil
 	// if they don't.
 	Quarantine *zlquarantine.Ledger
@@ -233,17 +237,20 @@
 	b.sendHeartbeat(t, d)
 }
 
-// sendHealthReports sends this VM's reports of slow or failing replicas.
+// sendHealthReports sends this VM's reports of slow or failing replicas and of services that
+// are short of places.
 func (b *Broadcaster) sendHealthReports() {
-	list := b.HealthReports()
-	if len(list) == 0 {
-		return
-	}
-	b.send(&message{
+	m := &message{
 		VM:            b.VM,
 		AgeMicros:     -1,
-		HealthReports: list,
-	})
+		HealthReports: b.HealthReports(),
+	}
+	if b.ShortServices != nil {
+		m.Short = b.ShortServices()
+	}
+	if len(m.HealthReports) > 0 || len(m.Short) > 0 {
+		b.send(m)
+	}
 }
 
 // sendHeartbeat sends the revisions that the store confirmed, and d if it isn't
@@ -358,6 +365,9 @@
 	if m.Update != nil && !isPartial && m.Topic >= 0 && int(m.Topic) < zlwatcher.NumTopics {
 		b.Watcher.ApplyPeerDelta(m.Topic, fromWire(m.Update))
 	}
+	if len(m.Short) > 0 && b.OnShortServices != nil {
+		b.OnShortServices(m.Short)
+	}
 	if len(m.HealthReports) > 0 {
 		if b.OnHealthReports != nil {
 			b.OnHealthReports(m.VM, m.HealthReports)
