--- /dev/null
+++ b/core/process/zlbalancer/shortage_test.go
@@ -0,0 +1,101 @@
+package zlbalancer
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"zinnialock/core/process/zlfairshare"
+	"zinnialock/core/process/zlunit"
+)
+
+// hotLedger returns a ledger after a calm time of ten organisations, of which one then sends
+// ten times as much as usual.
+func hotLedger(now time.Time) *zlfairshare.Ledger {
+	l := &zlfairshare.Ledger{}
+	for step := range 400 {
+		at := now.Add(time.Duration(step-400) * 100 * time.Millisecond)
+		for _, name := range []zlunit.Organisation{"hot", "b", "c", "d", "e", "f", "g", "h", "i", "small"} {
+			n := 1
+			if name == "hot" && step > 370 {
+				n = 10
+			}
+			l.Account(name).Ask(at, n)
+			l.Account(name).Use(at, n)
+		}
+	}
+	return l
+}
+
+// Guards against a hot organisation's returning callers that go before the first attempts of
+// others, and against another order in a deployment without organisations.
+func TestWaitersAreServedByShare(t *testing.T) {
+	r := newFixture()
+	l := hotLedger(r.now)
+	for _, tt := range []struct {
+		name     string
+		accounts map[string]*zlfairshare.Account
+		want     []string
+	}{
+		{"without organisations", nil, []string{"urgent", "hot", "late", "small"}},
+		{"with organisations", map[string]*zlfairshare.Account{"hot": l.Account("hot"), "urgent": l.Account("hot"), "small": l.Account("small"), "late": l.Account("b")}, []string{"urgent", "late", "small", "hot"}},
+	} {
+		var got []string
+		waiters := map[string]*Waiter{}
+		for i, name := range []string{"small", "hot", "late", "urgent"} {
+			w := &Waiter{
+				Service: "finder",
+				Turn:    Turn{Priority: 1, Account: tt.accounts[name], Returning: name == "hot"},
+				Due:     r.now.Add(time.Duration(10-i) * time.Second),
+				Notify:  func() { got = append(got, name) },
+			}
+			if name == "urgent" {
+				w.Turn.Priority = 0
+			}
+			waiters[name] = w
+			r.Wait(r.now, w)
+		}
+		if !r.MustWait("finder", &waiters["hot"].Turn) || r.MustWait("finder", &waiters["urgent"].Turn) {
+			t.Errorf("%s: got a wrong answer to who must wait", tt.name)
+		}
+		for range waiters {
+			r.done(r.place(t), usualLatency, OutcomeServed)
+			r.Leave(waiters[got[len(got)-1]])
+		}
+		if !slices.Equal(got, tt.want) {
+			t.Errorf("%s: got order %v, want %v", tt.name, got, tt.want)
+		}
+	}
+}
+
+// Guards against a hot organisation that uses all places at a VM where no others wait, and
+// against one report, as after a pause, that takes places from it.
+func TestShortageReportedByOthersLimitsPlaces(t *testing.T) {
+	r := newFixture()
+	hot := &Turn{Account: hotLedger(r.now).Account("hot")}
+	place := func() (n int) {
+		for {
+			p, result := r.Place(r.view, r.now, &PlacementRequest{Service: "finder", Turn: hot})
+			if result != Placed {
+				return n
+			}
+			n++
+			defer p.Flight.Done(r.now, OutcomeGivenUp, 0, 0)
+		}
+	}
+	all := place()
+	r.AddShortages([]zlunit.Service{"finder", "unknown"}, r.now)
+	if n := place(); n != all {
+		t.Errorf("got %d places after one report, want all %d", n, all)
+	}
+	r.AddShortages([]zlunit.Service{"finder"}, r.now.Add(toldMemory/4))
+	if n := place(); n >= all || n == 0 {
+		t.Errorf("got %d places after two reports, want some of %d", n, all)
+	}
+	if r.now = r.now.Add(2 * toldMemory); place() != all {
+		t.Error("got fewer places after the reports lapsed, want all")
+	}
+	if list := r.ShortServices(r.now); len(list) > 0 {
+		t.Errorf("got %v reported, want nothing that only others found", list)
+	}
+}
--- a/core/process/zlfairshare/zlfairshare.go
+++ b/core/process/zlfairshare/zlfairshare.go
@@ -11,7 +11,7 @@
 //     is no cause of the shortage;
 //   - an equal share among the organisations that were active recently, since a small one has
 //     too few requests for its usual share to be known;
-
+//
 // An organisation is not over its share either while it is served 0.3 as often as the others,
 // so that none is served less than a quarter as often as all.
 package zlfairshare
--- a/core/process/zlsendbudget/zlsendbudget_test.go
+++ b/core/process/zlsendbudget/zlsendbudget_test.go
@@ -6,6 +6,8 @@
 	"testing"
 	"time"
 
+	"zinnialock/core/process/zlunit"
+
 	"pgregory.net/rapid"
 )
 
@@ -130,3 +132,36 @@
 		t.Fatalf("got %d second sends with a reserve of half of 20, and %.0f left after one was returned, want 18 and 11", n, w.Left(began))
 	}
 }
+
+// Guards against an organisation that uses up the second sends of the others, and against
+// shares that leave a part of the budget unused by one that is alone.
+func TestShortBudgetIsSharedByOrganisation(t *testing.T) {
+	began := time.Unix(1000, 0)
+	w := &Window{
+		Length:     length,
+		Burst:      20,
+		BurstSince: began.Add(-length),
+	}
+	spend := func(o zlunit.Organisation, share float64, at time.Time) (n int) {
+		for w.SpendOf(at, 0, o, share) {
+			n++
+		}
+		return n
+	}
+	if n := spend("hot", 0.25, began); n != 10 {
+		t.Errorf("got %d second sends of the hot organisation, want half of the budget", n)
+	}
+	if n := spend("small", 0.01, began); n != 1 {
+		t.Errorf("got %d second sends of a small organisation, want 1", n)
+	}
+	if n := spend("large", 0.3, began); n != 6 {
+		t.Errorf("got %d second sends of a large organisation, want its share", n)
+	}
+	w.RefundOf(began, "large")
+	if n := spend("large", 0.3, began); n != 1 {
+		t.Errorf("got %d second sends after a refund, want 1", n)
+	}
+	if n := spend("hot", 0.25, began.Add(2*length)); n != 10 || len(w.byOrganisation) != 1 {
+		t.Errorf("got %d second sends and %d organisations in the next window, want 10, 1", n, len(w.byOrganisation))
+	}
+}
--- a/core/request/zlrelay/fair_test.go
+++ b/core/request/zlrelay/fair_test.go
@@ -1,6 +1,7 @@
 package zlrelay
 
 import (
+	"context"
 	"fmt"
 	"math"
 	"math/rand/v2"
@@ -10,6 +11,8 @@
 	"testing/synctest"
 	"time"
 
+	"zinnialock/core/process/zlbalancer"
+	"zinnialock/core/process/zldecision"
 	"zinnialock/core/process/zlunit"
 	"zinnialock/core/version/zltable"
 )
@@ -178,3 +181,51 @@
 		})
 	}
 }
+
+// Guards against a hot organisation's callers that wait for a refusal, or whose requests to one
+// service take the place of others that wait; those of others wait as before.
+func TestHotCallerIsRefusedAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newKeyRelay("hot", "small")
+		r.Placer.SetVMCount(30)
+		for step := range 400 {
+			at := time.Now().Add(time.Duration(step-400) * 100 * time.Millisecond)
+			for i := range 10 {
+				name := zlunit.Organisation(fmt.Sprintf("o%d", i))
+				r.shares.Account(name).Use(at, 1)
+			}
+			if step > 370 {
+				r.shares.Account("hot").Use(at, 10)
+			}
+		}
+		view := r.Registry.Current()
+		var flights []*zlbalancer.Flight
+		for range 8 {
+			if len(flights) == 3 {
+				flights[0].Done(time.Now(), zlbalancer.OutcomeGivenUp, 0, 0)
+				flights = flights[1:]
+			}
+			p, _ := r.Placer.Place(view, time.Now(), &zlbalancer.PlacementRequest{Service: "s0"})
+			flights = append(flights, p.Flight)
+		}
+		r.Placer.Wait(time.Now(), &zlbalancer.Waiter{
+			Service: "s0",
+			Turn:    zlbalancer.Turn{Account: r.shares.Account("o1")},
+			Notify:  func() {},
+		})
+		for _, tt := range []struct {
+			key    string
+			reason zldecision.Reason
+			atOnce bool
+		}{{"hot", zldecision.ReasonOverShare, true}, {"small", zldecision.ReasonNoRoom, false}} {
+			req := request("/one/x")
+			key := zltable.DigestKey(tt.key)
+			req.Key = &key
+			began := time.Now()
+			a, ok := r.Serve(context.Background(), req).(*Refused)
+			if !ok || a.Reason != tt.reason || a.RetryAfter <= 0 || (time.Since(began) == 0) != tt.atOnce {
+				t.Errorf("%s: got answer %+v after %v, want reason %s, at once: %v", tt.key, a, time.Since(began), tt.reason, tt.atOnce)
+			}
+		}
+	})
+}
--- a/io/version/zlbroadcast/zlbroadcast.go
+++ b/io/version/zlbroadcast/zlbroadcast.go
@@ -357,6 +357,18 @@
 	}
 }
 
+// handleReports takes in what a VM reports of replicas and services, and reports whether the
+// message is only for that.
+func (b *Broadcaster) handleReports(m *message) bool {
+	if len(m.Short) > 0 && b.OnShortServices != nil {
+		b.OnShortServices(m.Short)
+	}
+	if len(m.HealthReports) > 0 && b.OnHealthReports != nil {
+		b.OnHealthReports(m.VM, m.HealthReports)
+	}
+	return len(m.Short) > 0 || len(m.HealthReports) > 0
+}
+
 func (b *Broadcaster) handle(m *message, from *net.UDPAddr) {
 	if b.Quarantine != nil && b.handleCrash(m, from) {
 		return
@@ -365,13 +377,7 @@
 	if m.Update != nil && !isPartial && m.Topic >= 0 && int(m.Topic) < zlwatcher.NumTopics {
 		b.Watcher.ApplyPeerDelta(m.Topic, fromWire(m.Update))
 	}
-	if len(m.Short) > 0 && b.OnShortServices != nil {
-		b.OnShortServices(m.Short)
-	}
-	if len(m.HealthReports) > 0 {
-		if b.OnHealthReports != nil {
-			b.OnHealthReports(m.VM, m.HealthReports)
-		}
+	if b.handleReports(m) {
 		return
 	}
 	beat := m.heartbeat()
