--- a/core/process/zlbalancer/shortage.go
+++ b/core/process/zlbalancer/shortage.go
@@ -16,9 +16,11 @@
 	// reports of one VM. Two reports within half of it are needed, as one comes with each pause
 	// of a replica.
 	toldMemory = 700 * time.Millisecond
-	// levelPlaces is the share of the places that remains from one level to the next: an
-	// organisation that uses twice its tolerated share gets half of the places.
-	levelPlaces = 0.7
+	// levelPlaces is the share of the places that remains from one level to the next. With 0.8
+	// one place of a few is kept at the first levels. In the replay 0.7 leaves places unused in
+	// a mild shortage (0.90 of all served, 0.95 with 0.8 and 0.9), and no other load tells
+	// them apart.
+	levelPlaces = 0.8
 	// maxShortServices bounds the services in one report of this VM, to a few hundred bytes.
 	maxShortServices = 16
 )
--- a/core/process/zlbalancer/shortage_test.go
+++ b/core/process/zlbalancer/shortage_test.go
@@ -9,21 +9,14 @@
 	"zinnialock/core/process/zlunit"
 )
 
-// hotLedger returns a ledger after a calm time of ten organisations, of which one then sends
-// ten times as much as usual.
+// hotLedger returns a ledger of ten organisations, of which one uses ten times as much as each
+// of the others.
 func hotLedger(now time.Time) *zlfairshare.Ledger {
 	l := &zlfairshare.Ledger{}
-	for step := range 400 {
-		at := now.Add(time.Duration(step-400) * 100 * time.Millisecond)
-		for _, name := range []zlunit.Organisation{"hot", "b", "c", "d", "e", "f", "g", "h", "i", "small"} {
-			n := 1
-			if name == "hot" && step > 370 {
-				n = 10
-			}
-			l.Account(name).Ask(at, n)
-			l.Account(name).Use(at, n)
-		}
+	for _, name := range []zlunit.Organisation{"b", "c", "d", "e", "f", "g", "h", "i", "small"} {
+		l.Account(name).Use(now, 10)
 	}
+	l.Account("hot").Use(now, 100)
 	return l
 }
 
@@ -45,13 +38,10 @@
 		for i, name := range []string{"small", "hot", "late", "urgent"} {
 			w := &Waiter{
 				Service: "finder",
-				Turn:    Turn{Priority: 1, Account: tt.accounts[name], Returning: name == "hot"},
+				Turn:    Turn{Priority: min(1, 3-i), Account: tt.accounts[name], Returning: name == "hot"},
 				Due:     r.now.Add(time.Duration(10-i) * time.Second),
 				Notify:  func() { got = append(got, name) },
 			}
-			if name == "urgent" {
-				w.Turn.Priority = 0
-			}
 			waiters[name] = w
 			r.Wait(r.now, w)
 		}
--- a/core/request/zlrelay/fair_test.go
+++ b/core/request/zlrelay/fair_test.go
@@ -34,9 +34,8 @@
 	retryShare float64
 	vms        int
 	hotVMs     int
-	// minWorst is how often the worst tenth of organisations must be served, as a share of
-	// how often all are.
-	minWorst float64
+	// minAll is how many of all requests must be served.
+	minAll float64
 }
 
 const (
@@ -49,31 +48,27 @@
 )
 
 var shortages = []shortage{
-	{name: "large hot organisation", rise: 7.5, kind: -1, allRise: 1, slowdown: 3, vms: simVMs, hotVMs: simVMs, minWorst: 0.9},
-	{name: "middling hot organisation", hot: 10, rise: 7.5, kind: -1, allRise: 1, slowdown: 3, vms: simVMs, hotVMs: simVMs, minWorst: 0.9},
-	{name: "one kind of request", rise: 7.5, kind: 0, allRise: 1, slowdown: 3, vms: simVMs, hotVMs: simVMs, minWorst: 0.9},
-	{name: "callers that repeat at once", rise: 7.5, kind: -1, allRise: 1, slowdown: 3, retryShare: 1, vms: simVMs, hotVMs: simVMs, minWorst: 0.9},
-	{name: "many VMs", rise: 7.5, kind: -1, allRise: 1, slowdown: 2.4, vms: manyVMs, hotVMs: manyVMs, minWorst: 0.9},
-	{name: "many VMs, hot at four", rise: 7.5, kind: -1, allRise: 1, slowdown: 2.4, vms: manyVMs, hotVMs: 4, minWorst: 0.9},
-	// None is hot: the worst tenth is that of chance, and no worse than by arrival alone.
-	{name: "all organisations", rise: 1, kind: -1, allRise: 2, slowdown: 3, vms: simVMs, hotVMs: simVMs, minWorst: 0.72},
+	{name: "large hot organisation", rise: 7.5, kind: -1, allRise: 1, slowdown: 3, vms: simVMs, hotVMs: simVMs},
+	{name: "middling hot organisation", hot: 10, rise: 7.5, kind: -1, allRise: 1, slowdown: 3, vms: simVMs, hotVMs: simVMs},
+	{name: "one kind of request", rise: 7.5, kind: 0, allRise: 1, slowdown: 3, vms: simVMs, hotVMs: simVMs},
+	{name: "callers that repeat at once", rise: 7.5, kind: -1, allRise: 1, slowdown: 3, retryShare: 1, vms: simVMs, hotVMs: simVMs},
+	{name: "many VMs", rise: 7.5, kind: -1, allRise: 1, slowdown: 2.4, vms: manyVMs, hotVMs: manyVMs},
+	{name: "many VMs, hot at four", rise: 7.5, kind: -1, allRise: 1, slowdown: 2.4, vms: manyVMs, hotVMs: 4},
+	{name: "mild", rise: 7.5, kind: -1, allRise: 1, slowdown: 2, vms: simVMs, hotVMs: simVMs, minAll: 0.93},
+	{name: "all organisations", rise: 1, kind: -1, allRise: 2, slowdown: 3, vms: simVMs, hotVMs: simVMs},
 }
 
 // tellShortages passes the VMs' reports of short services on as zlbroadcast does.
-func (w *simulation) tellShortages(group *sync.WaitGroup) {
-	const period = 500 * time.Millisecond
-	for i, r := range w.relays {
-		group.Go(func() {
-			time.Sleep(period * time.Duration(i) / time.Duration(len(w.relays)))
-			for ; time.Since(w.started) < calmTime+shortageTime; time.Sleep(period) {
-				list := r.Placer.ShortServices(time.Now())
-				for _, other := range w.relays {
-					if other != r {
-						other.Placer.AddShortages(list, time.Now())
-					}
-				}
+func (w *simulation) tellShortages() {
+	for i := 0; time.Since(w.started) < calmTime+shortageTime; i++ {
+		time.Sleep(500 * time.Millisecond / time.Duration(len(w.relays)))
+		self := w.relays[i%len(w.relays)]
+		list := self.Placer.ShortServices(time.Now())
+		for _, r := range w.relays {
+			if r != self {
+				r.Placer.AddShortages(list, time.Now())
 			}
-		})
+		}
 	}
 }
 
@@ -87,24 +82,22 @@
 		var names []zlunit.Organisation
 		var weights []float64
 		var callers []*scenario
+		vms := make([]int, p.vms)
+		for vm := range vms {
+			vms[vm] = vm
+		}
 		sum := 0.0
 		for i := range shortageOrganisations {
 			names = append(names, zlunit.Organisation(fmt.Sprintf("o%02d", i)))
 			weights = append(weights, 1/math.Pow(float64(i+1), 0.6))
 			sum += weights[i]
 			key := zltable.DigestKey(string(names[i]))
-			reached := p.vms
-			if i == p.hot {
-				reached = p.hotVMs
-			}
-			c := &scenario{
+			callers = append(callers, &scenario{
+				vms: vms,
 				key: &key,
-			}
-			for vm := range reached {
-				c.vms = append(c.vms, vm)
-			}
-			callers = append(callers, c)
+			})
 		}
+		callers[p.hot].vms = vms[:p.hotVMs]
 		w.view.Table = w.view.Table.WithOrganisations(organisationsOf(names...))
 		w.vms = p.vms
 		w.startVMs()
@@ -127,15 +120,14 @@
 					}
 					kind = max(kind, 0)
 					work := byte(float64(queryKinds[kind].work/(200*time.Microsecond)) * (0.6 + 0.8*random.Float64()))
-					atOnce := isHot && random.Float64() < p.retryShare
 					callerRandom := rand.New(rand.NewPCG(uint64(i), uint64(n)))
 					group.Go(func() {
-						w.runCaller(into, c, kind, c.vms[callerRandom.IntN(len(c.vms))], fmt.Sprintf("%s-%d", names[i], n), work, atOnce, callerRandom)
+						w.runCaller(into, c, kind, c.vms[callerRandom.IntN(len(c.vms))], fmt.Sprintf("%s-%d", names[i], n), work, isHot && callerRandom.Float64() < p.retryShare, callerRandom)
 					})
 				}
 			})
 		}
-		group.Go(func() { w.tellShortages(&group) })
+		group.Go(w.tellShortages)
 		time.Sleep(calmTime)
 		w.each(func(_ int, r *simReplica) {
 			r.slowdown = p.slowdown
@@ -149,6 +141,13 @@
 	return stats
 }
 
+func meanOf(list []float64) (mean float64) {
+	for _, x := range list {
+		mean += x / float64(len(list))
+	}
+	return mean
+}
+
 // TestShortageIsShared guards against a hot organisation that takes the capacity of the
 // others: the worst tenth of organisations must be served 0.9 as often as all, and none less
 // than a quarter as often.
@@ -165,18 +164,16 @@
 				requests += s.requests
 			}
 			whole, hot := shareOf(served, requests), shares[p.hot]
-			small := 0.0
-			for _, s := range shares[len(shares)-25:] {
-				small += s / 25
-			}
+			small := meanOf(shares[len(shares)-25:])
 			slices.Sort(shares)
-			worst := 0.0
-			for _, s := range shares[:len(shares)/10+1] {
-				worst += s / float64(len(shares)/10+1)
+			worst, minWorst := meanOf(shares[:len(shares)/10+1]), 0.9
+			if p.rise == 1 {
+				// None is hot: the worst tenth is that of chance, as by arrival alone.
+				minWorst = 0.72
 			}
 			t.Logf("served %.3f of %d, worst tenth %.3f (%.2f of the whole), worst %.3f, hot %.3f, small %.3f", whole, requests, worst, worst/whole, shares[0], hot, small)
-			if worst < p.minWorst*whole || shares[0] < 0.25*whole {
-				t.Errorf("got the worst tenth served %.3f and the worst %.3f, want at least %.2f and 0.25 of %.3f", worst, shares[0], p.minWorst, whole)
+			if whole < p.minAll || worst < minWorst*whole || shares[0] < 0.25*whole {
+				t.Errorf("got %.3f served, the worst tenth %.3f, the worst %.3f, want %.2f, and %.2f and 0.25 of all", whole, worst, shares[0], p.minAll, minWorst)
 			}
 		})
 	}
@@ -188,16 +185,10 @@
 	synctest.Test(t, func(t *testing.T) {
 		r := newKeyRelay("hot", "small")
 		r.Placer.SetVMCount(30)
-		for step := range 400 {
-			at := time.Now().Add(time.Duration(step-400) * 100 * time.Millisecond)
-			for i := range 10 {
-				name := zlunit.Organisation(fmt.Sprintf("o%d", i))
-				r.shares.Account(name).Use(at, 1)
-			}
-			if step > 370 {
-				r.shares.Account("hot").Use(at, 10)
-			}
+		for i := range 10 {
+			r.shares.Account(zlunit.Organisation(fmt.Sprintf("o%d", i))).Use(time.Now(), 10)
 		}
+		r.shares.Account("hot").Use(time.Now(), 100)
 		view := r.Registry.Current()
 		var flights []*zlbalancer.Flight
 		for range 8 {
