--- a/core/process/zlbalancer/record.go
+++ b/core/process/zlbalancer/record.go
@@ -91,6 +91,8 @@
 	site    *siteHealth
 	// target is the time within which the answer is useful; 0 means any time.
 	target time.Duration
+	// isFair is set in a deployment with organisations.
+	isFair bool
 	// leavingGrace is that of Settings; random and restricted are those of Placer.
 	leavingGrace time.Duration
 	random       func() float64
@@ -277,7 +279,10 @@
 	if f.split != nil {
 		f.split.Ended(f.group)
 	}
-	f.waiters.wakeFirst()
+	if f.isFair && outcome == OutcomeRefused {
+		f.waiters.markShort(now)
+	}
+	f.waiters.placeFreed(now)
 }
 
 // ratio is the time taken over the time expected, or 0 if either is not known.
--- a/io/version/zlbroadcast/message.go
+++ b/io/version/zlbroadcast/message.go
@@ -43,6 +43,9 @@
 	Reply bool                 `cbor:"11,keyasint,omitempty"`
 	// Organisations is set if the table of the sender's revision has organisations.
 	Organisations bool `cbor:"12,keyasint,omitempty"`
+	// Short are services that the sender found short of places. It is missing in messages of
+	// deployments without organisations and of a build that reports none.
+	Short []zlunit.Service `cbor:"13,keyasint,omitempty"`
 	// Rollout is evidence on new versions, or verdicts. Direct is set if the message is not
 	// to be forwarded; a build that does not know it may forward it, which is harmless.
 	Rollout *zlrollout.Report `cbor:"17,keyasint,omitempty"`
