--- a/core/process/zllease/share.go
+++ b/core/process/zllease/share.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"zinnialock/core/process/zltimer"
 	"zinnialock/core/process/zlunit"
 )
 
@@ -58,7 +59,7 @@
 		}
 	}
 	end := latest(l.leaseEnd(), a.previousLeaseEnd).Add(-sendMargin)
-	left := remaining(now, end)
+	left := zltimer.Remaining(now, end)
 	switch {
 	case left <= 0:
 		return l.reducedShare(u, a, now)
--- a/core/process/zllease/zllease.go
+++ b/core/process/zllease/zllease.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"zinnialock/core/process/zltimer"
 	"zinnialock/core/process/zlunit"
 	"zinnialock/core/version/zlroster"
 )
@@ -201,14 +202,7 @@
 	if end.IsZero() {
 		return 0
 	}
-	return max(remaining(now, end), 0)
-}
-
-// remaining returns the time from now to end. The monotonic clock may stand
-// still while a machine is suspended, so the wall clock is read too and the
-// shorter time counts.
-func remaining(now, end time.Time) time.Duration {
-	return min(end.Sub(now), end.Round(0).Sub(now.Round(0)))
+	return max(zltimer.Remaining(now, end), 0)
 }
 
 func latest(a, b time.Time) time.Time {
@@ -232,7 +226,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.pausedSinceLease = l.pausedSinceLease || l.paused(now)
-	if remaining(now, l.leaseEnd()) > 0 {
+	if zltimer.Remaining(now, l.leaseEnd()) > 0 {
 		l.pausedSinceLease = false
 	}
 	l.tickedAt = now
@@ -242,6 +236,5 @@
 // paused reports whether the gap since the last tick shows that the process was
 // paused.
 func (l *Leases) paused(now time.Time) bool {
-	gap := max(now.Sub(l.tickedAt), now.Round(0).Sub(l.tickedAt.Round(0)))
-	return !l.tickedAt.IsZero() && gap > pauseThreshold
+	return !l.tickedAt.IsZero() && zltimer.Elapsed(l.tickedAt, now) > pauseThreshold
 }
--- a/core/process/zltimer/zltimer.go
+++ b/core/process/zltimer/zltimer.go
@@ -114,3 +114,16 @@
 func (t *Timer) Stop() bool {
 	return t.timer.Stop()
 }
+
+// Remaining returns the time from now to end. The monotonic clock may stand
+// still while a machine is suspended, so the wall clock is read too and the
+// shorter time counts.
+func Remaining(now, end time.Time) time.Duration {
+	return min(end.Sub(now), end.Round(0).Sub(now.Round(0)))
+}
+
+// Elapsed returns the time from start to now by the clock that counted more, so that
+// it includes a suspension of the machine.
+func Elapsed(start, now time.Time) time.Duration {
+	return max(now.Sub(start), now.Round(0).Sub(start.Round(0)))
+}
