zlsharedrate: a rate that many VMs share by messages

Cause: a limit of an organisation holds for all VMs together. Change: each VM delegates its share of a rate to a keeper of its data centre for a limited time, one keeper at a time; VMs take tokens from it in batches, keepers borrow from each other. Node is the pure protocol, Limiter runs it for organisations.

--- /dev/null
+++ b/core/process/zlsharedrate/limiter_test.go
@@ -0,0 +1,111 @@
+package zlsharedrate
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"zinnialock/core/process/zldecision"
+	"zinnialock/core/process/zltimer"
+	"zinnialock/core/process/zlunit"
+	"zinnialock/core/version/zltable"
+)
+
+// beliefs counts the changes that Limiters report.
+type beliefs struct {
+	mu    sync.Mutex
+	count map[string]int
+}
+
+func (b *beliefs) Record(e zldecision.Event) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if e, ok := e.(*zldecision.Belief); ok {
+		b.count[e.What]++
+	}
+}
+
+func (b *beliefs) of(what string) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.count[what]
+}
+
+// Guards against limits that are applied to others, against one log line for each refusal,
+// and against requests that wait after their caller left. The keeper of the key may be a VM
+// that does not answer.
+func TestLimiterOfTwoVMs(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		o := zltable.Organisation{
+			Name:  "o",
+			Rate:  10,
+			Burst: 10,
+		}
+		table := zltable.New(1, nil, nil, zltable.Limits{}).WithOrganisations([]zltable.Organisation{o})
+		members := []Member{{VM: "a", Address: "a"}, {VM: "b", Address: "b"}}
+		done := make(chan struct{})
+		defer close(done)
+		limiters := map[zlunit.VM]*Limiter{}
+		var silent atomic.Bool
+		seen := &beliefs{
+			count: map[string]int{},
+		}
+		for _, m := range members {
+			limiters[m.VM] = &Limiter{
+				Self:  m,
+				Timer: &zltimer.Service{},
+				Table: func() *zltable.Table {
+					return table
+				},
+				Send: func(to Member, message *Message) {
+					if !silent.Load() {
+						go limiters[to.VM].Handle(m, message)
+					}
+				},
+				Sink: seen,
+				Done: done,
+			}
+			limiters[m.VM].SetMembers(members, true)
+			go limiters[m.VM].Run()
+		}
+		count := func(vm zlunit.VM, n int) (granted int) {
+			for range n {
+				if _, retryAfter, ok := limiters[vm].Acquire(context.Background(), o); ok {
+					granted++
+				} else if retryAfter <= 0 {
+					t.Errorf("got Retry-After %v", retryAfter)
+				}
+			}
+			return granted
+		}
+		time.Sleep(10 * time.Second)
+		if a, b := count("a", 50), count("b", 50); a+b < 9 || a+b > 12 {
+			t.Errorf("got %d and %d granted, want 10 together", a, b)
+		}
+		if n := seen.of("limitReached"); n == 0 || n > 2 {
+			t.Errorf("got %d reports, want one for each VM", n)
+		}
+		if _, _, ok := limiters["a"].Acquire(context.Background(), zltable.Organisation{Name: "other"}); !ok {
+			t.Error("an organisation without a limit was refused")
+		}
+		time.Sleep(2 * reportPause)
+		if n := seen.of("limitEnded"); n != seen.of("limitReached") {
+			t.Errorf("got %d reports of an end, want as many as of limits reached", n)
+		}
+		silent.Store(true)
+		ctx, cancel := context.WithTimeout(context.Background(), time.Millisecond)
+		defer cancel()
+		for _, vm := range []zlunit.VM{"a", "b"} {
+			for _, _, ok := limiters[vm].Acquire(ctx, o); ok; _, _, ok = limiters[vm].Acquire(ctx, o) {
+			}
+			count(vm, 50)
+		}
+		time.Sleep(time.Second)
+		if a, b := count("a", 50), count("b", 50); a+b > 12 {
+			t.Errorf("got %d and %d granted by VMs that are cut off, want 10 together at most", a, b)
+		}
+	})
+}
