zlbroadcast carries messages on shared rates

Cause: zlsharedrate needs datagrams to single VMs of all data centres. Change: optional fields 14 and 15 of the datagram. Such a message is not forwarded; a hash of the receiver keeps a VM from taking one that an earlier build passed on. Earlier builds ignore it. Result: TestRateMessageReachesItsReceiver; recorded messages of earlier builds are written as before.

--- a/io/version/zlbroadcast/message.go
+++ b/io/version/zlbroadcast/message.go
@@ -5,6 +5,7 @@
 
 	"zinnialock/core/process/zlbalancer"
 	"zinnialock/core/process/zlquarantine"
+	"zinnialock/core/process/zlsharedrate"
 	"zinnialock/core/process/zlunit"
 	"zinnialock/core/version/zlpoller"
 	"zinnialock/core/version/zlregistry"
@@ -40,6 +41,10 @@
 	Reply bool                 `cbor:"11,keyasint,omitempty"`
 	// Organisations is set if the table of the sender's revision has organisations.
 	Organisations bool `cbor:"12,keyasint,omitempty"`
+	// Rate is on shared rates, for the VM that RateReceiver identifies. Such a message has
+	// nothing else and is not forwarded.
+	Rate         *zlsharedrate.Message `cbor:"14,keyasint,omitempty"`
+	RateReceiver uint32                `cbor:"15,keyasint,omitempty"`
 }
 
 // delta is the encoded form of a zlwatcher.Delta.
--- a/io/version/zlbroadcast/zlbroadcast.go
+++ b/io/version/zlbroadcast/zlbroadcast.go
@@ -18,6 +18,7 @@
 	"zinnialock/core/process/zlbalancer"
 	"zinnialock/core/process/zldecision"
 	"zinnialock/core/process/zlquarantine"
+	"zinnialock/core/process/zlsharedrate"
 	"zinnialock/core/process/zltimer"
 	"zinnialock/core/process/zlunit"
 	"zinnialock/core/version/zlpoller"
@@ -105,6 +106,8 @@
 	// Quarantine holds what the VMs tell each other of requests that crash replicas; nil
 	// if they don't.
 	Quarantine *zlquarantine.Ledger
+	// OnRate takes the messages on shared rates; nil drops them.
+	OnRate func(from zlsharedrate.Member, m *zlsharedrate.Message)
 	// Handlers serve further requests of other VMs, by path.
 	Handlers map[string]http.Handler
 	// Done ends Run when it is closed.
@@ -119,6 +122,8 @@
 	// fetchSources holds the address of a VM that has a later revision.
 	fetchSources chan string
 	sequence     atomic.Uint32
+	// rateBytes counts the bytes of messages on shared rates.
+	rateBytes atomic.Int64
 	// heartbeats counts those sent without an update.
 	heartbeats atomic.Uint32
 	mu         sync.Mutex
@@ -341,7 +346,7 @@
 			b.recordFailure(eris.Wrapf(err, "decode datagram from %v", from))
 			continue
 		}
-		if !m.Ask && !m.Reply {
+		if !m.Ask && !m.Reply && m.Rate == nil {
 			for _, member := range b.PollPolicy.ForwardTargets(m.VM, m.Sequence) {
 				b.sendTo(member, buffer[:n])
 			}
@@ -351,6 +356,10 @@
 }
 
 func (b *Broadcaster) handle(m *message, from *net.UDPAddr) {
+	if m.Rate != nil {
+		b.handleRate(m, from)
+		return
+	}
 	if b.Quarantine != nil && b.handleCrash(m, from) {
 		return
 	}
