Limits of organisations in the relay: 429 with Retry-After

Cause: rate_per_s and burst of an organisation were decoded and not applied. Change: after the key check a caller's request needs a token; without one it is refused with reason organisationLimit, 429 and the time to come back. A request refused later returns its token; forwards, hedges and retries don't take one.

--- a/core/process/zldecision/zldecision.go
+++ b/core/process/zldecision/zldecision.go
@@ -45,6 +45,8 @@
 	// ReasonRateLimited: all replicas that may serve limit their request rate, and this
 	// VM's share of it comes too late.
 	ReasonRateLimited Reason = "rateLimited"
+	// ReasonOrganisationLimit: the organisation's limit is used up.
+	ReasonOrganisationLimit Reason = "organisationLimit"
 	// ReasonTooFewShards: fewer parts can be had than the route needs, and
 	// nothing has run.
 	ReasonTooFewShards     Reason = "tooFewShards"
--- /dev/null
+++ b/core/request/zlrelay/limit.go
@@ -0,0 +1,50 @@
+package zlrelay
+
+import (
+	"context"
+	"time"
+
+	"zinnialock/core/process/zldecision"
+	"zinnialock/core/version/zlregistry"
+	"zinnialock/core/version/zltable"
+)
+
+// limited serves a request of a caller within the limit of its organisation, which is nil if
+// it has none. A request that is refused for another reason does not count. Hedges, retries
+// and forwards belong to the request that was counted here.
+func (r *Relay) limited(ctx context.Context, view *zlregistry.View, route *zltable.Route, req *Request, o *zltable.Organisation, serve func() Answer) Answer {
+	if r.Limiter == nil || o == nil {
+		return serve()
+	}
+	grant, retryAfter, ok := r.Limiter.Acquire(ctx, *o)
+	switch {
+	case ok:
+		answer := serve()
+		if _, refused := answer.(*Refused); refused {
+			grant.Return()
+		}
+		return answer
+	case ctx.Err() != nil:
+		r.note(&zldecision.Failed{
+			Subject: r.subject(view, req, route),
+			Reason:  zldecision.ReasonCallerLeft,
+		})
+		return nil
+	default:
+		return r.refuseLimited(view, req, route, retryAfter)
+	}
+}
+
+// refuseLimited refuses a request over the limit of its organisation. The advice is when
+// there will be room for it, also if that is after the caller's deadline.
+func (r *Relay) refuseLimited(view *zlregistry.View, req *Request, route *zltable.Route, retryAfter time.Duration) Answer {
+	r.note(&zldecision.Refused{
+		Subject:    r.subject(view, req, route),
+		Reason:     zldecision.ReasonOrganisationLimit,
+		RetryAfter: retryAfter,
+	})
+	return &Refused{
+		Reason:     zldecision.ReasonOrganisationLimit,
+		RetryAfter: retryAfter,
+	}
+}
--- a/core/request/zlrelay/zlrelay.go
+++ b/core/request/zlrelay/zlrelay.go
@@ -21,6 +21,7 @@
 	"zinnialock/core/process/zlquantile"
 	"zinnialock/core/process/zlquarantine"
 	"zinnialock/core/process/zlsendbudget"
+	"zinnialock/core/process/zlsharedrate"
 	"zinnialock/core/process/zltimer"
 	"zinnialock/core/process/zlunit"
 	"zinnialock/core/process/zluplink"
@@ -83,6 +84,8 @@
 	// TableConfirmedAt returns the latest time as of which the newest table is known, as the
 	// store or peers confirmed it; nil if that is not tracked beyond the view.
 	TableConfirmedAt func() time.Time
+	// Limiter applies the limits of organisations; nil applies none.
+	Limiter *zlsharedrate.Limiter
 	// Settings holds the limits of the deployment.
 	Settings Settings
 	// Start is when this process started.
@@ -172,9 +175,11 @@
 	if reason != "" {
 		return r.refuseKey(view, req, route, reason)
 	}
-	x := r.start(ctx, view, route, req)
-	x.organisation = organisation
-	return x.serve()
+	return r.limited(ctx, view, route, req, organisation, func() Answer {
+		x := r.start(ctx, view, route, req)
+		x.organisation = organisation
+		return x.serve()
+	})
 }
 
 // Refuse refuses a request that nothing was done for.
