Limiter: requests don't put off its steps, the VM count no pause

Cause: each request reset the timer of the next step, so that with one every 4 ms nobody asked the next keeper; a VM count while no limit was used looked like a pause 15 s later and emptied the own buckets. Found by reading. Change: the step stays due when it was; a node without anything to lose has no pauses. Result: TestLimiterOfTwoVMs fails without either change and passes with both, with -race.

--- a/core/process/zlsharedrate/limiter.go
+++ b/core/process/zlsharedrate/limiter.go
@@ -208,21 +208,12 @@
 	l.init()
 	timer := l.Timer.After(calmStep)
 	defer timer.Stop()
+	stepped := l.Timer.Now()
 	for {
-		l.mu.Lock()
-		wait := time.Duration(0)
-		switch {
-		case l.node.Waiting():
-			wait = busyStep
-		case !l.node.Idle() || len(l.reached) > 0:
-			wait = calmStep
-		default:
-			l.node.Rest()
-		}
-		l.mu.Unlock()
 		var due <-chan time.Time
-		if wait > 0 {
-			timer.Reset(wait)
+		if period := l.period(); period > 0 {
+			// Further requests must not put off the step.
+			timer.Reset(max(stepped.Add(period).Sub(l.Timer.Now()), 0))
 			due = timer.C
 		}
 		select {
@@ -231,10 +222,25 @@
 		case <-l.wake:
 		case <-due:
 			l.step()
+			stepped = l.Timer.Now()
 		}
 	}
 }
 
+// period returns the time between two steps, 0 while there is nothing to do.
+func (l *Limiter) period() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	switch {
+	case l.node.Waiting():
+		return busyStep
+	case !l.node.Idle() || len(l.reached) > 0:
+		return calmStep
+	default:
+		return 0
+	}
+}
+
 // Keepers returns the number of limits for which this VM is a keeper.
 func (l *Limiter) Keepers() int {
 	l.init()
--- a/core/process/zlsharedrate/limiter_test.go
+++ b/core/process/zlsharedrate/limiter_test.go
@@ -81,7 +81,13 @@
 			}
 			return granted
 		}
-		time.Sleep(10 * time.Second)
+		// The VM count is repeated while no limit is used.
+		for range 3 {
+			time.Sleep(5 * time.Second)
+			limiters["a"].SetMembers(members, true)
+			limiters["b"].SetMembers(members, true)
+		}
+		time.Sleep(5 * time.Second)
 		if a, b := count("a", 50), count("b", 50); a+b < 9 || a+b > 12 {
 			t.Errorf("got %d and %d granted, want 10 together", a, b)
 		}
@@ -96,14 +102,25 @@
 			t.Errorf("got %d reports of an end, want as many as of limits reached", n)
 		}
 		silent.Store(true)
-		ctx, cancel := context.WithTimeout(context.Background(), time.Millisecond)
-		defer cancel()
-		for _, vm := range []zlunit.VM{"a", "b"} {
-			for _, _, ok := limiters[vm].Acquire(ctx, o); ok; _, _, ok = limiters[vm].Acquire(ctx, o) {
-			}
-			count(vm, 50)
+		// Requests that come faster than Run steps must not put off each other's decision.
+		var group sync.WaitGroup
+		for i := range 400 {
+			time.Sleep(time.Millisecond)
+			group.Go(func() {
+				// Every third caller leaves.
+				began, most := time.Now(), 3*answerTime
+				if i%3 == 0 {
+					most = time.Millisecond
+				}
+				ctx, cancel := context.WithTimeout(context.Background(), most)
+				defer cancel()
+				_, retryAfter, ok := limiters[members[i%2].VM].Acquire(ctx, o)
+				if left := !ok && retryAfter == 0; time.Since(began) > most || left && i%3 > 0 {
+					t.Errorf("caller %d waited %v", i, time.Since(began))
+				}
+			})
 		}
-		time.Sleep(time.Second)
+		group.Wait()
 		if a, b := count("a", 50), count("b", 50); a+b > 12 {
 			t.Errorf("got %d and %d granted by VMs that are cut off, want 10 together at most", a, b)
 		}
--- a/core/process/zlsharedrate/zlsharedrate.go
+++ b/core/process/zlsharedrate/zlsharedrate.go
@@ -152,7 +152,7 @@
 func (n *Node) advance(now time.Time) {
 	n.init()
 	n.now = now
-	if !n.steppedAt.IsZero() {
+	if !n.steppedAt.IsZero() && !n.Idle() {
 		if gap := zltimer.Elapsed(n.steppedAt, now); gap > pauseTime {
 			n.forget(gap)
 		}
@@ -254,16 +254,12 @@
 	return len(n.busy) > 0
 }
 
-// Idle reports whether there is nothing to do before the next call or message.
+// Idle reports whether there is nothing to do before the next call or message; Step need not
+// be called then.
 func (n *Node) Idle() bool {
 	return len(n.clients) == 0 && len(n.keepers) == 0 && len(n.owns) == 0
 }
 
-// Rest tells that Step is not called for a while, since the node is Idle.
-func (n *Node) Rest() {
-	n.steppedAt = time.Time{}
-}
-
 // place is a key in a data centre.
 type place struct {
 	key        Key
