--- a/core/process/zlsharedrate/constants.go
+++ b/core/process/zlsharedrate/constants.go
@@ -8,7 +8,7 @@
 	answerTime = 30 * time.Millisecond
 	// collectTime is how long a keeper waits for shares before it does without them:
 	// some round trips within a data centre.
-	collectTime = 8 * time.Millisecond
+	collectTime = 6 * time.Millisecond
 	// borrowTime is how long a keeper waits for other keepers: a round trip between data
 	// centres of up to 6 ms and their collectTime.
 	borrowTime = 14 * time.Millisecond
--- a/core/process/zlsharedrate/keeper.go
+++ b/core/process/zlsharedrate/keeper.go
@@ -152,6 +152,10 @@
 		n.collectIfDue(k)
 	}
 	n.serve(k, l)
+	if !a.Lend && k.level < borrowShare*n.bucketSize(l)*k.part(n) {
+		// In good time: a full bucket elsewhere would lose its refill.
+		n.borrowing(k, l)
+	}
 }
 
 // collectIfDue asks for shares when the keeper starts to be asked, and early when it is
--- a/core/process/zlsharedrate/limiter.go
+++ b/core/process/zlsharedrate/limiter.go
@@ -15,7 +15,7 @@
 const (
 	// busyStep and calmStep are the times between steps while a request waits and
 	// otherwise. The former is short compared to collectTime.
-	busyStep = 4 * time.Millisecond
+	busyStep = 3 * time.Millisecond
 	calmStep = 50 * time.Millisecond
 	// reportPause is the shortest time between two reports on an organisation or a keeper,
 	// and that without a refusal after which a limit is not reached any more.
