--- a/core/process/zlsharedrate/limiter_test.go
+++ b/core/process/zlsharedrate/limiter_test.go
@@ -36,7 +36,7 @@
 
 // Guards against limits that are applied to others, against one log line for each refusal,
 // and against requests that wait after their caller left. The keeper of the key may be a VM
-// that does not answer.
+// that does not answer. A VM that just started has to get tokens.
 func TestLimiterOfTwoVMs(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		o := zltable.Organisation{
@@ -46,6 +46,7 @@
 		}
 		table := zltable.New(1, nil, nil, zltable.Limits{}).WithOrganisations([]zltable.Organisation{o})
 		members := []Member{{VM: "a", Address: "a"}, {VM: "b", Address: "b"}}
+		started := Member{VM: "c", Address: "c"}
 		done := make(chan struct{})
 		defer close(done)
 		limiters := map[zlunit.VM]*Limiter{}
@@ -53,7 +54,7 @@
 		seen := &beliefs{
 			count: map[string]int{},
 		}
-		for _, m := range members {
+		for _, m := range append(members, started) {
 			limiters[m.VM] = &Limiter{
 				Self:  m,
 				Timer: &zltimer.Service{},
@@ -68,7 +69,11 @@
 				Sink: seen,
 				Done: done,
 			}
-			limiters[m.VM].SetMembers(members, true)
+			if m == started {
+				limiters[m.VM].SetMembers(append(members, started), false)
+			} else {
+				limiters[m.VM].SetMembers(members, true)
+			}
 			go limiters[m.VM].Run()
 		}
 		count := func(vm zlunit.VM, n int) (granted int) {
@@ -91,7 +96,11 @@
 		if a, b := count("a", 50), count("b", 50); a+b < 9 || a+b > 12 {
 			t.Errorf("got %d and %d granted, want 10 together", a, b)
 		}
-		if n := seen.of("limitReached"); n == 0 || n > 2 {
+		time.Sleep(9 * time.Second)
+		if c := count(started.VM, 50); c < 9 || c > 12 {
+			t.Errorf("got %d granted by a VM that the others don't count yet, want 10", c)
+		}
+		if n := seen.of("limitReached"); n == 0 || n > 3 {
 			t.Errorf("got %d reports, want one for each VM", n)
 		}
 		if _, _, ok := limiters["a"].Acquire(context.Background(), zltable.Organisation{Name: "other"}); !ok {
--- a/core/process/zlsharedrate/zlsharedrate_test.go
+++ b/core/process/zlsharedrate/zlsharedrate_test.go
@@ -28,6 +28,7 @@
 	{Rate: 0.5, Burst: 0.5},
 	{Rate: 4, Burst: 4},
 	{Rate: 60, Burst: 60},
+	{Rate: 400, Burst: 400},
 }
 
 // Guards against limits that cannot be used up or that are exceeded, wherever the callers
