--- a/core/request/zlrelay/zlrelay.go
+++ b/core/request/zlrelay/zlrelay.go
@@ -22,6 +22,7 @@
 	"zinnialock/core/process/zlquantile"
 	"zinnialock/core/process/zlquarantine"
 	"zinnialock/core/process/zlsendbudget"
+	"zinnialock/core/process/zlsharedrate"
 	"zinnialock/core/process/zltimer"
 	"zinnialock/core/process/zlunit"
 	"zinnialock/core/process/zluplink"
@@ -91,6 +92,8 @@
 	// OrdersKnown is closed once the orders of roll-outs are known: before that, requests could
 	// go to a version that is only to get a small share. Nil if there are none.
 	OrdersKnown <-chan struct{}
+	// Limiter applies the limits of organisations; nil applies none.
+	Limiter *zlsharedrate.Limiter
 	// Settings holds the limits of the deployment.
 	Settings Settings
 	// Start is when this process started.
@@ -187,9 +190,11 @@
 	if reason != "" {
 		return r.refuseKey(view, req, route, reason)
 	}
-	x := r.start(ctx, view, route, req)
-	x.setOrganisation(organisation)
-	return x.serve()
+	return r.limited(ctx, view, route, req, organisation, func() Answer {
+		x := r.start(ctx, view, route, req)
+		x.setOrganisation(organisation)
+		return x.serve()
+	})
 }
 
 // Refuse refuses a request that nothing was done for.
--- a/core/version/zlrollout/controller.go
+++ b/core/version/zlrollout/controller.go
@@ -104,7 +104,7 @@
 func (c *Controller) ranking(s *service) []zlunit.VM {
 	list, ok := c.rankings[s.name]
 	if !ok {
-		list = zlroster.Rank(c.members, string(s.name))
+		list = zlroster.Rank(zlroster.KeyOf(string(s.name)), c.members)
 		c.rankings[s.name] = list
 	}
 	return list
--- a/core/version/zlroster/zlroster.go
+++ b/core/version/zlroster/zlroster.go
@@ -113,7 +113,7 @@
 	}
 	var best [HoldersPerUpstream]ranked
 	n := 0
-	upstream := keyHash(string(u))
+	upstream := spread(KeyOf(string(u)))
 	for _, m := range r.eligible() {
 		c := ranked{
 			vm:    m.VM,
--- a/io/version/zlbroadcast/message.go
+++ b/io/version/zlbroadcast/message.go
@@ -5,6 +5,7 @@
 
 	"zinnialock/core/process/zlbalancer"
 	"zinnialock/core/process/zlquarantine"
+	"zinnialock/core/process/zlsharedrate"
 	"zinnialock/core/process/zlunit"
 	"zinnialock/core/version/zlpoller"
 	"zinnialock/core/version/zlregistry"
@@ -46,6 +47,10 @@
 	// Short are services that the sender found short of places. It is missing in messages of
 	// deployments without organisations and of a build that reports none.
 	Short []zlunit.Service `cbor:"13,keyasint,omitempty"`
+	// Rate is on shared rates, for the VM that RateReceiver identifies. Such a message has
+	// nothing else and is not forwarded.
+	Rate         *zlsharedrate.Message `cbor:"14,keyasint,omitempty"`
+	RateReceiver uint32                `cbor:"15,keyasint,omitempty"`
 	// Rollout is evidence on new versions, or verdicts. Direct is set if the message is not
 	// to be forwarded; a build that does not know it may forward it, which is harmless.
 	Rollout *zlrollout.Report `cbor:"17,keyasint,omitempty"`
--- a/io/version/zlbroadcast/zlbroadcast.go
+++ b/io/version/zlbroadcast/zlbroadcast.go
@@ -19,6 +19,7 @@
 	"zinnialock/core/process/zlbalancer"
 	"zinnialock/core/process/zldecision"
 	"zinnialock/core/process/zlquarantine"
+	"zinnialock/core/process/zlsharedrate"
 	"zinnialock/core/process/zltimer"
 	"zinnialock/core/process/zlunit"
 	"zinnialock/core/version/zlpoller"
@@ -119,6 +120,8 @@
 	Quarantine *zlquarantine.Ledger
 	// OnRolloutReport is called with each report on roll-outs of another VM; may be nil.
 	OnRolloutReport func(report *zlrollout.Report)
+	// OnRate takes the messages on shared rates; nil drops them.
+	OnRate func(from zlsharedrate.Member, m *zlsharedrate.Message)
 	// Handlers serve further requests of other VMs, by path.
 	Handlers map[string]http.Handler
 	// MaxConns limits the number of connections of other VMs; 0 means no limit.
@@ -138,6 +141,8 @@
 	// fetchSources holds the address of a VM that has a later revision.
 	fetchSources chan string
 	sequence     atomic.Uint32
+	// rateBytes counts the bytes of messages on shared rates.
+	rateBytes atomic.Int64
 	// heartbeats counts those sent without an update.
 	heartbeats atomic.Uint32
 	mu         sync.Mutex
@@ -380,7 +385,7 @@
 			b.recordFailure(eris.Wrapf(err, "decode datagram from %v", from))
 			continue
 		}
-		if !m.Ask && !m.Reply && !m.Direct {
+		if !m.Ask && !m.Reply && !m.Direct && m.Rate == nil {
 			for _, member := range b.PollPolicy.ForwardTargets(m.VM, m.Sequence) {
 				b.sendTo(member, buffer[:n])
 			}
@@ -402,6 +407,10 @@
 }
 
 func (b *Broadcaster) handle(m *message, from *net.UDPAddr) {
+	if m.Rate != nil {
+		b.handleRate(m, from)
+		return
+	}
 	if b.handleRollout(m) || b.Quarantine != nil && b.handleCrash(m, from) {
 		return
 	}
