check: a routing configuration of the platform before it is sent

Cause: a configuration with a misspelt service, weights without a sum or a key of two organisations was seen only at the VMs, which drop a table that cannot be decoded and use the others as they are. Change: `zinnialock check -platform FILE [-in-force FILE]` reports errors, warnings and what differs from the version in force; keys only as counts. core/version/zltablecheck checks the decoded table, platform/tablecheck.go what decoding hides (malformed organisations, times out of range, negative attempts, services defined twice).

--- a/cmd/cmd.go
+++ b/cmd/cmd.go
@@ -57,7 +57,7 @@
 		},
 		{
 			name:    "check",
-			summary: "validate a daemon's settings file and print its values",
+			summary: "validate a daemon's settings file, or check a routing configuration of the platform",
 			run:     runCheck,
 		},
 		{
--- a/cmd/cmd_test.go
+++ b/cmd/cmd_test.go
@@ -93,6 +93,9 @@
 		"serve -config none.toml":        "none.toml",
 		"check -config none.toml":        "none.toml",
 		"check -format no":               `flag -format: found "no"`,
+		"check -platform none.json":      "none.json",
+		"check -platform=":               "flag -platform: found nothing",
+		"check -in-force none.json":      "flag -platform: found nothing",
 		"standin platform -listen x":     `flag -listen: found "x"`,
 		"standin platform -writes -1":    "flag -writes: found -1, allowed is 0 to 1e+06",
 		"standin platform -reads NaN":    "flag -reads: found NaN",
@@ -144,6 +147,19 @@
 	}
 }
 
+// Guards against a configuration with errors that scripts take for a valid one.
+func TestCheckOfATableExitCode(t *testing.T) {
+	const table = "../platform/testdata/table.json"
+	for line, want := range map[string]int{
+		"check -platform " + table:                               exitOK,
+		"check -json -platform " + table + " -in-force " + table: exitFailed,
+	} {
+		if code, stdout, stderr := run(strings.Fields(line)...); code != want || stdout == "" {
+			t.Errorf("%s: code %d, want %d; stdout %q, stderr %q", line, code, want, stdout, stderr)
+		}
+	}
+}
+
 // A load without answers must not pass, since it checks nothing.
 func TestLoadExitCodeFailsOnViolationsOrNoAnswers(t *testing.T) {
 	good := zlload.Summary{
--- a/cmd/relay.go
+++ b/cmd/relay.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 
+	"zinnialock/core/version/zltablecheck"
 	"zinnialock/platform"
 )
 
@@ -26,3 +27,9 @@
 	}
 	return exitOK
 }
+
+// checkTable checks a configuration of the platform. It is here since only this file imports
+// that package.
+func checkTable(path, inForce string) (*zltablecheck.Report, error) {
+	return platform.CheckTable(path, inForce)
+}
