--- a/core/version/zlpoller/keys_test.go
+++ b/core/version/zlpoller/keys_test.go
@@ -5,7 +5,9 @@
 	"testing"
 	"time"
 
+	"zinnialock/core/version/zlrevision"
 	"zinnialock/core/version/zltable"
+	"zinnialock/core/version/zlwatcher"
 )
 
 // revokeTimeout is how long after the last confirmation a VM still relies on keys.
@@ -60,3 +62,32 @@
 		}
 	})
 }
+
+// A heartbeat may come before the update that it announces. Once this VM holds the update, it
+// counts as confirmed, also where no roll-outs are followed.
+func TestHeldUpdateIsConfirmedByEarlierHeartbeat(t *testing.T) {
+	for _, follows := range []bool{false, true} {
+		all := membersOf(2)
+		p := policyOf(all[1], all)
+		p.UpdateBound = bound
+		p.FollowsRollouts = follows
+		held := [zlwatcher.NumTopics]zlrevision.Revision{}
+		p.Revisions = func() [zlwatcher.NumTopics]zlrevision.Revision {
+			return held
+		}
+		announced := held
+		for i := range announced {
+			if follows || i < zlwatcher.NumCommonTopics {
+				announced[i].Number = 7
+			}
+		}
+		p.HandleHeartbeat(&Heartbeat{
+			VM:        all[0].VM,
+			Revisions: announced,
+		})
+		held = announced
+		if p.HeldConfirmedAt().IsZero() {
+			t.Errorf("roll-outs followed %v: what is held is not confirmed", follows)
+		}
+	}
+}
--- a/core/version/zlpoller/zlpoller.go
+++ b/core/version/zlpoller/zlpoller.go
@@ -217,7 +217,7 @@
 	held := p.Revisions()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for i, r := range p.confirmedRevisions {
+	for i, r := range p.followed(p.confirmedRevisions[:]) {
 		if held[i] == (zlrevision.Revision{}) || held[i].Before(r) {
 			return p.confirmedHeldAt
 		}
--- a/io/process/zljournal/zljournal.go
+++ b/io/process/zljournal/zljournal.go
@@ -115,7 +115,12 @@
 	case *zldecision.Refused:
 		// A caller that tries keys, or a hot organisation, must not displace the lines of
 		// others.
-		return e.Reason == zldecision.ReasonNoKey || e.Reason == zldecision.ReasonUnknownKey || e.Reason == zldecision.ReasonOverShare
+		switch e.Reason {
+		case zldecision.ReasonNoKey, zldecision.ReasonUnknownKey, zldecision.ReasonOverShare, zldecision.ReasonOrganisationLimit:
+			return true
+		default:
+			return false
+		}
 	default:
 		return false
 	}
--- a/io/process/zljournal/zljournal_test.go
+++ b/io/process/zljournal/zljournal_test.go
@@ -258,6 +258,12 @@
 	for range 400 {
 		events = append(events, &zldecision.Answered{})
 	}
+	// An organisation that sends many times its limit must not displace other lines either.
+	for range 400 {
+		events = append(events, &zldecision.Refused{
+			Reason: zldecision.ReasonOrganisationLimit,
+		})
+	}
 	for range 50 {
 		events = append(events, &zldecision.Refused{
 			Reason: zldecision.ReasonNoRoom,
@@ -268,7 +274,9 @@
 	for _, l := range lines {
 		switch l["event"] {
 		case "refused":
-			refused++
+			if l["reason"] == string(zldecision.ReasonNoRoom) {
+				refused++
+			}
 		case "leftOut":
 			dropped = l["plain"].(float64)
 		}
--- a/io/version/zlbroadcast/fetch.go
+++ b/io/version/zlbroadcast/fetch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"net/url"
@@ -50,6 +51,16 @@
 	return nil
 }
 
+// withoutURL returns the cause of a failed request. The URL of a fetch has hashes over the keys
+// of callers, which belong in no log line.
+func withoutURL(err error) error {
+	var e *url.Error
+	if errors.As(err, &e) {
+		return e.Err
+	}
+	return err
+}
+
 // fetchTopic fetches the delta of topic t since revision have from a peer and applies
 // it. It does nothing if the peer has no delta.
 func (b *Broadcaster) fetchTopic(peerAddress string, t zlwatcher.Topic, have zlrevision.Revision) error {
@@ -73,7 +84,7 @@
 	}
 	resp, err := b.client.Do(req)
 	if err != nil {
-		return err
+		return withoutURL(err)
 	}
 	defer func() {
 		_ = resp.Body.Close()
