Returned tokens of shared limits keep their end

Cause: Node.Return gave each token a new life of 200 ms. In a shortage, requests that are granted, refused after waiting and returned kept tokens in circulation while the buckets refilled, so that both ran when the shortage ended. A grant by chance, which takes a part of a token, came back as a whole one, and a token from before a pause of the process as a new one.

Change: a Grant keeps the end of its batch, or 200 ms after the grant if the token came from the own bucket, and Return restores it with that end. The own bucket is not filled again, since under its cap alone tokens that are out and those that it regained meanwhile would both count. Grants without a keeper can't be returned. A request that is refused later than the end of its token now counts.

--- a/core/process/zlsharedrate/client.go
+++ b/core/process/zlsharedrate/client.go
@@ -65,13 +65,14 @@
 	c.rate = c.demand(now) + 1/demandTime.Seconds()
 	c.usedAt = now
 	if len(c.waiters) == 0 {
-		switch {
-		case c.take(now) || n.takeOwn(key, false):
+		if token, ok := n.takeToken(key, c); ok {
 			done(Verdict{
 				Granted: true,
+				Token:   token,
 			})
 			return 0
-		case now.Before(c.denyUntil):
+		}
+		if now.Before(c.denyUntil) {
 			n.deny(c, done)
 			return 0
 		}
@@ -89,16 +90,27 @@
 	return n.tickets
 }
 
-// Return gives back a token that was not used; another request may use it soon.
-func (n *Node) Return(key Key, now time.Time) {
+// Return gives back a token that was not used; another request may use it until it expires.
+// A returned token that lived on, or went back into a bucket that has refilled meanwhile,
+// would let requests that are refused again and again collect more than the limit. Tokens
+// from before a pause of the process have expired, since pauseTime is longer than their life.
+func (n *Node) Return(key Key, t Token, now time.Time) {
 	n.advance(now)
-	if c, ok := n.clients[key]; ok {
-		c.batches = append(c.batches, batch{
-			tokens:  1,
-			expires: now.Add(batchTime),
+	c, ok := n.clients[key]
+	if !ok || zltimer.Remaining(now, t.expires) <= 0 {
+		return
+	}
+	i := slices.IndexFunc(c.batches, func(b batch) bool {
+		return b.expires.Equal(t.expires)
+	})
+	if i < 0 {
+		i = 0
+		c.batches = slices.Insert(c.batches, i, batch{
+			expires: t.expires,
 		})
-		n.serveWaiters(key, c)
 	}
+	c.batches[i].tokens++
+	n.serveWaiters(key, c)
 }
 
 // Cancel removes a request that does not wait any more; its done is not called.
@@ -115,16 +127,28 @@
 	return c.rate * math.Exp(-now.Sub(c.usedAt).Seconds()/demandTime.Seconds())
 }
 
-// take takes a token that has not expired, by either clock.
-func (c *client) take(now time.Time) bool {
+// takeToken takes a token that has not expired, by either clock, or one of the own bucket.
+func (n *Node) takeToken(key Key, c *client) (Token, bool) {
+	if t, ok := n.takeHeld(c); ok {
+		return t, true
+	}
+	return Token{
+		expires: n.now.Add(min(batchTime, n.TokenLife)),
+	}, n.takeOwn(key, false)
+}
+
+// takeHeld takes a token of a batch.
+func (n *Node) takeHeld(c *client) (Token, bool) {
 	c.batches = slices.DeleteFunc(c.batches, func(b batch) bool {
-		return b.tokens == 0 || zltimer.Remaining(now, b.expires) <= 0
+		return b.tokens == 0 || zltimer.Remaining(n.now, b.expires) <= 0
 	})
 	if len(c.batches) == 0 {
-		return false
+		return Token{}, false
 	}
 	c.batches[0].tokens--
-	return true
+	return Token{
+		expires: c.batches[0].expires,
+	}, true
 }
 
 // ask asks the first keeper that is not silent or tried, and decides without one if there
@@ -160,7 +184,8 @@
 	n.decideAlone(key, c)
 }
 
-// decideAlone decides all that wait by this VM's own share: no keeper can be reached.
+// decideAlone decides all that wait by this VM's own share: no keeper can be reached. What
+// it grants can't be returned: a grant by chance took less than a token.
 func (n *Node) decideAlone(key Key, c *client) {
 	l, _ := n.Limit(key)
 	c.refill = l.Rate / float64(max(n.total, 1))
@@ -226,11 +251,16 @@
 
 // serveWaiters gives the tokens to the requests in their order, and asks for the others.
 func (n *Node) serveWaiters(key Key, c *client) {
-	for len(c.waiters) > 0 && c.take(n.now) {
+	for len(c.waiters) > 0 {
+		token, ok := n.takeHeld(c)
+		if !ok {
+			break
+		}
 		w := c.waiters[0]
 		c.waiters = c.waiters[1:]
 		w.done(Verdict{
 			Granted: true,
+			Token:   token,
 		})
 	}
 	if len(c.waiters) > 0 && c.ask == nil {
--- a/core/process/zlsharedrate/limiter.go
+++ b/core/process/zlsharedrate/limiter.go
@@ -71,6 +71,7 @@
 type Grant struct {
 	limiter *Limiter
 	key     Key
+	token   Token
 }
 
 // Return gives the permission back: the request did not run.
@@ -80,7 +81,7 @@
 	}
 	l := g.limiter
 	l.mu.Lock()
-	l.node.Return(g.key, l.Timer.Now())
+	l.node.Return(g.key, g.token, l.Timer.Now())
 	l.send()
 }
 
@@ -133,6 +134,7 @@
 	return Grant{
 		limiter: l,
 		key:     key,
+		token:   v.Token,
 	}, 0, true
 }
 
--- a/core/process/zlsharedrate/zlsharedrate.go
+++ b/core/process/zlsharedrate/zlsharedrate.go
@@ -47,6 +47,14 @@
 	// Granted is set if the caller has a token; otherwise RetryAfter is when to come back.
 	Granted    bool
 	RetryAfter time.Duration
+	// Token is what Return needs.
+	Token Token
+}
+
+// Token is a token that was granted. The zero value can't be returned.
+type Token struct {
+	// expires is when it expires, also after it was returned and granted again.
+	expires time.Time
 }
 
 // Ticket identifies a request that waits; 0 means none.
