A VM without a VM count takes tokens of the VMs that it hears of

Cause: shared limits know no VM before the first VM count. A VM that restarts while the store is away, but gets table and replicas from its peers, refused each request of a limited organisation with 429 after 60 ms for as long as the store was away.

Change: until the first VM count, a Node asks the VMs of its data centre whose messages it got: those on shared rates, with the exact address, and heartbeats and health reports (Broadcaster.OnPeer), whose address is that of a forwarder in data centres of more than 25 VMs. It has no share and is no keeper meanwhile. If it knows or reaches none, the refusal is a 503 with the reason noKeeper and a Retry-After, and is not reported as a limit that was reached. Limiter.Acquire returns a Denial; the tests of Limiter and of Relay are adapted to it, with the same checks and the new case.

A Limiter that only heard a heartbeat gets 6 to 12 of a limit of 10 (TestLimiterOfTwoVMs).

Not covered: if the store is away for all VMs, they send no heartbeats; the VM then refuses with 503 until one of them reports a replica or is a keeper in use.

--- a/core/process/zldecision/zldecision.go
+++ b/core/process/zldecision/zldecision.go
@@ -50,6 +50,9 @@
 	ReasonRateLimited Reason = "rateLimited"
 	// ReasonOrganisationLimit: the organisation's limit is used up.
 	ReasonOrganisationLimit Reason = "organisationLimit"
+	// ReasonNoKeeper: the organisation has a limit, and this VM has neither a VM count nor
+	// reaches a VM that has one.
+	ReasonNoKeeper Reason = "noKeeper"
 	// ReasonTooFewShards: fewer parts can be had than the route needs, and
 	// nothing has run.
 	ReasonTooFewShards     Reason = "tooFewShards"
--- a/core/process/zlsharedrate/client.go
+++ b/core/process/zlsharedrate/client.go
@@ -155,7 +155,7 @@
 // is none.
 func (n *Node) ask(key Key, c *client, tried []zlunit.VM) {
 	c.ask = nil
-	if n.total == 0 {
+	if !n.knowsVMs() {
 		// The VMs are not known yet; stepClient decides.
 		return
 	}
@@ -197,7 +197,10 @@
 			continue
 		}
 		c.tokenAt = n.now.Add(maxDenyTime)
-		n.deny(c, w.done)
+		n.deny(c, func(v Verdict) {
+			v.NoKeeper = n.total == 0
+			w.done(v)
+		})
 	}
 }
 
@@ -302,7 +305,7 @@
 		n.ask(key, c, a.tried)
 	}
 	if c.ask == nil && len(c.waiters) > 0 {
-		if n.total > 0 {
+		if n.knowsVMs() {
 			n.ask(key, c, nil)
 		} else if n.now.Sub(c.waiters[0].since) >= maxTries*answerTime {
 			n.decideAlone(key, c)
--- a/core/process/zlsharedrate/limiter.go
+++ b/core/process/zlsharedrate/limiter.go
@@ -20,7 +20,7 @@
 	// reportPause is the shortest time between two reports on an organisation or a keeper,
 	// and that without a refusal after which a limit is not reached any more.
 	reportPause = 10 * time.Second
-	// maxGuests bounds the VMs that are not counted yet, the largest supported deployment.
+	// maxGuests bounds the VMs that are not counted, the largest supported deployment.
 	maxGuests = 1024
 )
 
@@ -50,8 +50,10 @@
 	mu    sync.Mutex
 	node  *Node
 	peers map[zlunit.VM]Member
-	// guests are VMs that asked although this one does not count them yet.
+	// guests are VMs that wrote although this one does not count them yet.
 	guests map[zlunit.VM]Member
+	// heard are the VMs of Hear before the first VM count.
+	heard map[zlunit.VM]Member
 	// indexed is the table whose limits are in limits.
 	indexed *zltable.Table
 	limits  map[Key]Limit
@@ -93,6 +95,8 @@
 		l.wake = make(chan struct{}, 1)
 		l.reached = map[zlunit.Organisation]time.Time{}
 		l.lost = map[zlunit.VM]lossReport{}
+		l.guests = map[zlunit.VM]Member{}
+		l.heard = map[zlunit.VM]Member{}
 		l.node = &Node{
 			Self:      l.Self,
 			Slack:     l.Slack,
@@ -104,11 +108,18 @@
 	})
 }
 
-// Acquire waits for the permission for one request of an organisation. Without it,
-// retryAfter is when the caller should come back, or 0 if ctx ended first.
-func (l *Limiter) Acquire(ctx context.Context, o zltable.Organisation) (g Grant, retryAfter time.Duration, ok bool) {
+// Denial is why Acquire gave no permission; the zero value is that ctx ended first.
+type Denial struct {
+	// RetryAfter is when the caller should come back.
+	RetryAfter time.Duration
+	// NoKeeper is set if that says nothing of the limit; see Verdict.
+	NoKeeper bool
+}
+
+// Acquire waits for the permission for one request of an organisation.
+func (l *Limiter) Acquire(ctx context.Context, o zltable.Organisation) (g Grant, d Denial, ok bool) {
 	if o.Rate <= 0 {
-		return Grant{}, 0, true
+		return Grant{}, Denial{}, true
 	}
 	l.init()
 	key := OrganisationKey(o.Name)
@@ -124,18 +135,23 @@
 	case v = <-verdicts:
 	case <-ctx.Done():
 		if v = l.cancel(key, ticket, verdicts); !v.Granted {
-			return Grant{}, 0, false
+			return Grant{}, Denial{}, false
 		}
 	}
 	if !v.Granted {
-		l.reportRefusal(o.Name)
-		return Grant{}, v.RetryAfter, false
+		if !v.NoKeeper {
+			l.reportRefusal(o.Name)
+		}
+		return Grant{}, Denial{
+			RetryAfter: v.RetryAfter,
+			NoKeeper:   v.NoKeeper,
+		}, false
 	}
 	return Grant{
 		limiter: l,
 		key:     key,
 		token:   v.Token,
-	}, 0, true
+	}, Denial{}, true
 }
 
 // cancel ends the wait for a verdict, and returns that which came meanwhile.
@@ -158,6 +174,7 @@
 	l.mu.Lock()
 	l.peers = make(map[zlunit.VM]Member, len(members))
 	l.guests = map[zlunit.VM]Member{}
+	l.heard = nil
 	for _, m := range members {
 		l.peers[m.VM] = m
 	}
@@ -166,11 +183,11 @@
 }
 
 // Handle takes a message of another VM. A VM that just started has to get answers before
-// this one counts it.
+// this one counts it, and one without a VM count asks those that wrote to it.
 func (l *Limiter) Handle(from Member, m *Message) {
 	l.init()
 	l.mu.Lock()
-	if _, ok := l.peers[from.VM]; !ok && l.guests != nil && len(l.guests) < maxGuests {
+	if _, ok := l.peers[from.VM]; !ok && len(l.guests) < maxGuests {
 		l.guests[from.VM] = from
 	}
 	l.node.Handle(from.VM, m, l.Timer.Now())
@@ -178,6 +195,19 @@
 	l.kick()
 }
 
+// Hear takes note of a VM of this data centre that sent a message on something else. Before
+// the first VM count, it may be asked for tokens. In a large data centre another VM may have
+// forwarded the message; a question to its address is lost, and the next VM is asked.
+func (l *Limiter) Hear(from Member) {
+	l.init()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if _, ok := l.heard[from.VM]; l.heard != nil && (ok || len(l.heard) < maxGuests) {
+		l.heard[from.VM] = from
+		l.node.Meet(from.VM)
+	}
+}
+
 // send sends the messages that are due and unlocks mu.
 func (l *Limiter) send() {
 	out := l.node.Out()
@@ -185,8 +215,10 @@
 	for i, e := range out {
 		if m, ok := l.peers[e.To]; ok {
 			to[i] = m
+		} else if m, ok := l.guests[e.To]; ok {
+			to[i] = m
 		} else {
-			to[i] = l.guests[e.To]
+			to[i] = l.heard[e.To]
 		}
 	}
 	l.mu.Unlock()
--- a/core/process/zlsharedrate/limiter_test.go
+++ b/core/process/zlsharedrate/limiter_test.go
@@ -46,7 +46,7 @@
 		}
 		table := zltable.New(1, nil, nil, zltable.Limits{}).WithOrganisations([]zltable.Organisation{o})
 		members := []Member{{VM: "a", Address: "a"}, {VM: "b", Address: "b"}}
-		started := Member{VM: "c", Address: "c"}
+		started, uncounted := Member{VM: "c", Address: "c"}, Member{VM: "d", Address: "d"}
 		done := make(chan struct{})
 		defer close(done)
 		limiters := map[zlunit.VM]*Limiter{}
@@ -54,7 +54,7 @@
 		seen := &beliefs{
 			count: map[string]int{},
 		}
-		for _, m := range append(members, started) {
+		for _, m := range append(members, started, uncounted) {
 			limiters[m.VM] = &Limiter{
 				Self:  m,
 				Timer: &zltimer.Service{},
@@ -69,19 +69,21 @@
 				Sink: seen,
 				Done: done,
 			}
-			if m == started {
+			switch m {
+			case uncounted:
+			case started:
 				limiters[m.VM].SetMembers(append(members, started), false)
-			} else {
+			default:
 				limiters[m.VM].SetMembers(members, true)
 			}
 			go limiters[m.VM].Run()
 		}
 		count := func(vm zlunit.VM, n int) (granted int) {
 			for range n {
-				if _, retryAfter, ok := limiters[vm].Acquire(context.Background(), o); ok {
+				if _, d, ok := limiters[vm].Acquire(context.Background(), o); ok {
 					granted++
-				} else if retryAfter <= 0 {
-					t.Errorf("got Retry-After %v", retryAfter)
+				} else if d.RetryAfter <= 0 || d.NoKeeper {
+					t.Errorf("got denial %+v", d)
 				}
 			}
 			return granted
@@ -101,7 +103,15 @@
 		if c := count(started.VM, 50); c < 6 || c > 12 {
 			t.Errorf("got %d granted by a VM that the others don't count yet, want 6 to 12", c)
 		}
-		if n := seen.of("limitReached"); n == 0 || n > 3 {
+		if _, d, ok := limiters[uncounted.VM].Acquire(context.Background(), o); ok || !d.NoKeeper || d.RetryAfter <= 0 {
+			t.Errorf("got denial %+v, granted %v by a VM that knows no other", d, ok)
+		}
+		time.Sleep(30 * time.Second)
+		limiters[uncounted.VM].Hear(members[0])
+		if d := count(uncounted.VM, 50); d < 6 || d > 12 {
+			t.Errorf("got %d granted by a VM without a VM count, want 6 to 12", d)
+		}
+		if n := seen.of("limitReached"); n == 0 || n > 4 {
 			t.Errorf("got %d reports, want one for each VM", n)
 		}
 		if _, _, ok := limiters["a"].Acquire(context.Background(), zltable.Organisation{Name: "other"}); !ok {
@@ -124,8 +134,8 @@
 				}
 				ctx, cancel := context.WithTimeout(context.Background(), most)
 				defer cancel()
-				_, retryAfter, ok := limiters[members[i%2].VM].Acquire(ctx, o)
-				if left := !ok && retryAfter == 0; time.Since(began) > most || left && i%3 > 0 {
+				_, d, ok := limiters[members[i%2].VM].Acquire(ctx, o)
+				if left := !ok && d.RetryAfter == 0; time.Since(began) > most || left && i%3 > 0 {
 					t.Errorf("caller %d waited %v", i, time.Since(began))
 				}
 			})
--- a/core/process/zlsharedrate/zlsharedrate.go
+++ b/core/process/zlsharedrate/zlsharedrate.go
@@ -47,6 +47,9 @@
 	// Granted is set if the caller has a token; otherwise RetryAfter is when to come back.
 	Granted    bool
 	RetryAfter time.Duration
+	// NoKeeper is set if it was denied since this VM neither has a VM count nor reaches a
+	// keeper, which says nothing of the limit.
+	NoKeeper bool
 	// Token is what Return needs.
 	Token Token
 }
@@ -78,7 +81,8 @@
 	// now is the time of the current call, steppedAt that of the last one.
 	now       time.Time
 	steppedAt time.Time
-	// vms are the VMs by data centre, total their number.
+	// vms are the VMs by data centre, total their number. Before the first VM count, total is
+	// 0 and vms holds those of this data centre that wrote to this VM.
 	vms   map[zlunit.DataCentre][]zlunit.VM
 	total int
 	// ranked holds what candidates computed: to sort 220 VMs for each question would take
@@ -117,6 +121,8 @@
 		return
 	}
 	n.out = map[zlunit.VM][]*Message{}
+	n.vms = map[zlunit.DataCentre][]zlunit.VM{}
+	n.ranked = map[place][]zlunit.VM{}
 	if n.TokenLife <= 0 {
 		n.TokenLife = maxTokenLife
 	}
@@ -201,6 +207,7 @@
 
 func (n *Node) handle(from zlunit.VM, m *Message, now time.Time) {
 	n.heard(from)
+	n.Meet(from)
 	for i := range m.Asks {
 		n.handleAsk(from, &m.Asks[i])
 	}
@@ -304,6 +311,23 @@
 	}
 }
 
+// Meet takes note of a VM before the first VM count. It may be asked for tokens: those that
+// write to a VM without a count are of its data centre. This one is no keeper meanwhile.
+func (n *Node) Meet(vm zlunit.VM) {
+	n.init()
+	dc := n.Self.DataCentre
+	if n.total > 0 || vm == n.Self.VM || len(n.vms[dc]) >= maxGuests || slices.Contains(n.vms[dc], vm) {
+		return
+	}
+	n.vms[dc] = append(n.vms[dc], vm)
+	clear(n.ranked)
+}
+
+// knowsVMs reports whether there are VMs to ask.
+func (n *Node) knowsVMs() bool {
+	return n.total > 0 || len(n.vms[n.Self.DataCentre]) > 0
+}
+
 // missed takes note that a VM did not answer.
 func (n *Node) missed(vm zlunit.VM) {
 	s, ok := n.silent[vm]
--- a/core/request/zlrelay/limit.go
+++ b/core/request/zlrelay/limit.go
@@ -16,7 +16,7 @@
 	if r.Limiter == nil || o == nil {
 		return serve()
 	}
-	grant, retryAfter, ok := r.Limiter.Acquire(ctx, *o)
+	grant, denial, ok := r.Limiter.Acquire(ctx, *o)
 	switch {
 	case ok:
 		answer := serve()
@@ -31,20 +31,24 @@
 		})
 		return nil
 	default:
-		return r.refuseLimited(view, req, route, retryAfter)
+		reason := zldecision.ReasonOrganisationLimit
+		if denial.NoKeeper {
+			reason = zldecision.ReasonNoKeeper
+		}
+		return r.refuseLimited(view, req, route, reason, denial.RetryAfter)
 	}
 }
 
-// refuseLimited refuses a request over the limit of its organisation. The advice is when
+// refuseLimited refuses a request that got no token of its organisation's limit. The advice is when
 // there will be room for it, also if that is after the caller's deadline.
-func (r *Relay) refuseLimited(view *zlregistry.View, req *Request, route *zltable.Route, retryAfter time.Duration) Answer {
+func (r *Relay) refuseLimited(view *zlregistry.View, req *Request, route *zltable.Route, reason zldecision.Reason, retryAfter time.Duration) Answer {
 	r.note(&zldecision.Refused{
 		Subject:    r.subject(view, req, route),
-		Reason:     zldecision.ReasonOrganisationLimit,
+		Reason:     reason,
 		RetryAfter: retryAfter,
 	})
 	return &Refused{
-		Reason:     zldecision.ReasonOrganisationLimit,
+		Reason:     reason,
 		RetryAfter: retryAfter,
 	}
 }
--- a/core/request/zlrelay/limit_test.go
+++ b/core/request/zlrelay/limit_test.go
@@ -59,9 +59,7 @@
 			},
 			Done: done,
 		}
-		r.Limiter.SetMembers([]zlsharedrate.Member{self}, true)
 		go r.Limiter.Run()
-		time.Sleep(time.Minute)
 		serve := func(name zlunit.Organisation) (served bool, reason zldecision.Reason, retryAfter time.Duration) {
 			req := request("/one/x")
 			d := zltable.DigestKey(string(name))
@@ -75,6 +73,11 @@
 				return false, "", 0
 			}
 		}
+		if _, reason, retryAfter := serve("limited"); reason != zldecision.ReasonNoKeeper || retryAfter <= 0 {
+			t.Errorf("got reason %q, Retry-After %v without a VM count, want that no keeper is known", reason, retryAfter)
+		}
+		r.Limiter.SetMembers([]zlsharedrate.Member{self}, true)
+		time.Sleep(time.Minute)
 		for range 2 * rate {
 			if _, reason, _ := serve("limited"); reason == "" || reason == zldecision.ReasonOrganisationLimit {
 				t.Errorf("got reason %q, want that of the replicas", reason)
--- a/io/version/zlbroadcast/rate.go
+++ b/io/version/zlbroadcast/rate.go
@@ -51,3 +51,13 @@
 		}, m.Rate)
 	}
 }
+
+// reportPeer reports the sender of a message that is not on shared rates.
+func (b *Broadcaster) reportPeer(m *message, from *net.UDPAddr) {
+	if b.OnPeer != nil {
+		b.OnPeer(zlsharedrate.Member{
+			VM:      m.VM,
+			Address: from.String(),
+		})
+	}
+}
--- a/io/version/zlbroadcast/zlbroadcast.go
+++ b/io/version/zlbroadcast/zlbroadcast.go
@@ -122,6 +122,9 @@
 	OnRolloutReport func(report *zlrollout.Report)
 	// OnRate takes the messages on shared rates; nil drops them.
 	OnRate func(from zlsharedrate.Member, m *zlsharedrate.Message)
+	// OnPeer is called with the sender of each heartbeat or health report and the address
+	// that it came from, which is another VM's if that one forwarded it; may be nil.
+	OnPeer func(from zlsharedrate.Member)
 	// Handlers serve further requests of other VMs, by path.
 	Handlers map[string]http.Handler
 	// MaxConns limits the number of connections of other VMs; 0 means no limit.
@@ -418,6 +421,7 @@
 	if m.Update != nil && !isPartial && m.Topic >= 0 && int(m.Topic) < zlwatcher.NumTopics {
 		b.Watcher.ApplyPeerDelta(m.Topic, fromWire(m.Update))
 	}
+	b.reportPeer(m, from)
 	if b.handleReports(m) {
 		return
 	}
