Roll-outs: all replicas of the target serve when no old one is left

Cause: at a share below 1 the plan limits the target to max(1, share x n) replicas of each data centre. Without a baseline replica Choose sends all requests to the target, but the limit stayed, so few replicas got them all.

Change: the plan drops the limit when the baseline has no allowed replica.

Measured: in TestTargetAloneServesWithAllReplicas 1 of 10 target replicas could serve before, 10 of 10 after.

--- a/core/version/zlrollout/service.go
+++ b/core/version/zlrollout/service.go
@@ -158,6 +158,10 @@
 		p.chosen = s.chooseReplicas(p.target, p.share, now)
 	}
 	p.count(s.replicas)
+	if !p.hasBaseline {
+		// The target gets all requests whatever the share, which a few replicas may not bear.
+		p.chosen = nil
+	}
 	return p
 }
 
--- a/core/version/zlrollout/split_test.go
+++ b/core/version/zlrollout/split_test.go
@@ -133,6 +133,32 @@
 	}
 }
 
+// Guards against all requests at one replica of the target when no old one is left early in
+// an order.
+func TestTargetAloneServesWithAllReplicas(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(1, 1, 4, 10)
+		f.put(newOne)
+		f.object.Status = Status{
+			State:  StateRunning,
+			Target: newOne,
+			Share:  smallShare,
+		}
+		f.tell(f.vms[0])
+		f.removeReplicas(func(b zlunit.Build) bool { return b == oldOne })
+		split := f.vms[0].Split(docs)
+		n := 0
+		for _, e := range f.replicas {
+			if split.Allows(e, split.Choose(0)) {
+				n++
+			}
+		}
+		if n != 10 {
+			t.Errorf("%d of 10 replicas may serve", n)
+		}
+	})
+}
+
 // Guards against calls, reports and splits where the deployment does not ask for roll-outs.
 func TestDisabled(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
