Roll-outs: completion waits for requests from before the order

Cause: each new Split began with no request in flight, and a Split is replaced when an order begins, changes or is withdrawn. Requests that were sent before that were not reported, so completed could be written while they ran at replicas that then stop.

Change: requests in flight are counted by build in the service, which all its splits share. While a service has one build and no order nothing is counted; after that a VM reports old replicas in use for the longest timeout of the service's routes (5 s for a route without one). The last time of the schedule still bounds the wait.

The tests of outcomes are unchanged.

--- a/core/process/zlbalancer/record.go
+++ b/core/process/zlbalancer/record.go
@@ -104,9 +104,10 @@
 	vms  int
 	// rateCounted is set if the request is counted in the replica's rate limit.
 	rateCounted bool
-	// split counts the request in its group until it ends; nil if the service is not split.
+	// split counts the request by the replica's build until it ends; nil if the service is
+	// not split.
 	split *zlrollout.Split
-	group zlrollout.Group
+	build zlunit.Build
 	// dataCentre is that of the replica; remote is set if it is not the one of this VM.
 	dataCentre zlunit.DataCentre
 	remote     *Placer
@@ -277,7 +278,7 @@
 		r.restriction.returnRate()
 	}
 	if f.split != nil {
-		f.split.Ended(f.group)
+		f.split.Ended(f.build)
 	}
 	if f.isFair && outcome == OutcomeRefused {
 		f.waiters.markShort(now)
--- a/core/process/zlbalancer/split.go
+++ b/core/process/zlbalancer/split.go
@@ -49,10 +49,10 @@
 	if placement == nil {
 		return nil, result
 	}
-	split.Sent(sel.group)
+	split.Sent(sel.group, placement.Entry.Build)
 	placement.Split = true
 	placement.Flight.split = split
-	placement.Flight.group = sel.group
+	placement.Flight.build = placement.Entry.Build
 	return placement, Placed
 }
 
--- a/core/version/zlrollout/controller.go
+++ b/core/version/zlrollout/controller.go
@@ -24,6 +24,9 @@
 	// refreshSplits is the time between updates of the splits, which depend on which
 	// replicas are cold.
 	refreshSplits = time.Second
+	// defaultRequestTime is taken as the longest time of a request on a route without a
+	// timeout, where the caller's deadline decides. It is chosen, not measured.
+	defaultRequestTime = 5 * time.Second
 )
 
 // Controller follows the orders of all services on one VM. Exported fields must be set
@@ -43,6 +46,8 @@
 	members  []zlunit.VM
 	rankings map[zlunit.Service][]zlunit.VM
 	services map[zlunit.Service]*service
+	// table is the one that the services' longest requests were last taken from.
+	table *zltable.Table
 	// ordered holds the services with an order, by name.
 	ordered  []*service
 	memories map[OrderKey]memory
@@ -118,6 +123,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.init()
+	c.noteTimeouts(v.Table)
 	for name, list := range v.Replicas {
 		c.service(name).setReplicas(list, now)
 	}
@@ -129,6 +135,30 @@
 	c.updateSplits(now)
 }
 
+// noteTimeouts takes the longest time of a request to each service from a table. It never
+// falls, since requests under earlier tables may be in flight. The caller holds mu.
+func (c *Controller) noteTimeouts(t *zltable.Table) {
+	if t == nil || t == c.table {
+		return
+	}
+	c.table = t
+	for i := range t.Routes {
+		r := &t.Routes[i]
+		longest := r.Timeout
+		if longest <= 0 {
+			longest = defaultRequestTime
+		}
+		for _, target := range r.Targets {
+			s := c.service(target.Service)
+			s.longest = max(s.longest, longest)
+		}
+		for _, name := range r.Shards {
+			s := c.service(name)
+			s.longest = max(s.longest, longest)
+		}
+	}
+}
+
 // updateSplits brings all splits up to date. The caller holds mu.
 func (c *Controller) updateSplits(now time.Time) {
 	c.splitsAt = now
@@ -164,7 +194,8 @@
 		b += "/" + string(s.order.id.Target)
 	}
 	return &Split{
-		next: float64(xxhash.Sum64String(b)>>11) / (1 << 53),
+		flights: &s.flights,
+		next:    float64(xxhash.Sum64String(b)>>11) / (1 << 53),
 	}
 }
 
--- a/core/version/zlrollout/request_test.go
+++ b/core/version/zlrollout/request_test.go
@@ -32,8 +32,8 @@
 	}
 	e := list[f.random.IntN(len(list))]
 	if split != nil {
-		split.Sent(g)
-		f.after(f.between(5*time.Millisecond, 40*time.Millisecond), func() { split.Ended(g) })
+		split.Sent(g, e.Build)
+		f.after(f.between(5*time.Millisecond, 40*time.Millisecond), func() { split.Ended(e.Build) })
 	}
 	l := f.loads[e.ID]
 	l.value = l.value*math.Exp(-time.Since(l.at).Seconds()) + 1
--- a/core/version/zlrollout/send.go
+++ b/core/version/zlrollout/send.go
@@ -40,13 +40,13 @@
 )
 
 // report returns this VM's own evidence of the order.
-func (s *service) report() Evidence {
+func (s *service) report(now time.Time) Evidence {
 	o := s.order
 	e := Evidence{
 		Order: o.key,
 	}
 	e.Percent = percent(o.appliedShare())
-	e.Busy = s.split != nil && s.split.baselineInFlight()
+	e.Busy = s.usesOldReplicas(now)
 	if o.merged {
 		sum := Tally{}
 		for _, t := range o.tallies {
@@ -130,7 +130,7 @@
 			o.begun = true
 			o.merged = len(running) > maxRouteOrders
 		}
-		list[i] = s.report()
+		list[i] = s.report(now)
 		bytes += list[i].size()
 	}
 	bytes = bytes*deciders + bytes*standbys/standbyRatio
--- a/core/version/zlrollout/service.go
+++ b/core/version/zlrollout/service.go
@@ -39,6 +39,14 @@
 	// order is the order in force; nil if there is none.
 	order *order
 	split *Split
+	// flights counts what was sent while there was a split. Uncounted: there is none, so
+	// that sends, all to uncountedBuild, are not counted; uncountedUntil is when that ended.
+	flights        flights
+	uncounted      bool
+	uncountedBuild zlunit.Build
+	uncountedUntil time.Time
+	// longest is the longest time that a request to the service takes.
+	longest time.Duration
 	// medians holds the baseline's usual latencies.
 	medians map[zltable.RouteName]*median
 }
@@ -134,14 +142,32 @@
 	}
 	if p == nil {
 		s.split = nil
+		if len(s.replicas) > 0 {
+			s.uncounted = true
+			s.uncountedBuild = s.baseline
+		}
 		return
 	}
+	if s.uncounted {
+		s.uncounted = false
+		s.uncountedUntil = now
+	}
 	if s.split == nil {
 		s.split = c.newSplit(s)
 	}
 	s.split.plan.Store(p)
 }
 
+// usesOldReplicas reports whether requests of this VM may be in flight at other replicas than
+// those of the order's target: some that were counted, or some from when none were counted.
+func (s *service) usesOldReplicas(now time.Time) bool {
+	target := s.order.id.Target
+	if !s.uncountedUntil.IsZero() && s.uncountedBuild != target && now.Sub(s.uncountedUntil) < s.longest {
+		return true
+	}
+	return s.flights.anyExcept(target)
+}
+
 // orderedPlan returns the plan during an order.
 func (s *service) orderedPlan(exposure float64, now time.Time) *plan {
 	o := s.order
--- a/core/version/zlrollout/split.go
+++ b/core/version/zlrollout/split.go
@@ -14,11 +14,13 @@
 
 // Split divides the requests of one service between two groups of replicas. Its methods
 // may be called concurrently. For each send the caller gets a group from Choose, places
-// the request at a replica that Allows accepts for it, and calls Sent with GroupOf of that
-// replica's build and Ended when the send has ended in any way. If no replica of
+// the request at a replica that Allows accepts for it, and calls Sent with the group and the
+// build of that replica, and Ended when the send has ended in any way. If no replica of
 // GroupTarget can take the request, GroupBaseline is tried; not the other way round.
 type Split struct {
 	plan atomic.Pointer[plan]
+	// flights is that of the service.
+	flights *flights
 
 	mu sync.Mutex
 	// quota is how many sends the target should have had by now. The next one goes to it
@@ -27,8 +29,7 @@
 	quota float64
 	next  float64
 	// sends counts this VM's sends since the order.
-	sends    uint64
-	inFlight [2]int
+	sends uint64
 }
 
 // plan is what the sends follow until the next one. It is immutable.
@@ -114,8 +115,9 @@
 	return !p.onlyBaseline || e.Build == p.baseline
 }
 
-// Sent notes that a request was sent to a replica of group g.
-func (s *Split) Sent(g Group) {
+// Sent notes that a request was sent to a replica of group g and build b.
+func (s *Split) Sent(g Group, b zlunit.Build) {
+	s.flights.add(b)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.quota = s.nextQuota(s.plan.Load())
@@ -123,19 +125,9 @@
 	if g == GroupTarget {
 		s.next++
 	}
-	s.inFlight[g]++
 }
 
-// Ended notes the end of a send that Sent was called for.
-func (s *Split) Ended(g Group) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.inFlight[g]--
-}
-
-// baselineInFlight reports whether sends to baseline replicas have not ended.
-func (s *Split) baselineInFlight() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.inFlight[GroupBaseline] > 0
+// Ended notes the end of a send to build b that Sent was called for.
+func (s *Split) Ended(b zlunit.Build) {
+	s.flights.remove(b)
 }
--- a/core/version/zlrollout/split_test.go
+++ b/core/version/zlrollout/split_test.go
@@ -22,7 +22,7 @@
 			g := GroupBaseline
 			if split != nil {
 				g = split.Choose(f.random.Float64())
-				split.Sent(g)
+				split.Sent(g, oldOne)
 			}
 			allowed, of := 0, 0
 			for _, e := range f.replicas {
@@ -244,9 +244,9 @@
 					if split := v.Split(docs); split != nil {
 						g := split.Choose(float64(i) / 200)
 						split.Allows(f.replicas[i%8], g)
-						split.Sent(g)
+						split.Sent(g, oldOne)
 						v.Record(docs, "route", oldOne, OutcomeFailed, time.Millisecond)
-						split.Ended(g)
+						split.Ended(oldOne)
 					}
 				}
 			})
