Roll-outs: callers do not wait for the count of outcomes

Cause: a send recorded its outcome under the lock of the controller before it delivered the reply.

Change: the relay works out the outcome first, delivers the reply, and passes the outcome on afterwards. Record keeps outcomes in a list with a lock of its own; they are counted at the beginning of every call that takes the controller's lock, thus for the order that was in force when they came.

Measured: with the old order TestCallerDoesNotWaitForTheEvidence ends in routeTimeout; with the old Record TestRecordDoesNotNeedTheControllersLock does not end. Both pass after the change. The time under load was not measured.

--- a/core/request/zlrelay/attempt.go
+++ b/core/request/zlrelay/attempt.go
@@ -82,11 +82,14 @@
 		Start:     a.begin,
 		ShortIdle: shortIdle,
 	})
+	report := a.evidence(ctx, reply)
 	a.recordOutcome(ctx, reply)
 	x.deliver(result{
 		attempt: a,
 		reply:   reply,
 	})
+	// After the delivery, so that the caller does not wait for locks of the evidence.
+	report()
 }
 
 // begin implements Call.Start: it denies the first byte if the attempt was
@@ -180,7 +183,6 @@
 	a.recordNotice(now, notice)
 	a.recordRateLimit(now, notice, genuine)
 	a.recordUplink(ctx, reply)
-	a.recordEvidence(ctx, now, reply)
 	if ctx.Err() != nil && outcome != zlbalancer.OutcomeServed {
 		outcome = zlbalancer.OutcomeGivenUp
 		if started && a.isPastOverdueTime(now) {
--- a/core/request/zlrelay/rollout.go
+++ b/core/request/zlrelay/rollout.go
@@ -43,19 +43,20 @@
 	return time.Duration(slowFactor * float64(a.part.run.expectedLatency))
 }
 
-// recordEvidence passes on the outcome of a send to a service that is divided between two
-// versions. A request that did not run has none; neither has a send that was cancelled
-// before it was slow.
-func (a *attempt) recordEvidence(ctx context.Context, now time.Time, reply Reply) {
+// evidence returns a function that passes on the outcome of a send to a service that is
+// divided between two versions. A request that did not run has none, and the function does
+// nothing; neither has a send that was cancelled before it was slow.
+func (a *attempt) evidence(ctx context.Context, reply Reply) (report func()) {
+	none := func() {}
 	r := a.part.run.relay
 	if !a.placement.Split || r.OnOutcome == nil {
-		return
+		return none
 	}
 	sentAt := a.placement.Flight.SentAt()
 	if sentAt.IsZero() {
-		return
+		return none
 	}
-	took := now.Sub(sentAt)
+	took := r.Timer.Now().Sub(sentAt)
 	// A cold replica is slow whatever its version.
 	isCold := a.placement.Entry.Cold(a.placedAt)
 	outcome := zlrollout.OutcomeGood
@@ -65,17 +66,20 @@
 			outcome = zlrollout.OutcomeFailed
 		}
 	case *NotRun:
-		return
+		return none
 	case *Unknown:
 		switch {
 		case ctx.Err() == nil:
 			outcome = zlrollout.OutcomeFailed
 		case isCold || a.part.run.expectedLatency <= 0 || took < a.slowAfter():
-			return
+			return none
 		}
 	}
 	if isCold {
 		took = 0
 	}
-	r.OnOutcome(a.part.service, a.part.run.route.Name, a.placement.Entry.Build, outcome, took)
+	service, route, build := a.part.service, a.part.run.route.Name, a.placement.Entry.Build
+	return func() {
+		r.OnOutcome(service, route, build, outcome, took)
+	}
 }
--- a/core/request/zlrelay/zlrelay.go
+++ b/core/request/zlrelay/zlrelay.go
@@ -87,7 +87,8 @@
 	// store or peers confirmed it; nil if that is not tracked beyond the view.
 	TableConfirmedAt func() time.Time
 	// OnOutcome is called with the outcome of each send to a service whose requests are
-	// divided between two versions (see zlrollout.Controller.Record); may be nil.
+	// divided between two versions (see zlrollout.Controller.Record), after its reply was
+	// delivered; sends call it concurrently. May be nil.
 	OnOutcome func(s zlunit.Service, route zltable.RouteName, b zlunit.Build, o zlrollout.Outcome, took time.Duration)
 	// OrdersKnown is closed once the orders of roll-outs are known: before that, requests could
 	// go to a version that is only to get a small share. Nil if there are none.
--- a/core/version/zlrollout/controller.go
+++ b/core/version/zlrollout/controller.go
@@ -40,6 +40,8 @@
 
 	// splits is replaced whenever a split is added or removed.
 	splits atomic.Pointer[map[zlunit.Service]*Split]
+	// pending has a lock of its own, which is never held for long.
+	pending pending
 
 	mu       sync.Mutex
 	start    int64
@@ -58,7 +60,8 @@
 	interval time.Duration
 }
 
-// init prepares the maps and returns the time. The caller holds mu.
+// init prepares the maps, counts the outcomes that wait and returns the time. The caller
+// holds mu.
 func (c *Controller) init() time.Time {
 	now := c.Timer.Now()
 	if c.services == nil {
@@ -70,6 +73,7 @@
 			c.members = []zlunit.VM{c.Self}
 		}
 	}
+	c.countPending()
 	return now
 }
 
@@ -209,20 +213,6 @@
 	return (*splits)[s]
 }
 
-// Record notes the outcome of a send to a replica of build b. Took is the time to the
-// response, or 0 if that is not comparable, as for a replica that was cold. It must not be
-// called for requests that the replica refused unrun or that this VM cancelled.
-func (c *Controller) Record(s zlunit.Service, route zltable.RouteName, b zlunit.Build, o Outcome, took time.Duration) {
-	if !c.Settings.Enabled {
-		return
-	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if service := c.services[s]; service != nil {
-		service.record(route, b, o, took)
-	}
-}
-
 // Step returns what is to be written and sent now. It is to be called each 100 ms.
 func (c *Controller) Step(now time.Time) []Action {
 	if !c.Settings.Enabled {
