--- a/core/version/zlrollout/controller.go
+++ b/core/version/zlrollout/controller.go
@@ -24,6 +24,9 @@
 	// refreshSplits is the time between updates of the splits, which depend on which
 	// replicas are cold.
 	refreshSplits = time.Second
+	// defaultRequestTime is taken as the longest time of a request on a route without a
+	// timeout, where the caller's deadline decides. It is chosen, not measured.
+	defaultRequestTime = 5 * time.Second
 )
 
 // Controller follows the orders of all services on one VM. Exported fields must be set
@@ -37,12 +40,16 @@
 
 	// splits is replaced whenever a split is added or removed.
 	splits atomic.Pointer[map[zlunit.Service]*Split]
+	// pending has a lock of its own, which is never held for long.
+	pending pending
 
 	mu       sync.Mutex
 	start    int64
 	members  []zlunit.VM
 	rankings map[zlunit.Service][]zlunit.VM
 	services map[zlunit.Service]*service
+	// table is the one that the services' longest requests were last taken from.
+	table *zltable.Table
 	// ordered holds the services with an order, by name.
 	ordered  []*service
 	memories map[OrderKey]memory
@@ -53,7 +60,8 @@
 	interval time.Duration
 }
 
-// init prepares the maps and returns the time. The caller holds mu.
+// init prepares the maps, counts the outcomes that wait and returns the time. The caller
+// holds mu.
 func (c *Controller) init() time.Time {
 	now := c.Timer.Now()
 	if c.services == nil {
@@ -65,6 +73,7 @@
 			c.members = []zlunit.VM{c.Self}
 		}
 	}
+	c.countPending()
 	return now
 }
 
@@ -118,6 +127,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.init()
+	c.noteTimeouts(v.Table)
 	for name, list := range v.Replicas {
 		c.service(name).setReplicas(list, now)
 	}
@@ -129,6 +139,30 @@
 	c.updateSplits(now)
 }
 
+// noteTimeouts takes the longest time of a request to each service from a table. It never
+// falls, since requests under earlier tables may be in flight. The caller holds mu.
+func (c *Controller) noteTimeouts(t *zltable.Table) {
+	if t == nil || t == c.table {
+		return
+	}
+	c.table = t
+	for i := range t.Routes {
+		r := &t.Routes[i]
+		longest := r.Timeout
+		if longest <= 0 {
+			longest = defaultRequestTime
+		}
+		for _, target := range r.Targets {
+			s := c.service(target.Service)
+			s.longest = max(s.longest, longest)
+		}
+		for _, name := range r.Shards {
+			s := c.service(name)
+			s.longest = max(s.longest, longest)
+		}
+	}
+}
+
 // updateSplits brings all splits up to date. The caller holds mu.
 func (c *Controller) updateSplits(now time.Time) {
 	c.splitsAt = now
@@ -164,7 +198,8 @@
 		b += "/" + string(s.order.id.Target)
 	}
 	return &Split{
-		next: float64(xxhash.Sum64String(b)>>11) / (1 << 53),
+		flights: &s.flights,
+		next:    float64(xxhash.Sum64String(b)>>11) / (1 << 53),
 	}
 }
 
@@ -178,20 +213,6 @@
 	return (*splits)[s]
 }
 
-// Record notes the outcome of a send to a replica of build b. Took is the time to the
-// response, or 0 if that is not comparable, as for a replica that was cold. It must not be
-// called for requests that the replica refused unrun or that this VM cancelled.
-func (c *Controller) Record(s zlunit.Service, route zltable.RouteName, b zlunit.Build, o Outcome, took time.Duration) {
-	if !c.Settings.Enabled {
-		return
-	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if service := c.services[s]; service != nil {
-		service.record(route, b, o, took)
-	}
-}
-
 // Step returns what is to be written and sent now. It is to be called each 100 ms.
 func (c *Controller) Step(now time.Time) []Action {
 	if !c.Settings.Enabled {
