Waiters at their limit of places hold back nobody

Cause: a waiter of a hot organisation with the better priority was ranked first although it may use only 0.8 of the places for each level. Others had to wait behind it, HasCapacity was false for them, and each free place notified only that waiter, so the places between its limit and all stayed idle.

Change: the order of waiters leaves out those that may use none of the free places: at the replica whose place became free for a notification and for a rate limit, at all replicas of the service for MustWait and HasCapacity. They do not count for IsHopeless of a lower level either. Parts of requests that were started have no limit and are not left out.

Measured: in TestWaiterAtItsLimitOfPlacesHoldsBackNobody the other request had to wait, had no capacity and was notified 0 of 2 times before; now it does not wait, has capacity and is notified first.

--- a/core/process/zlbalancer/place.go
+++ b/core/process/zlbalancer/place.go
@@ -160,13 +160,14 @@
 // tryStart counts the request as in flight at the replica, unless its rate limit or its
 // cold start doesn't allow one more.
 func (p *Placer) tryStart(v *zlregistry.View, c *candidate, now time.Time, w *PlacementRequest) (*Placement, Result) {
+	places := p.ConnectionShare(v.Table.Services[w.Service])
 	draw, counted := w.Draw, false
 	if c.record.restriction.isRateLimited() {
 		reserve := 0.0
 		switch {
 		case w.HealthyOnly:
 			reserve = 1
-		case p.queueFor(w.Service).before(w.Waiter) > 0:
+		case p.queueFor(w.Service).before(now, w.Waiter, c.state.highestLevel(places)) > 0:
 			return nil, RateLimited
 		}
 		draw = drawFor(v.Replicas[w.Service], c.entry, w.Draw)
@@ -181,7 +182,7 @@
 		}
 		return nil, AtLimit
 	}
-	placement := p.start(c, w)
+	placement := p.start(c, w, places)
 	placement.Flight.draw = draw
 	placement.Flight.rateCounted = counted
 	return placement, Placed
@@ -191,10 +192,11 @@
 // service now, without passing over a waiter whose turn comes before.
 func (p *Placer) HasCapacity(v *zlregistry.View, now time.Time, w *PlacementRequest) bool {
 	q := p.queueFor(w.Service)
-	if q.hasBefore(w.Turn) {
+	highest := p.highestLevel(v, now, w.Service)
+	if q.hasBefore(now, w.Turn, highest) {
 		return false
 	}
-	isFirst := q.before(w.Waiter) == 0
+	isFirst := q.before(now, w.Waiter, highest) == 0
 	over := q.overShare(now, w.Turn)
 	eligible := p.eligibilityOf(w.Service)
 	for _, e := range v.Replicas[w.Service] {
@@ -287,8 +289,9 @@
 	return rand.Float64()
 }
 
-// start counts the request as in flight at the replica.
-func (p *Placer) start(c *candidate, w *PlacementRequest) *Placement {
+// start counts the request as in flight at the replica, which has so many places for this
+// process.
+func (p *Placer) start(c *candidate, w *PlacementRequest, places int) *Placement {
 	f := &Flight{
 		Notify:  w.Notify,
 		record:  c.record,
@@ -297,6 +300,7 @@
 		target:  w.Target,
 		vms:     p.VMCount(),
 		isFair:  w.Turn != nil && w.Turn.Account != nil,
+		places:  places,
 
 		leavingGrace: p.Settings.LeavingGrace,
 		random:       p.random,
--- a/core/process/zlbalancer/ratelimit.go
+++ b/core/process/zlbalancer/ratelimit.go
@@ -190,7 +190,7 @@
 		return 0
 	}
 	vms := p.VMCount()
-	needed, rate := float64(1+p.queueFor(s).before(w)), 0.0
+	needed, rate := float64(1+p.queueFor(s).before(now, w, -1)), 0.0
 	eligible := p.eligibilityOf(s)
 	for _, e := range v.Replicas[s] {
 		if !eligible.allows(e) {
--- a/core/process/zlbalancer/record.go
+++ b/core/process/zlbalancer/record.go
@@ -93,6 +93,8 @@
 	target time.Duration
 	// isFair is set in a deployment with organisations.
 	isFair bool
+	// places is how many the replica had for this process when the request was placed.
+	places int
 	// leavingGrace is that of Settings; random and restricted are those of Placer.
 	leavingGrace time.Duration
 	random       func() float64
@@ -282,7 +284,8 @@
 	if f.isFair && outcome == OutcomeRefused {
 		f.waiters.markShort(now)
 	}
-	f.waiters.placeFreed(now)
+	state := r.snapshot(now)
+	f.waiters.placeFreed(now, state.highestLevel(f.places))
 }
 
 // ratio is the time taken over the time expected, or 0 if either is not known.
--- a/core/process/zlbalancer/shortage.go
+++ b/core/process/zlbalancer/shortage.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"zinnialock/core/process/zlunit"
+	"zinnialock/core/version/zlregistry"
 )
 
 const (
@@ -42,12 +43,59 @@
 	}
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if now.Sub(q.shortAt) > shortageMemory && now.Sub(q.toldAt) > toldMemory {
+	if !q.isShort(now) {
 		return 0
 	}
 	return t.Account.Level()
 }
 
+// isShort reports whether the service is short of places. The caller holds mu.
+func (q *waitQueue) isShort(now time.Time) bool {
+	return now.Sub(q.shortAt) <= shortageMemory || now.Sub(q.toldAt) <= toldMemory
+}
+
+// isCapped reports whether a waiter may not use a place that is free for levels up to highest,
+// although others may. Such a waiter must not hold back those that may. The caller holds mu.
+//
+// Load pattern: a hot organisation with the better priority waits for more than its part of
+// the places, and the others leave the rest idle if they wait behind it.
+func (q *waitQueue) isCapped(now time.Time, w *Waiter, highest int) bool {
+	return highest >= 0 && !w.Started && w.Turn.Account.Level() > highest && q.isShort(now)
+}
+
+// highestLevel returns the highest level of an organisation that may use a place at a replica
+// with n places for this process; -1 if none is free.
+func (s *replicaState) highestLevel(n int) int {
+	level := -1
+	for s.inFlight < s.placesFor(n, level+1) {
+		level++
+	}
+	return level
+}
+
+// highestLevel returns the highest level of an organisation that may use a place at some
+// replica of a service; -1 if none is free.
+func (p *Placer) highestLevel(v *zlregistry.View, now time.Time, s zlunit.Service) int {
+	level := -1
+	if p.Waiting(s) == 0 {
+		return level
+	}
+	eligible := p.eligibilityOf(s)
+	share := p.ConnectionShare(v.Table.Services[s])
+	for _, e := range v.Replicas[s] {
+		if v.OutOfService[e.DataCentre] || !eligible.allows(e) {
+			continue
+		}
+		r := p.recordFor(e)
+		state := r.snapshot(now)
+		until, never := r.restriction.blockedUntil(now, p.Settings.LeavingGrace)
+		if !never && until.IsZero() && !state.moved {
+			level = max(level, state.highestLevel(share))
+		}
+	}
+	return level
+}
+
 // markShort notes that a replica of the service refused a request. Late answers don't count:
 // those that meet a pause of a replica are late without a shortage.
 func (q *waitQueue) markShort(now time.Time) {
@@ -101,6 +149,7 @@
 
 // IsHopeless reports whether a waiter whose organisation is over its fair share will get no
 // place before a time: as many go first as places that it may use become free until then.
+// Those of a higher level do not count, as they leave it some of the places.
 //
 // Load pattern: a hot organisation's callers are refused at the end of their wait, too late
 // for a second attempt.
@@ -113,7 +162,7 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	places, ok := q.freed.within(now, until.Sub(now))
-	return ok && float64(q.countBefore(w)) >= places*shareOfPlaces(over)
+	return ok && float64(q.countBefore(now, w, over)) >= places*shareOfPlaces(over)
 }
 
 const (
--- a/core/process/zlbalancer/shortage_test.go
+++ b/core/process/zlbalancer/shortage_test.go
@@ -45,7 +45,7 @@
 			waiters[name] = w
 			r.Wait(r.now, w)
 		}
-		if !r.MustWait("finder", &waiters["hot"].Turn) || r.MustWait("finder", &waiters["urgent"].Turn) {
+		if !r.MustWait(r.view, r.now, "finder", &waiters["hot"].Turn) || r.MustWait(r.view, r.now, "finder", &waiters["urgent"].Turn) {
 			t.Errorf("%s: got a wrong answer to who must wait", tt.name)
 		}
 		for range waiters {
@@ -89,3 +89,39 @@
 		t.Errorf("got %v reported, want nothing that only others found", list)
 	}
 }
+
+// Guards against a waiter of a hot organisation with the better priority that holds back the
+// others, although it may use none of the free places, and is not woken when it may again.
+func TestWaiterAtItsLimitOfPlacesHoldsBackNobody(t *testing.T) {
+	r := newFixture()
+	l := hotLedger(r.now)
+	turns := map[string]*Turn{"hot": {Account: l.Account("hot")}, "small": {Account: l.Account("small"), Priority: 1}}
+	woken := map[string]int{}
+	waiters := map[string]*Waiter{}
+	request := func(name string) *PlacementRequest {
+		return &PlacementRequest{Service: "finder", Turn: turns[name], Waiter: waiters[name]}
+	}
+	r.queueFor("finder").markShort(r.now)
+	var placed []*Placement
+	for {
+		p, result := r.Place(r.view, r.now, request("hot"))
+		if result != Placed {
+			break
+		}
+		placed = append(placed, p)
+	}
+	other, _ := r.Place(r.view, r.now, request("small"))
+	for name, turn := range turns {
+		waiters[name] = &Waiter{Service: "finder", Turn: *turn, Notify: func() { woken[name]++ }}
+		r.Wait(r.now, waiters[name])
+	}
+	if r.MustWait(r.view, r.now, "finder", turns["small"]) || !r.HasCapacity(r.view, r.now, request("small")) || r.HasCapacity(r.view, r.now, request("hot")) {
+		t.Error("got free places kept for a waiter that may use none")
+	}
+	for i, p := range []*Placement{other, placed[0]} {
+		p.Flight.Done(r.now, OutcomeGivenUp, 0, 0)
+		if woken["small"] != 1 || woken["hot"] != i {
+			t.Errorf("got woken %v after %d places became free", woken, i+1)
+		}
+	}
+}
--- a/core/process/zlbalancer/wait.go
+++ b/core/process/zlbalancer/wait.go
@@ -9,6 +9,7 @@
 
 	"zinnialock/core/process/zlfairshare"
 	"zinnialock/core/process/zlunit"
+	"zinnialock/core/version/zlregistry"
 )
 
 // Turn is what orders the requests for places at a service: by Priority, then by how far the
@@ -55,6 +56,8 @@
 	// Due is the time after which the answer loses value; of waiters of one
 	// turn, the earliest is served first.
 	Due time.Time
+	// Started is that of PlacementRequest.
+	Started bool
 	// Notify is called when there may be a free place; it must not block.
 	Notify func()
 }
@@ -133,30 +136,28 @@
 	return n
 }
 
-// first returns the waiter that is served first, or nil. The caller holds mu.
-func (q *waitQueue) first() *Waiter {
-	if len(q.waiters) == 0 {
-		return nil
-	}
-	best := q.waiters[0]
-	for _, w := range q.waiters[1:] {
-		if w.Turn.Priority > best.Turn.Priority || best.Turn.Account.Level() == 0 {
+// first returns the waiter that is served first of those that may use a place for levels up
+// to highest, or nil. The caller holds mu.
+func (q *waitQueue) first(now time.Time, highest int) *Waiter {
+	var best *Waiter
+	for _, w := range q.waiters {
+		if best != nil && (w.Turn.Priority > best.Turn.Priority || best.Turn.Account.Level() == 0) {
 			break
 		}
-		if w.Turn.compareShare(&best.Turn) < 0 {
+		if !q.isCapped(now, w, highest) && (best == nil || w.Turn.compareShare(&best.Turn) < 0) {
 			best = w
 		}
 	}
 	return best
 }
 
-// placeFreed counts a place that is free again and notifies the first waiter, which stays in
-// the queue until it leaves.
-func (q *waitQueue) placeFreed(now time.Time) {
+// placeFreed counts a place that is free again and notifies the first waiter that may use a
+// place for levels up to highest. The waiter stays in the queue until it leaves.
+func (q *waitQueue) placeFreed(now time.Time, highest int) {
 	q.mu.Lock()
 	q.freed.add(now)
 	var notify func()
-	if w := q.first(); w != nil {
+	if w := q.first(now, highest); w != nil {
 		notify = w.Notify
 	}
 	q.mu.Unlock()
@@ -165,38 +166,41 @@
 	}
 }
 
-// before returns how many wait before w, or before one that is not in the queue.
-func (q *waitQueue) before(w *Waiter) int {
+// before returns how many wait before w, or before one that is not in the queue, and may use a
+// place for levels up to highest; all count if that is -1.
+func (q *waitQueue) before(now time.Time, w *Waiter, highest int) int {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	return q.countBefore(w)
+	return q.countBefore(now, w, highest)
 }
 
 // countBefore is before; the caller holds mu.
-func (q *waitQueue) countBefore(w *Waiter) int {
+func (q *waitQueue) countBefore(now time.Time, w *Waiter, highest int) int {
 	i := slices.Index(q.waiters, w)
-	if i < 0 {
-		return len(q.waiters)
-	}
 	n := 0
 	for j, v := range q.waiters {
-		if c := v.Turn.compareShare(&w.Turn); c < 0 || c == 0 && j < i {
+		c := -1
+		if i >= 0 {
+			c = v.Turn.compareShare(&w.Turn)
+		}
+		if (c < 0 || c == 0 && j < i) && !q.isCapped(now, v, highest) {
 			n++
 		}
 	}
 	return n
 }
 
-// hasBefore reports whether someone waits who is served first by the turn alone.
-func (q *waitQueue) hasBefore(t *Turn) bool {
+// hasBefore reports whether someone waits who may use a place for levels up to highest and is
+// served first by the turn alone.
+func (q *waitQueue) hasBefore(now time.Time, t *Turn, highest int) bool {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	w := q.first()
+	w := q.first(now, highest)
 	return w != nil && w.Turn.goesBefore(t)
 }
 
 // MustWait reports whether someone waits at a service who is served before a request that
-// arrives.
-func (p *Placer) MustWait(s zlunit.Service, t *Turn) bool {
-	return p.queueFor(s).hasBefore(t)
+// arrives, and may use a place that is free.
+func (p *Placer) MustWait(v *zlregistry.View, now time.Time, s zlunit.Service, t *Turn) bool {
+	return p.queueFor(s).hasBefore(now, t, p.highestLevel(v, now, s))
 }
--- a/core/request/zlrelay/fair.go
+++ b/core/request/zlrelay/fair.go
@@ -39,7 +39,7 @@
 // free when a request arrives is its own.
 func (p *part) waitsForOthers(now time.Time) bool {
 	x := p.run
-	if x.account == nil || x.route.IsSharded() || p.sends > 0 || !x.relay.Placer.MustWait(p.service, x.turn()) {
+	if x.account == nil || x.route.IsSharded() || p.sends > 0 || !x.relay.Placer.MustWait(x.view, now, p.service, x.turn()) {
 		return false
 	}
 	p.joinQueue(now)
--- a/core/request/zlrelay/part.go
+++ b/core/request/zlrelay/part.go
@@ -243,6 +243,7 @@
 		Service: p.service,
 		Turn:    *x.turn(),
 		Due:     x.partialAnswerAt,
+		Started: x.route.IsSharded() && x.admitted || p.sends > 0,
 		Notify:  x.wake,
 	}
 	x.relay.Placer.Wait(now, p.waiter)
