--- a/core/process/zlbalancer/place.go
+++ b/core/process/zlbalancer/place.go
@@ -118,12 +118,7 @@
 		if v.OutOfService[e.DataCentre] || slices.Contains(w.Skip, e.ID) || !sel.allows(e) {
 			continue
 		}
-		c := candidate{
-			entry:  e,
-			record: p.recordFor(e),
-			cold:   e.Cold(now),
-		}
-		c.state = c.record.snapshot(now)
+		c := p.candidateOf(e, now)
 		until, never := c.record.restriction.blockedUntil(now, p.Settings.LeavingGrace)
 		if c.state.moved || never {
 			continue
@@ -142,6 +137,22 @@
 		candidates = append(candidates, c)
 	}
 	p.preferDataCentre(candidates, now, w)
+	return p.startCheapest(v, candidates, now, w, result)
+}
+
+func (p *Placer) candidateOf(e *zlregistry.Entry, now time.Time) candidate {
+	record := p.recordFor(e)
+	return candidate{
+		entry:  e,
+		record: record,
+		state:  record.snapshot(now),
+		cold:   e.Cold(now),
+	}
+}
+
+// startCheapest starts the request at the cheapest candidate that allows it. result is why
+// other replicas are no candidates.
+func (p *Placer) startCheapest(v *zlregistry.View, candidates []candidate, now time.Time, w *PlacementRequest, result Result) (*Placement, Result) {
 	for len(candidates) > 0 {
 		i := cheapest(candidates)
 		c := candidates[i]
--- a/core/process/zlbalancer/record.go
+++ b/core/process/zlbalancer/record.go
@@ -248,6 +248,26 @@
 			r.lastFailure = now
 		}
 	}
+	f.observe(now, outcome, inFlight, expected, retryAfter)
+	r.mu.Unlock()
+	f.spillover.observe(now, f, outcome)
+	if f.rateCounted && f.sentAt.IsZero() {
+		r.restriction.returnRate()
+	}
+	if f.split != nil {
+		f.split.Ended(f.build)
+	}
+	if f.isFair && outcome == OutcomeRefused {
+		f.waiters.markShort(now)
+	}
+	state := r.snapshot(now)
+	f.waiters.placeFreed(now, state.highestLevel(f.places))
+}
+
+// observe takes in how the request ended, with inFlight requests at the replica. The caller
+// holds the lock of the record.
+func (f *Flight) observe(now time.Time, outcome Outcome, inFlight int, expected, retryAfter time.Duration) {
+	r := f.record
 	switch outcome {
 	case OutcomeServed:
 		f.site.recordAnswer()
@@ -274,19 +294,6 @@
 			r.observe(now, 0, ratio)
 		}
 	}
-	r.mu.Unlock()
-	f.spillover.observe(now, f, outcome)
-	if f.rateCounted && f.sentAt.IsZero() {
-		r.restriction.returnRate()
-	}
-	if f.split != nil {
-		f.split.Ended(f.build)
-	}
-	if f.isFair && outcome == OutcomeRefused {
-		f.waiters.markShort(now)
-	}
-	state := r.snapshot(now)
-	f.waiters.placeFreed(now, state.highestLevel(f.places))
 }
 
 // ratio is the time taken over the time expected, or 0 if either is not known.
