An organisation within its limit is not over its fair share

Change: an organisation with a limit is over its share only while requests of it are refused for the limit.

--- a/core/process/zlfairshare/zlfairshare.go
+++ b/core/process/zlfairshare/zlfairshare.go
@@ -12,7 +12,8 @@
 //   - an equal share among the organisations that were active recently, since a small one has
 //     too few requests for its usual share to be known;
 //
-// An organisation is not over its share either while it is served 0.3 as often as the others,
+// An organisation with a limit that all VMs share is over its share only while it asks for more
+// than that. An organisation is not over its share either while it is served 0.3 as often as the others,
 // so that none is served less than a quarter as often as all.
 package zlfairshare
 
@@ -76,6 +77,10 @@
 	name   zlunit.Organisation
 	use    use
 	level  atomic.Int32
+	// isLimited is set if the organisation has a limit that all VMs share, and atLimit is
+	// when a request was last refused for it.
+	isLimited bool
+	atLimit   time.Time
 }
 
 // Account returns the account of an organisation; an empty name stands for all requests
@@ -105,6 +110,29 @@
 	return a.name
 }
 
+// SetLimited sets whether the organisation has a limit that all VMs share. One that has is over
+// its share only while it asks for more than its limit: what this VM sees of a fleet with few
+// requests at each VM does not tell a hot organisation from one whose callers are connected
+// here.
+func (a *Account) SetLimited(isLimited bool) {
+	a.ledger.mu.Lock()
+	defer a.ledger.mu.Unlock()
+	a.isLimited = isLimited
+}
+
+// MarkAtLimit notes that a request was refused for the organisation's limit.
+func (a *Account) MarkAtLimit(now time.Time) {
+	a.ledger.mu.Lock()
+	defer a.ledger.mu.Unlock()
+	a.atLimit = now
+}
+
+// isWithinLimit reports whether the organisation asked for no more than its limit lately. The
+// caller holds the ledger's mu.
+func (a *Account) isWithinLimit(now time.Time) bool {
+	return a.isLimited && (a.atLimit.IsZero() || now.Sub(a.atLimit) > recentTime)
+}
+
 // Ask counts a first attempt of a caller that needs so many sends. Callers that repeat a
 // request at once must not be counted again, as they would raise their share by it.
 func (a *Account) Ask(now time.Time, sends int) {
@@ -138,7 +166,7 @@
 	}
 	a.use.add(u)
 	l.total.add(u)
-	a.level.Store(l.levelOf(a))
+	a.level.Store(l.levelOf(a, now))
 }
 
 func (u *use) add(v use) {
@@ -211,7 +239,7 @@
 		l.total.add(a.use)
 	}
 	for _, a := range l.accounts {
-		a.level.Store(l.levelOf(a))
+		a.level.Store(l.levelOf(a, now))
 	}
 }
 
@@ -228,8 +256,8 @@
 }
 
 // levelOf returns the level of an account. The caller holds mu.
-func (l *Ledger) levelOf(a *Account) int32 {
-	if l.total.recent <= 0 {
+func (l *Ledger) levelOf(a *Account, now time.Time) int32 {
+	if l.total.recent <= 0 || a.isWithinLimit(now) {
 		return 0
 	}
 	ratio := a.use.recent / l.total.recent / (tolerance * l.fairShare(a))
--- a/core/request/zlrelay/fair.go
+++ b/core/request/zlrelay/fair.go
@@ -15,6 +15,7 @@
 	x.organisation = o
 	if x.view.KeyTable().NeedsKeys() {
 		x.account = x.relay.shares.Account(x.req.Organisation)
+		x.account.SetLimited(o != nil && o.Rate > 0 && x.relay.Limiter != nil)
 	}
 }
 
--- a/core/request/zlrelay/limit.go
+++ b/core/request/zlrelay/limit.go
@@ -34,6 +34,8 @@
 		reason := zldecision.ReasonOrganisationLimit
 		if denial.NoKeeper {
 			reason = zldecision.ReasonNoKeeper
+		} else {
+			r.shares.Account(o.Name).MarkAtLimit(r.Timer.Now())
 		}
 		return r.refuseLimited(view, req, route, reason, denial.RetryAfter)
 	}
