--- a/core/process/zldecision/zldecision.go
+++ b/core/process/zldecision/zldecision.go
@@ -36,7 +36,7 @@
 	// ReasonUnknownKey: the caller's key belongs to no organisation.
 	ReasonUnknownKey Reason = "unknownKey"
 	// ReasonKeysUnconfirmed: the keys were not confirmed for too long, so that this VM
-	// cannot tell whether the caller's key is still valid.
+	// cannot know whether the caller's key is still valid.
 	ReasonKeysUnconfirmed Reason = "keysUnconfirmed"
 	// ReasonNoRoom: all replicas that may serve are at their limit for this VM.
 	ReasonNoRoom Reason = "noRoom"
@@ -149,7 +149,7 @@
 type Refused struct {
 	Subject
 	Reason Reason
-	// RetryAfter is after what time the caller was told to retry.
+	// RetryAfter is the time after which the caller is advised to retry.
 	RetryAfter time.Duration
 	// Service is the one without a free place; Waiting is how many requests
 	// wait there.
--- a/core/process/zlsharedrate/client.go
+++ b/core/process/zlsharedrate/client.go
@@ -25,7 +25,7 @@
 	denyUntil time.Time
 	tokenAt   time.Time
 	refill    float64
-	// backlogEnd is when the last caller was told to come back.
+	// backlogEnd is when the last refused caller is advised to retry.
 	backlogEnd time.Time
 }
 
--- a/core/process/zlsharedrate/constants.go
+++ b/core/process/zlsharedrate/constants.go
@@ -52,7 +52,7 @@
 	maxTries      = 2
 	// maxRanked bounds the orders that are remembered, of 100 bytes each.
 	maxRanked = 16384
-	// sweepPeriod is the time between steps for the keys for which nobody waits.
+	// sweepPeriod is the time between steps for the keys without waiting requests.
 	sweepPeriod = 100 * time.Millisecond
 	// silentMisses is the number of unanswered questions in a row after which a VM is not
 	// asked for silentTime.
--- a/core/process/zlsharedrate/fault_test.go
+++ b/core/process/zlsharedrate/fault_test.go
@@ -122,7 +122,7 @@
 	}
 }
 
-// Guards against advice that comes too early: a caller that comes back when it was told
+// Guards against advice that comes too early: a caller that comes back when advised
 // finds a token once the others stay away.
 func TestRetryAfterIsAccurate(t *testing.T) {
 	l := sizes[1]
--- a/core/process/zlsharedrate/keeper.go
+++ b/core/process/zlsharedrate/keeper.go
@@ -86,7 +86,7 @@
 
 // refill adds what the shares brought since the last time. Those that ended meanwhile
 // don't count. Tokens above the size of the bucket are lost, except for borrowed ones;
-// while nobody delegates, the level is kept for the next round.
+// while no VM delegates, the level is kept for the next round.
 func (k *keeper) refill(n *Node, l Limit) {
 	part := k.part(n)
 	size := n.bucketSize(l)
@@ -231,7 +231,7 @@
 	}
 }
 
-// stepKeeper answers the questions that are due, and forgets a key that nobody asks for
+// stepKeeper answers the questions that are due, and forgets a key that no VM asks for
 // once the own buckets of the VMs have filled.
 func (n *Node) stepKeeper(k *keeper) {
 	l, ok := n.Limit(k.key)
--- a/core/process/zlspillover/zlspillover.go
+++ b/core/process/zlspillover/zlspillover.go
@@ -34,7 +34,7 @@
 	// Home is the data centre of this VM.
 	Home zlunit.DataCentre
 	// OnChange is called when a service begins or ceases to leave its data centre, or
-	// its share changed by much. It must not block; nil means that nobody is told.
+	// its share changed by much. It must not block; nil means that no part needs the change.
 	OnChange func(Change)
 
 	mu       sync.Mutex
--- a/core/request/zlrelay/key.go
+++ b/core/request/zlrelay/key.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"zinnialock/core/process/zldecision"
+	"zinnialock/core/process/zltimer"
 	"zinnialock/core/process/zlunit"
 	"zinnialock/core/version/zlregistry"
 	"zinnialock/core/version/zltable"
@@ -78,7 +79,8 @@
 		return true
 	}
 	at := r.KeysConfirmedAt(view)
-	return !at.IsZero() && age(r.Timer.Now(), at) <= r.Settings.RevokeTimeout
+	// If the wall clock was set forward, callers are refused until the next confirmation.
+	return !at.IsZero() && zltimer.Elapsed(at, r.Timer.Now()) <= r.Settings.RevokeTimeout
 }
 
 // KeysConfirmedAt returns the time as of which the keys are known; zero if they never were, or
@@ -94,13 +96,6 @@
 	}
 }
 
-// age returns the time since at. The monotonic clock stands still while a VM is suspended,
-// so the wall clock counts as well if it shows more; if it was set forward, callers are
-// refused until the next confirmation.
-func age(now, at time.Time) time.Duration {
-	return max(now.Sub(at), now.Round(0).Sub(at.Round(0)))
-}
-
 // refuseKey refuses a request for its key. A refusal that comes from the table is final, so
 // that it has no advice when to retry.
 func (r *Relay) refuseKey(view *zlregistry.View, req *Request, route *zltable.Route, reason zldecision.Reason) Answer {
--- a/core/version/zlrollout/controller.go
+++ b/core/version/zlrollout/controller.go
@@ -282,7 +282,7 @@
 	}
 	o := s.order
 	if v.State == StateRunning && v.Stored && s.running() {
-		o.told = max(o.told, float64(v.Percent)/100)
+		o.reportedShare = max(o.reportedShare, float64(v.Percent)/100)
 		c.updateSplit(s, now)
 	}
 	if !v.State.Final() {
@@ -319,7 +319,7 @@
 	}
 	c.setOrder(s, latest, now, now)
 	if d := &s.order.decision; d.issued == latest.status() {
-		// Told at once: the platform acts on an outcome before VMs read it, and the time at
+		// Reported at once: the platform acts on an outcome before VMs read it, and the time at
 		// a share is short if VMs begin it orderLag apart.
 		d.verdicts = 1
 	}
--- a/core/version/zlrollout/order.go
+++ b/core/version/zlrollout/order.go
@@ -30,8 +30,8 @@
 	hadNoTarget bool
 	// already: the target is the baseline, so that there is nothing to find out.
 	already bool
-	// told is a share that the store holds by what another VM says.
-	told float64
+	// reportedShare is a share that the store holds by the report of another VM.
+	reportedShare float64
 	// held: this VM's own evidence made it stop its sends to the target.
 	held bool
 	// outcome is the final state if it is known, outcomeAt since when, and stored whether
@@ -43,7 +43,7 @@
 	// tallies counts this VM's own responses and changes all of them.
 	tallies map[zltable.RouteName]*Tally
 	changes uint64
-	// merged: the routes are not told apart in reports. Decided once, when begun is set:
+	// merged: reports don't distinguish the routes. Decided once, when begun is set:
 	// the counts in reports must only grow.
 	begun  bool
 	merged bool
@@ -157,7 +157,7 @@
 	case o.held || o.outcome == StateRolledBack || status.State != StateRunning:
 		return 0
 	}
-	return min(max(status.Share, o.told, 0), 1)
+	return min(max(status.Share, o.reportedShare, 0), 1)
 }
 
 // end notes an outcome.
@@ -218,7 +218,7 @@
 		o.decision.lead = false
 	}
 	o.shareAt = now
-	o.told = 0
+	o.reportedShare = 0
 	if status.State == StateRunning && status.Share <= 0 {
 		o.hadNoTarget = true
 	}
--- a/core/version/zlrollout/send.go
+++ b/core/version/zlrollout/send.go
@@ -21,7 +21,7 @@
 	// reportByteRate is what reports may take, in bytes a second: half of what all control
 	// traffic may.
 	reportByteRate = 3000
-	// maxRouteOrders is how many orders may run at once for routes to be told apart in
+	// maxRouteOrders is how many orders may run at once for routes to be distinguished in
 	// reports: with 36 orders of 4 routes reports would be 6 s apart.
 	maxRouteOrders = 6
 	// refreshInterval is how long evidence is not repeated that has not changed, and
--- a/core/version/zlrollout/split_test.go
+++ b/core/version/zlrollout/split_test.go
@@ -42,7 +42,7 @@
 	return float64(n) / float64(sent)
 }
 
-// Each case guards against traffic for replicas that nobody ordered, or against a service
+// Each case guards against traffic for replicas without an order, or against a service
 // without traffic when its replicas are replaced without an order.
 func TestWithoutOrder(t *testing.T) {
 	keep := func(n int) func(f *fleet) {
--- a/core/version/zlrollout/topic.go
+++ b/core/version/zlrollout/topic.go
@@ -156,7 +156,7 @@
 	c.note(s, "withdrawn", string(s.order.id.Target))
 	s.order = nil
 	s.split = nil
-	// Without the object, builds are told apart by the baseline alone.
+	// Without the object, builds are distinguished by the baseline alone.
 	clear(s.bad)
 	clear(s.retired)
 	c.ordered = slices.DeleteFunc(c.ordered, func(other *service) bool {
--- a/core/version/zltable/organisation.go
+++ b/core/version/zltable/organisation.go
@@ -33,7 +33,7 @@
 	Burst float64 `cbor:"6,keyasint,omitempty"`
 }
 
-// hashSeed keys the hash of digests, so that nobody outside this process can choose keys
+// hashSeed keys the hash of digests, so that no other process can choose keys
 // whose digests collide in the index.
 var hashSeed = maphash.MakeSeed()
 
--- a/core/version/zltablecheck/zltablecheck.go
+++ b/core/version/zltablecheck/zltablecheck.go
@@ -9,7 +9,7 @@
 	"zinnialock/core/version/zltable"
 )
 
-// Level tells whether a finding fails the check.
+// Level is whether a finding fails the check.
 type Level string
 
 // The levels of a Finding. Only errors fail the check.
--- a/core/version/zlwatcher/delta.go
+++ b/core/version/zlwatcher/delta.go
@@ -286,7 +286,7 @@
 // A table without organisations is not taken from a peer while this VM's table has some: a
 // peer of a build that knows no organisations drops the field, and all callers would be let
 // in. This VM then lacks the peer's revision, so that its PollPolicy lets it ask the store
-// itself, which tells whether operators removed the organisations.
+// itself, which shows whether operators removed the organisations.
 func (w *Watcher) ApplyPeerDelta(t Topic, d *Delta) bool {
 	if !w.Follows(t) {
 		return true
--- a/core/version/zlwatcher/rollout_test.go
+++ b/core/version/zlwatcher/rollout_test.go
@@ -10,7 +10,7 @@
 	"zinnialock/core/version/zlrollout"
 )
 
-// Guards against calls for orders where nobody follows them, and
+// Guards against calls for orders where they are not followed, and
 // against orders that are lost or kept after their withdrawal, also when the store goes back.
 func TestOrdersAreFollowedOnlyIfWanted(t *testing.T) {
 	for _, follows := range []bool{false, true} {
--- a/io/connection/zlconnlimit/zlconnlimit.go
+++ b/io/connection/zlconnlimit/zlconnlimit.go
@@ -96,7 +96,7 @@
 	Heads    *zlreadbudget.Budget
 	Requests *zlreadbudget.Budget
 	// OnClose is called for each connection that is closed, or request that is refused, for a
-	// limit. Internal locks may be held; nil if nobody needs to know.
+	// limit. Internal locks may be held; may be nil.
 	OnClose func(Cause)
 
 	mu sync.Mutex
