--- a/review/_world/platform/world.go
+++ b/review/_world/platform/world.go
@@ -430,7 +430,7 @@
 		"withdraw": playWithdraw,
 		"join":     playJoin,
 		"keys":     playKeys,
-		"chaos":    playChaos,
+		"chaos":    playChaos, "silent": playSilent, "signed": playSigned, "kept": playKept, "double": playDouble,
 	}
 	play, ok := cases[os.Args[1]]
 	if !ok {
