--- a/review/_world/platform/quota.go
+++ b/review/_world/platform/quota.go
@@ -165,13 +165,15 @@
 	if err != nil {
 		return false, err
 	}
-	time.Sleep(4 * time.Second)
+	// The machine that stays does not list again before the removal shows in a list.
+	if err := w.awaitList(w.machines[0]); err != nil {
+		return false, err
+	}
 	if w.trouble {
 		if err := w.restart(w.machines[1]); err != nil {
 			return false, err
 		}
 	}
-	time.Sleep(6 * time.Second)
 	return q.heatAfterList()
 }
 
