--- a/contrib/unit.sh
+++ b/contrib/unit.sh
@@ -1,30 +1,50 @@
 #!/usr/bin/env bash
-# Runs all tests with the race detector, and the large fleets also without it. A failure passes only if each test that
-# failed is named by a line "test: NAME" of KNOWN-RED.txt, and is printed then.
+# Runs all tests with the race detector, and the large fleets also without it. A package that failed passes only if each
+# of its tests that failed is named by a line "test: NAME" of KNOWN-RED.txt, and these are printed. Packages that ended by
+# the crash named by a line "runtime:" run again once, whole, under the same rule.
 set -uo pipefail
 cd "$(dirname "$0")/.."
 go test -count=1 -timeout 2m ./core/version/zlpoller || exit 1
 out=$(mktemp)
 trap 'rm -f "$out"' EXIT
-go test -race -count=1 -timeout 8m "${@:-./...}" 2>&1 | tee "$out"
-status=${PIPESTATUS[0]}
-[ "$status" -eq 0 ] && exit 0
-failed=$(sed -n 's/^--- FAIL: \([^ ]*\) .*/\1/p' "$out" | sort -u)
-# The race detector's runtime may crash in tests of many timers; no test failed then,
-# and the packages are run again, whole.
-if [ -z "$failed" ] && grep -qx "   runtime: crash of the race detector" KNOWN-RED.txt &&
-	grep -qE '^(SIGSEGV: segmentation violation|ThreadSanitizer: CHECK failed)' "$out" &&
-	! grep -qE '^panic:|WARNING: DATA RACE|goleak:|\[build failed\]|\[setup failed\]' "$out"; then
-	mapfile -t again < <(sed -n 's/^FAIL\t\([^\t ]*\)\t.*/\1/p' "$out" | sort -u)
-	echo "run again, see KNOWN-RED.txt: crash of the race detector: ${again[*]}"
-	exec go test -race -count=1 -timeout 8m "${again[@]}"
-fi
-if [ -z "$failed" ] || grep -qE '^panic:|WARNING: DATA RACE|goleak:|\[build failed\]|\[setup failed\]' "$out"; then
-	exit "$status"
-fi
-for name in $failed; do
-	if ! grep -qx "   test: $name" KNOWN-RED.txt; then
-		exit "$status"
-	fi
-	echo "passed over, see KNOWN-RED.txt: $name"
-done
+
+is_known() {
+	grep -qx "   $1" KNOWN-RED.txt
+}
+
+# packages prints a line for each package of the output that failed: its name, "bad" if that isn't a test's own failure,
+# "crash" if the race detector crashed or else "tests", and the tests that failed.
+packages() {
+	awk -F '\t' '
+		/^--- FAIL: / { split($0, part, " "); failed = failed " " part[3] }
+		/^panic:|WARNING: DATA RACE|goleak:|\[build failed\]|\[setup failed\]/ { bad = 1 }
+		/^(SIGSEGV: segmentation violation|ThreadSanitizer: CHECK failed)/ { crash = 1 }
+		/^FAIL\t/ { print $2 " " (bad ? "bad" : crash ? "crash" : "tests") failed; seen = 1 }
+		/^(FAIL|ok|\?  )\t/ { failed = ""; bad = 0; crash = 0 }
+		END { if (!seen) print "- bad" }' "$out"
+}
+
+# run_tests tests packages, and sets again to those that have to run again. It fails if a failure isn't known.
+run_tests() {
+	again=()
+	go test -race -count=1 -timeout 8m "$@" 2>&1 | tee "$out"
+	[ "${PIPESTATUS[0]}" -eq 0 ] && return 0
+	local name kind failed test
+	while read -r name kind failed; do
+		for test in $failed; do
+			is_known "test: $test" || return 1
+			echo "passed over, see KNOWN-RED.txt: $test"
+		done
+		case "$kind" in
+		crash) again+=("$name") ;;
+		tests) [ -n "$failed" ] || return 1 ;;
+		*) return 1 ;;
+		esac
+	done < <(packages)
+}
+
+run_tests "${@:-./...}" || exit 1
+[ "${#again[@]}" -eq 0 ] && exit 0
+is_known "runtime: crash of the race detector" || exit 1
+echo "run again, see KNOWN-RED.txt: crash of the race detector: ${again[*]}"
+run_tests "${again[@]}" && [ "${#again[@]}" -eq 0 ]
