OPTIONS * with a held body no longer hangs a listener

What callers saw: no answer any more. 64 connections, as many as the limits of the test allow, that sent OPTIONS * with a Content-Length and no body kept every later caller waiting until they left; the same at the listeners for readiness, metrics, peers, and both of serve.

Cause: net/http answers OPTIONS * itself, past the handler of zlconnlimit. It reads the body then, without a time, and the connection counted as one that is serving: neither closed after a time nor for a new connection.

Change: net/http passes OPTIONS * on (DisableGeneralOptionsHandler); it is a request like any other, and gets 400.

--- a/io/connection/zlconnlimit/zlconnlimit.go
+++ b/io/connection/zlconnlimit/zlconnlimit.go
@@ -132,6 +132,9 @@
 		return context.WithValue(ctx, connKey{}, c)
 	}
 	server.MaxHeaderBytes = maxHeadBytes
+	// net/http would answer OPTIONS * itself, past serve: it reads a body then that has neither
+	// a time nor a place among those that may be closed.
+	server.DisableGeneralOptionsHandler = true
 }
 
 // maxHeadBytes is the limit of net/http for a head: the Limiter's is always lower.
