Answers that are not read no longer hold a listener's connections for ever

What callers saw: no answer any more, as long as other clients kept their connections open without reading. 64 clients, as many as the limits of the test allow, sent 128 requests each behind one another and read none of the answers (64 KB each).

Cause: a connection that is being answered has no time and is not among those that may be closed for a new one, so that a write that waits for its reader holds a connection and the memory of the answer for good.

A connection of which nothing was read for a second is closed first when there is no room; otherwise after the idle time.

TestAnswerThatIsNotReadEndsTheConnection has no end without it. Where fewer connections than the limit stall, and for small answers to /metrics, readiness and unknown routes, trials on the old code showed no fault (ordinary requests were answered).

--- a/io/connection/zlconnlimit/conn.go
+++ b/io/connection/zlconnlimit/conn.go
@@ -57,13 +57,17 @@
 	gone          bool
 	// element is the connection's place in the list of its state.
 	element *list.Element
+	// writing is its place among those to which data is being written, since writingSince;
+	// nil if none is.
+	writing      *list.Element
+	writingSince time.Time
 }
 
 // state is what a connection waits for.
 type state int
 
 const (
-	// stateServing: an answer, or nothing; it must not be closed.
+	// stateServing: an answer, or nothing; it must not be closed before the answer is written.
 	stateServing state = iota
 	// stateNew: the first byte of its first request.
 	stateNew
--- a/io/connection/zlconnlimit/zlconnlimit.go
+++ b/io/connection/zlconnlimit/zlconnlimit.go
@@ -5,11 +5,12 @@
 // and 32 KB afterwards, and net/http keeps up to 40 bytes for each byte of a head that
 // it is reading. It doesn't interpret requests.
 //
-// Load pattern: thousands of callers that hold connections or incomplete heads open, or
-// send without end, beside ordinary callers that send a head at once. When there is no
-// room for another connection, the one that has waited longest without a whole head is
-// closed, then without a whole body, then the one that has been idle longest. When there is no room for more bytes,
-// the connection that asks for them is closed; zlreadbudget leaves room for short heads.
+// Load pattern: thousands of callers that hold connections or incomplete heads open, send
+// without end, or don't read their answers, beside ordinary callers that send a head at once.
+// When there is no room for another connection, one is closed of which nothing of an answer has
+// been read for a second, then the one that has waited longest without a whole head, then
+// without a whole body, then the one that has been idle longest. When there is no room for more
+// bytes, the connection that asks for them is closed; zlreadbudget leaves room for short heads.
 package zlconnlimit
 
 import (
@@ -59,6 +60,7 @@
 	CauseHeadTime    Cause = "headTime"
 	CauseBodyTime    Cause = "bodyTime"
 	CauseIdleTime    Cause = "idleTime"
+	CauseAnswerTime  Cause = "answerTime"
 	CauseHeadSize    Cause = "headSize"
 	CauseEmptyLines  Cause = "emptyLines"
 	CauseNoRoom      Cause = "noRoom"
@@ -77,7 +79,7 @@
 // Limits are the limits of one connection; 0 selects the default.
 type Limits struct {
 	// HeadTime is the time for a head from its first byte, IdleTime the time that a
-	// connection may be idle, also before its first request.
+	// connection may be idle, also before its first request, or nothing of an answer be read.
 	HeadTime time.Duration
 	IdleTime time.Duration
 	// HeadBytes is the size of a head, with the empty lines before it.
@@ -106,6 +108,8 @@
 	heads  list.List
 	bodies list.List
 	idle   list.List
+	// answers holds those to which data is being written, that which waits longest first.
+	answers list.List
 	// first counts the connections without a first whole head.
 	first  int
 	closed bool
@@ -219,6 +223,7 @@
 		return
 	}
 	c.enterLocked(stateServing)
+	c.endWriteLocked()
 	c.gone = true
 	delete(l.conns, c)
 	c.head.Close()
@@ -247,6 +252,10 @@
 // evict closes one connection to make room for another, and reports whether it could.
 // The caller holds mu.
 func (l *Limiter) evict() bool {
+	if c := l.stalled(time.Now(), stallTime); c != nil {
+		l.closeStalled(c, CauseConnections)
+		return true
+	}
 	for _, candidates := range []*list.List{&l.heads, &l.bodies, &l.idle} {
 		if e := candidates.Front(); e != nil {
 			l.closeLocked(e.Value.(*Conn), CauseConnections)
@@ -256,7 +265,8 @@
 	return false
 }
 
-// sweep closes the connections whose time is over.
+// sweep closes the connections whose time is over, and has a new connection that waits look
+// again whether an answer isn't read.
 func (l *Limiter) sweep(now time.Time) {
 	limits := l.limits()
 	l.mu.Lock()
@@ -267,6 +277,12 @@
 			l.closeLocked(c, cause)
 		}
 	}
+	for c := l.stalled(now, limits.IdleTime); c != nil; c = l.stalled(now, limits.IdleTime) {
+		l.closeStalled(c, CauseAnswerTime)
+	}
+	if l.full && l.stalled(now, stallTime) != nil {
+		l.notify()
+	}
 }
 
 // of returns the time for a state and the cause if it is over, which is empty for a state
--- a/io/connection/zlconnlimit/zlconnlimit_test.go
+++ b/io/connection/zlconnlimit/zlconnlimit_test.go
@@ -242,3 +242,31 @@
 		}
 	}
 }
+
+// Guards against callers that don't read their answers and keep the memory of these: the
+// connection ends once nothing has been read for the idle time.
+func TestAnswerThatIsNotReadEndsTheConnection(t *testing.T) {
+	causes := make(chan Cause, 1)
+	l := &Limiter{
+		Limits: func() Limits {
+			return Limits{
+				IdleTime: time.Millisecond,
+			}
+		},
+		OnClose: func(cause Cause) {
+			causes <- cause
+		},
+	}
+	ended := make(chan error, 1)
+	address := serve(t, l, func(w http.ResponseWriter, _ *http.Request) {
+		_, err := w.Write(make([]byte, 32<<20))
+		ended <- err
+	})
+	dial(t, address, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	if err := <-ended; err == nil {
+		t.Error("the answer was written without a reader, want an error")
+	}
+	if cause := <-causes; cause != CauseAnswerTime {
+		t.Errorf("got cause %q, want %q", cause, CauseAnswerTime)
+	}
+}
