Fetches of other VMs share what they are sent, within a budget

What was seen: 200 clients of the listener for other VMs that asked for the registry and read no reply took a relay beside 4,000 replicas from 27 to 139 to 156 MB of 60; with hashes of their own in the query 66 to 70 MB. With the limits of a VM of 184 MB 512 connections are allowed there.

Cause: each fetch built the delta and encoded it for itself, at the same time as all others, and kept it as long as its connection took; only the last compressed one was shared, and a query parameter that means nothing for the topic made another one of it.

Change: a topic encodes one reply at a time and keeps the last plain and the last compressed one for all fetches that it fits. VMs of a data centre fetch few different deltas, 0.5 MB at most.

--- a/io/version/zlbroadcast/bucket_test.go
+++ b/io/version/zlbroadcast/bucket_test.go
@@ -46,7 +46,7 @@
 		if err := to.fetchTopic(from.Address, zlwatcher.TopicTable, to.Watcher.Revisions()[zlwatcher.TopicTable]); err != nil {
 			t.Fatal(err)
 		}
-		held, got, sent := from.Watcher.HeldTable(), to.Watcher.HeldTable(), len(from.encoded[zlwatcher.TopicTable].data)
+		held, got, sent := from.Watcher.HeldTable(), to.Watcher.HeldTable(), len(from.replies[zlwatcher.TopicTable].last[true].data)
 		if got.Version != version || got.Keys() != 10000 || got.ChangeFrom(held) != nil || version == 2 && sent > 8<<10 {
 			t.Errorf("version %d: got version %d, change %+v, %d bytes", version, got.Version, got.ChangeFrom(held), sent)
 		}
--- a/io/version/zlbroadcast/fetch.go
+++ b/io/version/zlbroadcast/fetch.go
@@ -13,7 +13,6 @@
 	"zinnialock/core/version/zltable"
 	"zinnialock/core/version/zlwatcher"
 
-	"github.com/fxamacker/cbor/v2"
 	"github.com/rotisserie/eris"
 )
 
@@ -114,15 +113,17 @@
 	return nil
 }
 
-// encodeFor returns the encoded delta of topic t for the sender of a fetch, and whether
-// it is compressed, which the sender must accept.
-func (b *Broadcaster) encodeFor(r *http.Request, t zlwatcher.Topic, d *zlwatcher.Delta) (data []byte, zipped bool, err error) {
-	buckets := r.URL.Query().Get("buckets")
-	if strings.Contains(r.Header.Get("Accept-Encoding"), "gzip") {
-		return b.encoded[t].encode(d, buckets)
-	}
-	data, err = cbor.Marshal(toWire(d).without(buckets))
-	return data, false, err
+// replyTo returns the reply to a fetch of topic t, or nil if there is nothing later than have.
+func (b *Broadcaster) replyTo(r *http.Request, t zlwatcher.Topic, have zlrevision.Revision) (*encodedReply, error) {
+	buckets := ""
+	if t == zlwatcher.TopicTable {
+		buckets = r.URL.Query().Get("buckets")
+	}
+	since := func() *zlwatcher.Delta {
+		return b.Watcher.DeltaSince(t, have)
+	}
+	zip := strings.Contains(r.Header.Get("Accept-Encoding"), "gzip")
+	return b.replies[t].get(b.Replies, since, buckets, zip)
 }
 
 // parseRevision reads the revision that a fetch names. A build that knows no eras sends
@@ -145,7 +146,8 @@
 }
 
 // serveFetch answers a fetch with the delta since the revision that the other
-// VM has, or with 204 No Content if there is none.
+// VM has, with 204 No Content if there is none, or with 503 if there is no room for another
+// reply.
 func (b *Broadcaster) serveFetch(w http.ResponseWriter, r *http.Request) {
 	if len(r.URL.Path) <= len(fetchPath) {
 		w.WriteHeader(http.StatusNotFound)
@@ -157,21 +159,25 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	d := b.Watcher.DeltaSince(zlwatcher.Topic(t), have)
-	if d == nil {
-		w.WriteHeader(http.StatusNoContent)
+	topic := zlwatcher.Topic(t)
+	reply, err := b.replyTo(r, topic, have)
+	switch {
+	case errors.Is(err, errNoRoom):
+		w.WriteHeader(http.StatusServiceUnavailable)
 		return
-	}
-	data, zipped, err := b.encodeFor(r, zlwatcher.Topic(t), d)
-	if err != nil {
+	case err != nil:
 		b.recordFailure(err)
 		w.WriteHeader(http.StatusInternalServerError)
 		return
+	case reply == nil:
+		w.WriteHeader(http.StatusNoContent)
+		return
 	}
-	if zipped {
+	defer b.replies[topic].release(reply)
+	if reply.zipped {
 		w.Header().Set("Content-Encoding", "gzip")
 	}
-	if _, err := w.Write(data); err != nil && !b.closed() {
+	if _, err := w.Write(reply.data); err != nil && !b.closed() {
 		b.recordFailure(err)
 	}
 }
--- a/io/version/zlbroadcast/zlbroadcast.go
+++ b/io/version/zlbroadcast/zlbroadcast.go
@@ -126,6 +126,8 @@
 	Handlers map[string]http.Handler
 	// MaxConns limits the number of connections of other VMs; 0 means no limit.
 	MaxConns int
+	// Replies limits the bytes of all replies to fetches that are being sent; nil means no limit.
+	Replies *zlreadbudget.Budget
 	// OnClose is called for each connection of another VM that is closed for a limit; may be
 	// nil.
 	OnClose func(zlconnlimit.Cause)
@@ -145,9 +147,9 @@
 	rateBytes atomic.Int64
 	// heartbeats counts those sent without an update.
 	heartbeats atomic.Uint32
-	mu         sync.Mutex
-	// encoded holds the last delta of each topic that was sent.
-	encoded [zlwatcher.NumTopics]encodedDelta
+	// replies holds the replies to fetches, by topic.
+	replies [zlwatcher.NumTopics]replyCache
+	mu      sync.Mutex
 	// peerAddrs caches resolved addresses.
 	peerAddrs map[string]*net.UDPAddr
 }
--- a/io/version/zlbroadcast/zlbroadcast_test.go
+++ b/io/version/zlbroadcast/zlbroadcast_test.go
@@ -288,8 +288,8 @@
 	if encoding != "gzip" || len(zipped) > len(plain)/10 {
 		t.Errorf("got %d bytes with encoding %q for %d bytes, want a tenth, compressed", len(zipped), encoding, len(plain))
 	}
-	first := b.encoded[zlwatcher.TopicTable].data
-	if again, _ := fetch("gzip"); len(again) == 0 || &b.encoded[zlwatcher.TopicTable].data[0] != &first[0] {
+	first := b.replies[zlwatcher.TopicTable].last[true].data
+	if again, _ := fetch("gzip"); len(again) == 0 || &b.replies[zlwatcher.TopicTable].last[true].data[0] != &first[0] {
 		t.Error("the delta was encoded again for the same fetch")
 	}
 }
