The header of a forward is bounded and counted as what it takes

What was seen: four clients that sent one message of 7 MB each to the listener for other VMs took a relay with 60 MB to 184 to 235 MB. The message is a forward whose header has seven million empty values.

Cause: an empty value is one byte in a message and 16 in memory, and the budget counted the message's bytes.

Change: the header is decoded after the rest, if it has at most 1 MB encoded (net/http takes no longer head from a caller) and the budget has room for 16 times its bytes; otherwise the reply is 413, and nothing runs. Messages are the same bytes as before (TestForwardsOfEarlierBuilds, recorded ones).

--- a/io/request/zlforward/handler.go
+++ b/io/request/zlforward/handler.go
@@ -34,17 +34,21 @@
 		return
 	}
 	data, err := readAll(r.Body, r.ContentLength, reservation)
-	if err != nil {
-		var e *Error
-		if errors.As(err, &e) {
-			w.WriteHeader(http.StatusRequestEntityTooLarge)
-		}
-		return
+	var f *zlrelay.Forward
+	if err == nil {
+		f, err = decodeForward(data, time.Now(), reservation)
 	}
-	f, err := decodeForward(data, time.Now())
-	if err != nil {
+	var e *Error
+	switch {
+	case errors.As(err, &e) && e.Kind == KindTooLarge:
+		w.WriteHeader(http.StatusRequestEntityTooLarge)
+		return
+	case errors.As(err, &e):
 		w.WriteHeader(http.StatusBadRequest)
 		return
+	case err != nil:
+		// The body ended early.
+		return
 	}
 	defer f.Request.End()
 	if h.Stopping() {
--- a/io/request/zlforward/message.go
+++ b/io/request/zlforward/message.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"time"
 
+	"zinnialock/core/connection/zlreadbudget"
 	"zinnialock/core/process/zldecision"
 	"zinnialock/core/process/zlunit"
 	"zinnialock/core/request/zlrelay"
@@ -21,8 +22,9 @@
 	Target string           `cbor:"4,keyasint"`
 	Path   string           `cbor:"5,keyasint"`
 	Host   string           `cbor:"6,keyasint"`
-	Header http.Header      `cbor:"7,keyasint,omitempty"`
-	Body   []byte           `cbor:"8,keyasint,omitempty"`
+	// Header is an encoded http.Header; see decodeHeader.
+	Header cbor.RawMessage `cbor:"7,keyasint,omitempty"`
+	Body   []byte          `cbor:"8,keyasint,omitempty"`
 	// Waited is the time since the caller's request arrived, Left the time until the
 	// caller's deadline, or 0 if there is none, and Transit as in zlrelay.Request.
 	Waited   time.Duration   `cbor:"9,keyasint"`
@@ -93,6 +95,11 @@
 	maxItems = 4096
 	// maxDepth bounds the nesting of a message, in levels.
 	maxDepth = 8
+	// maxHeaderBytes bounds the encoded header of a request: net/http takes heads of up to 1 MB.
+	maxHeaderBytes = 1 << 20
+	// headerFactor is what a header takes for each of its encoded bytes at most: an empty value
+	// is one byte, and a string of 16 bytes in memory.
+	headerFactor = 16
 )
 
 var decoder = mustDecoder()
@@ -112,6 +119,10 @@
 // encodeForward encodes a forward; its times become durations as of now.
 func encodeForward(f *zlrelay.Forward, now time.Time) ([]byte, error) {
 	m := f.Request.Message
+	header, err := encodeHeader(m.Header)
+	if err != nil {
+		return nil, err
+	}
 	w := &request{
 		Origin:   f.Origin,
 		ID:       f.Request.ID,
@@ -119,7 +130,7 @@
 		Target:   m.Target,
 		Path:     m.Path,
 		Host:     m.Host,
-		Header:   m.Header,
+		Header:   header,
 		Body:     m.Body,
 		Waited:   now.Sub(f.Request.Received),
 		Transit:  f.Request.Transit,
@@ -140,8 +151,39 @@
 	return cbor.Marshal(w)
 }
 
-// decodeForward decodes a forward that arrived at now.
-func decodeForward(data []byte, now time.Time) (*zlrelay.Forward, error) {
+// encodeHeader encodes the header of a request; an empty one is left out.
+func encodeHeader(h http.Header) (cbor.RawMessage, error) {
+	if len(h) == 0 {
+		return nil, nil
+	}
+	return cbor.Marshal(h)
+}
+
+// decodeHeader decodes the header of a request if the budget of reservation has room for it.
+func decodeHeader(data []byte, reservation *zlreadbudget.Reservation) (http.Header, error) {
+	if len(data) > maxHeaderBytes || !reservation.Grow(zlreadbudget.Bytes(headerFactor*len(data))) {
+		return nil, &Error{
+			Op:   "request",
+			Kind: KindTooLarge,
+		}
+	}
+	if len(data) == 0 {
+		return nil, nil
+	}
+	var h http.Header
+	if err := decoder.Unmarshal(data, &h); err != nil {
+		return nil, &Error{
+			Op:   "request",
+			Kind: KindFormat,
+			Err:  err,
+		}
+	}
+	return h, nil
+}
+
+// decodeForward decodes a forward that arrived at now. What its header takes is added to
+// reservation.
+func decodeForward(data []byte, now time.Time, reservation *zlreadbudget.Reservation) (*zlrelay.Forward, error) {
 	var r request
 	if err := decoder.Unmarshal(data, &r); err != nil {
 		return nil, &Error{
@@ -156,6 +198,10 @@
 			Kind: KindFormat,
 		}
 	}
+	header, err := decodeHeader(r.Header, reservation)
+	if err != nil {
+		return nil, err
+	}
 	f := &zlrelay.Forward{
 		Origin: r.Origin,
 		Request: &zlrelay.Request{
@@ -165,7 +211,7 @@
 				Target: r.Target,
 				Path:   r.Path,
 				Host:   r.Host,
-				Header: r.Header,
+				Header: header,
 				Body:   r.Body,
 			},
 			Organisation: r.Organisation,
--- a/io/request/zlforward/recorded_test.go
+++ b/io/request/zlforward/recorded_test.go
@@ -11,9 +11,9 @@
 
 // recordedMessages returns a request and a reply of each kind, as they are in
 // testdata/recorded.
-func recordedMessages() map[string]any {
+func recordedMessages(t *testing.T) map[string]any {
 	return map[string]any{
-		"request": recordedRequest(),
+		"request": recordedRequest(t),
 		"declined": &reply{
 			ID: "id",
 			Declined: &declined{
@@ -60,17 +60,21 @@
 	}
 }
 
-func recordedRequest() *request {
+func recordedRequest(t *testing.T) *request {
+	header, err := encodeHeader(http.Header{
+		"X-Own": []string{"1"},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
 	return &request{
-		Origin: "vm-1",
-		ID:     "id",
-		Method: "POST",
-		Target: "/a?b",
-		Path:   "/a",
-		Host:   "h",
-		Header: http.Header{
-			"X-Own": []string{"1"},
-		},
+		Origin:  "vm-1",
+		ID:      "id",
+		Method:  "POST",
+		Target:  "/a?b",
+		Path:    "/a",
+		Host:    "h",
+		Header:  header,
 		Body:    []byte("body"),
 		Waited:  time.Millisecond,
 		Left:    time.Second,
@@ -90,5 +94,5 @@
 // Guards against a build that cannot run beside the one before it, as
 // zlbroadcast.TestMessagesOfEarlierBuilds.
 func TestForwardsOfEarlierBuilds(t *testing.T) {
-	zlrecorded.Check(t, decoder, recordedMessages())
+	zlrecorded.Check(t, decoder, recordedMessages(t))
 }
