serve bounds the connections that wait for a handshake

What was seen: 200 clients that each sent 50 opening packets of QUIC and were gone when the reply came took a daemon of serve to 340, 376 and 318 MB; the limits of serve are made for a VM of 256 MB. The listener takes daemons with a certificate only, but a connection is made before that.

Cause: nothing bounded the connections whose handshake isn't done; each takes up to 120 KB with the collector's share, for a second or two.

Change: beyond 64 of them a client has to prove its address first (QUIC's Retry), which takes no memory here, and beyond 768 it is refused: all other daemons of the largest deployment may still connect at once.

--- a/io/connection/zlpeer/serve.go
+++ b/io/connection/zlpeer/serve.go
@@ -18,6 +18,7 @@
 		if err != nil {
 			return
 		}
+		n.handshakes.finish(conn)
 		n.meter.track(conn)
 		n.spawn(func() {
 			n.serveConn(conn)
--- a/io/connection/zlpeer/zlpeer.go
+++ b/io/connection/zlpeer/zlpeer.go
@@ -115,6 +115,8 @@
 	cancel    context.CancelFunc
 	transport *quic.Transport
 	listener  *quic.Listener
+	// handshakes bounds the connections of others in their handshake.
+	handshakes handshakes
 	// mu guards links, which has an entry for each address.
 	mu      sync.Mutex
 	links   map[string]*link
@@ -134,8 +136,13 @@
 			Err:  eris.Wrap(err, n.Address),
 		}
 	}
+	n.handshakes.OnRefused = func() {
+		n.countDropped(reasonHandshakes)
+	}
 	n.transport = &quic.Transport{
-		Conn: conn,
+		Conn:                conn,
+		VerifySourceAddress: n.handshakes.mustVerify,
+		ConnContext:         n.handshakes.start,
 	}
 	n.ctx, n.cancel = context.WithCancel(context.Background())
 	n.workers.Do = func(f func()) {
