--- a/io/connection/zlconnlimit/zlconnlimit.go
+++ b/io/connection/zlconnlimit/zlconnlimit.go
@@ -33,9 +33,9 @@
 	// HeadSlack is what a head takes besides what the limits of configurations count:
 	// the protocol's version, and spaces around values.
 	HeadSlack = 4 << 10
-	// BytesPerConn is what a connection takes that is idle after a request: 32 to 38 KB were
-	// measured, with the garbage collector's share.
-	BytesPerConn = 32 << 10
+	// BytesPerConn is what a connection takes: 32 to 38 KB were measured for one that is idle
+	// after a request, with the garbage collector's share; the rest is for bytes in its socket.
+	BytesPerConn = 48 << 10
 	// defaultHeadTime bounds the reading of a head if Limits returns no limit.
 	defaultHeadTime = 10 * time.Second
 	// defaultIdleTime is how long an idle connection is kept if Limits returns no limit.
