Connections that wait to be accepted are few

What was seen: 200 clients that connect, send a whole body of 256 KB, leave and come again took a relay with 60 MB to 152 MB, of which 79 to 83 in up to 3,540 connections that were not accepted yet.

Cause: Go lets as many connections wait as the system allows, 4,096. Each may hold a receive buffer, and they are in no limit.

Change: a quarter of the connections that are allowed may wait, at least 64; others get no answer to their opening packet and send it again after a second, as they waited longer than that before.

--- a/io/connection/zlconnlimit/listen.go
+++ b/io/connection/zlconnlimit/listen.go
@@ -12,7 +12,7 @@
 // head. It ends when inner does and, if inner was closed, no connection without a first
 // whole head is left; Close of the Limiter closes these.
 func (l *Limiter) Listen(inner net.Listener) net.Listener {
-	limitBuffers(inner)
+	l.limitSockets(inner)
 	l.mu.Lock()
 	l.conns = map[*Conn]struct{}{}
 	l.notify()
--- a/io/connection/zlconnlimit/buffer.go
+++ b/io/connection/zlconnlimit/socket.go
@@ -12,13 +12,18 @@
 	// MB/s for bodies that are longer than the buffer, and 5 for answers.
 	receiveBufferBytes = 16 << 10
 	sendBufferBytes    = 32 << 10
+	// backlogShare is the number of connections that may wait to be accepted for each that is
+	// allowed, and minBacklog the least. Each may hold a receive buffer; Go allows as many as the
+	// system does, 4,096 usually.
+	backlogShare = 0.25
+	minBacklog   = 64
 )
 
-// limitBuffers sets the buffers of the connections that l accepts. Those of an accepted connection
-// could only be set after the other side may have filled them. Another kind of listener, or a
-// system that refuses, keeps its own.
-func limitBuffers(l net.Listener) {
-	tcp, ok := l.(*net.TCPListener)
+// limitSockets sets the buffers of the connections that inner accepts and the number of those that
+// wait for it. The buffers of an accepted connection could only be set after the other side may
+// have filled them. Another kind of listener, or a system that refuses, keeps its own.
+func (l *Limiter) limitSockets(inner net.Listener) {
+	tcp, ok := inner.(*net.TCPListener)
 	if !ok {
 		return
 	}
@@ -29,5 +34,8 @@
 	_ = raw.Control(func(fd uintptr) {
 		_ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, receiveBufferBytes)
 		_ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_SNDBUF, sendBufferBytes)
+		if l.MaxConns > 0 {
+			_ = syscall.Listen(int(fd), max(minBacklog, int(backlogShare*float64(l.MaxConns))))
+		}
 	})
 }
