All budgets together have a limit

What was seen: crowds at the listeners for callers, other VMs, readiness and metrics at the same time took a relay with 60 MB beside 4,000 replicas to 62, 63 and 61 MB in 3 of 16 runs, with each listener within its limits; on to 225 to 229 MB in 3 of 3.

Change: a budget of zlreadbudget may have a total that it shares with others: a reader gets what both have free. Each kind may still use its own share while the others don't.

The property test of zlreadbudget checks the total too.

--- a/core/connection/zlreadbudget/zlreadbudget.go
+++ b/core/connection/zlreadbudget/zlreadbudget.go
@@ -21,11 +21,36 @@
 type Budget struct {
 	// Limit is the number of bytes that all readers together may hold.
 	Limit Bytes
+	// Total, if not nil, limits what this budget and others hold together. It has no Total
+	// itself.
+	Total *Budget
 
 	mu   sync.Mutex
 	used Bytes
 }
 
+// take adds n bytes to those held and reports whether the limits allow a reader that holds held
+// of them to have as many more.
+func (b *Budget) take(held, n Bytes) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if held+n > b.Limit-b.used || b.Total != nil && !b.Total.take(held, n) {
+		return false
+	}
+	b.used += n
+	return true
+}
+
+// free returns n bytes.
+func (b *Budget) free(n Bytes) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.used -= n
+	if b.Total != nil {
+		b.Total.free(n)
+	}
+}
+
 // Used returns the number of bytes held.
 func (b *Budget) Used() Bytes {
 	b.mu.Lock()
@@ -38,6 +63,7 @@
 	// Budget must be set before use.
 	Budget *Budget
 
+	mu     sync.Mutex
 	held   Bytes
 	closed bool
 }
@@ -45,17 +71,15 @@
 // Grow adds n bytes and reports whether the budget allows it. Without permission the
 // reservation stays as it is, and the reader must stop reading.
 func (r *Reservation) Grow(n Bytes) bool {
-	b := r.Budget
-	if b == nil {
+	if r.Budget == nil {
 		return true
 	}
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if r.closed || r.held+n > b.Limit-b.used {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.closed || !r.Budget.take(r.held, n) {
 		return false
 	}
 	r.held += n
-	b.used += n
 	return true
 }
 
@@ -70,13 +94,12 @@
 }
 
 func (r *Reservation) release(closed bool) {
-	b := r.Budget
-	if b == nil {
+	if r.Budget == nil {
 		return
 	}
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.used -= r.held
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.Budget.free(r.held)
 	r.held = 0
 	r.closed = r.closed || closed
 }
--- a/core/connection/zlreadbudget/zlreadbudget_test.go
+++ b/core/connection/zlreadbudget/zlreadbudget_test.go
@@ -42,11 +42,25 @@
 	}
 }
 
-// The sum never passes the limit, and what is returned is what was held.
+// The sum never passes the limit, nor that of all budgets, and what is returned is what was held.
 func TestBudgetIsNeverExceeded(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
+		total := &Budget{
+			Limit: Bytes(rapid.Int64Range(0, 1000).Draw(t, "total")),
+		}
 		b := &Budget{
 			Limit: Bytes(rapid.Int64Range(0, 1000).Draw(t, "limit")),
+			Total: total,
+		}
+		other := &Reservation{
+			Budget: &Budget{
+				Limit: 100,
+				Total: total,
+			},
+		}
+		beside := Bytes(0)
+		if n := Bytes(rapid.Int64Range(0, 100).Draw(t, "other")); other.Grow(n) {
+			beside = n
 		}
 		list := make([]Reservation, 4)
 		for i := range list {
@@ -65,8 +79,9 @@
 			for _, n := range held {
 				sum += n
 			}
-			if b.Used() != sum || sum > b.Limit {
-				t.Fatalf("%d bytes used, %d held, limit %d", b.Used(), sum, b.Limit)
+			if b.Used() != sum || sum > b.Limit || total.Used() != sum+beside || sum+beside > total.Limit {
+				t.Fatalf("%d bytes used, %d held, limit %d; with %d of another budget %d used, limit %d",
+					b.Used(), sum, b.Limit, beside, total.Used(), total.Limit)
 			}
 		}
 	})
