--- a/contrib/unit.sh
+++ b/contrib/unit.sh
@@ -1,7 +1,8 @@
 #!/usr/bin/env bash
-# Runs all tests with the race detector, and the large fleets also without it. A package that failed passes only if each
-# of its tests that failed is named by a line "test: NAME" of KNOWN-RED.txt, and these are printed. Packages that ended by
-# the crash named by a line "runtime:" run again once, whole, under the same rule.
+# Runs all tests with the race detector, the crowds of clients by themselves, and the large fleets also without it. A
+# package that failed passes only if each of its tests that failed is named by a line "test: NAME" of KNOWN-RED.txt, and
+# these are printed. Packages that ended by the crash named by a line "runtime:" run again once, whole, under the same
+# rule.
 set -uo pipefail
 cd "$(dirname "$0")/.."
 go test -count=1 -timeout 2m ./core/version/zlpoller || exit 1
@@ -24,10 +25,10 @@
 		END { if (!seen) print "- bad" }' "$out"
 }
 
-# run_tests tests packages, and sets again to those that have to run again. It fails if a failure isn't known.
+# run_tests tests packages with a flag, and sets again to those that have to run again. It fails if a failure isn't known.
 run_tests() {
 	again=()
-	go test -race -count=1 -timeout 8m "$@" 2>&1 | tee "$out"
+	go test -race -count=1 -p "$jobs" -timeout 8m "$@" 2>&1 | tee "$out"
 	[ "${PIPESTATUS[0]}" -eq 0 ] && return 0
 	local name kind failed test
 	while read -r name kind failed; do
@@ -43,8 +44,19 @@
 	done < <(packages)
 }
 
-run_tests "${@:-./...}" || exit 1
-[ "${#again[@]}" -eq 0 ] && exit 0
-is_known "runtime: crash of the race detector" || exit 1
-echo "run again, see KNOWN-RED.txt: crash of the race detector: ${again[*]}"
-run_tests "${again[@]}" && [ "${#again[@]}" -eq 0 ]
+# check runs tests, and those packages again that have to.
+check() {
+	run_tests "$@" || exit 1
+	[ "${#again[@]}" -eq 0 ] && return
+	is_known "runtime: crash of the race detector" || exit 1
+	echo "run again, see KNOWN-RED.txt: crash of the race detector: ${again[*]}"
+	run_tests "$1" "${again[@]}" && [ "${#again[@]}" -eq 0 ] || exit 1
+}
+
+crowds='^Test(Crowd|OpeningPackets)'
+if [ $# -eq 0 ]; then
+	# They measure memory: one at a time, and nothing beside them.
+	jobs=1 check "-run=$crowds" ./platform ./io/standin/zltestbed
+	set -- ./...
+fi
+jobs=$(nproc) check "-skip=$crowds" "$@"
