--- a/io/process/zldaemon/listeners.go
+++ b/io/process/zldaemon/listeners.go
@@ -19,7 +19,7 @@
 	// may be idle: longer than the 90 s after which usual clients close theirs.
 	headTime = 10 * time.Second
 	idleTime = 2 * time.Minute
-	// maxCallerConns bounds the callers' connections: 64 MB at 32 KB each.
+	// maxCallerConns bounds the callers' connections: 96 MB at 48 KB each.
 	maxCallerConns = 2048
 	// maxAdminConns bounds those of operators and collectors.
 	maxAdminConns = 64
