A cancelled send no longer counts as the end of its replica

What callers saw: after clients that send a request and leave, ordinary requests of the same kind were refused for up to 10 s (503 tooFewShards, then uplinkLost), beside 200 idle connections. Cause: the end of a request closes the reservation of its answer. A read that the cancellation ended then asked it for 0 bytes more, was denied, and reported an answer that is too large instead of the deadline, which counts as a replica that ended under the request. Such a request goes to one replica at a time, and to none if its service has one only, for 8 s; as the one that tries a lost uplink it was sent nowhere, so the uplink stayed lost. Change: only bytes that were read are charged.

--- a/io/request/zlexchange/zlexchange.go
+++ b/io/request/zlexchange/zlexchange.go
@@ -284,7 +284,7 @@
 	}
 	n, err := c.Conn.Read(data[:min(len(data), c.allowance)])
 	c.allowance -= n
-	if !c.reservation.Grow(zlreadbudget.Bytes(n)) {
+	if n > 0 && !c.reservation.Grow(zlreadbudget.Bytes(n)) {
 		c.tooLarge = true
 		return 0, errTooLarge
 	}
