--- a/contrib/unit.sh
+++ b/contrib/unit.sh
@@ -5,7 +5,6 @@
 # rule.
 set -uo pipefail
 cd "$(dirname "$0")/.."
-go test -count=1 -timeout 2m ./core/version/zlpoller || exit 1
 out=$(mktemp)
 trap 'rm -f "$out"' EXIT
 
@@ -28,7 +27,7 @@
 # run_tests tests packages with a flag, and sets again to those that have to run again. It fails if a failure isn't known.
 run_tests() {
 	again=()
-	go test -race -count=1 -p "$jobs" -timeout 8m "$@" 2>&1 | tee "$out"
+	go test ${race:+"$race"} -count=1 -p "$jobs" -timeout "$limit" "$@" 2>&1 | tee "$out"
 	[ "${PIPESTATUS[0]}" -eq 0 ] && return 0
 	local name kind failed test
 	while read -r name kind failed; do
@@ -53,10 +52,13 @@
 	run_tests "$1" "${again[@]}" && [ "${#again[@]}" -eq 0 ] || exit 1
 }
 
+race=-race
+limit=8m
 if [ $# -gt 0 ]; then
 	jobs=$(nproc) check -run=. "$@"
 	exit 0
 fi
+race='' limit=2m jobs=1 check -run=. ./core/version/zlpoller
 # The crowds measure memory: one at a time, and nothing beside them.
 crowds='^Test(Crowd|OpeningPackets)'
 jobs=1 check "-run=$crowds" ./platform ./io/standin/zltestbed
