--- a/contrib/unit.sh
+++ b/contrib/unit.sh
@@ -48,7 +48,7 @@
 	run_tests "$@" || exit 1
 	local repeat
 	for ((repeat = 0; ${#again[@]} > 0; repeat++)); do
-		is_known "runtime: crash of the race detector" || exit 1
+		[ -n "$race" ] && is_known "runtime: crash of the race detector" || exit 1
 		[ "$repeat" -lt "$max_repeats" ] || exit 1
 		echo "run again, see KNOWN-RED.txt: crash of the race detector: ${again[*]}"
 		run_tests "$1" "${again[@]}" || exit 1
